--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,67 @@
+import tseslint from "typescript-eslint";
+import { functionVerbs } from "./scripts/function-verbs.js";
+
+export default tseslint.config(
+    { ignores: ["node_modules", "dist"] },
+    ...tseslint.configs.strict,
+    {
+        files: ["src/**/*.ts", "bench/**/*.ts"],
+        languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+        plugins: { cactusrack: { rules: { "function-verbs": functionVerbs } } },
+        rules: {
+            "cactusrack/function-verbs": "error",
+            "@typescript-eslint/consistent-type-imports": "error",
+            "@typescript-eslint/no-floating-promises": "error",
+            "@typescript-eslint/no-misused-promises": "error",
+            "@typescript-eslint/switch-exhaustiveness-check": ["error", {
+                considerDefaultExhaustiveForUnions: true,
+            }],
+            "@typescript-eslint/no-non-null-assertion": "error",
+            "@typescript-eslint/naming-convention": [
+                "error",
+                { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
+                { selector: ["function", "classMethod"], format: ["camelCase"], leadingUnderscore: "forbid" },
+                { selector: "classProperty", format: null, leadingUnderscore: "forbid" },
+            ],
+            "no-restricted-syntax": [
+                "error",
+                {
+                    selector: "TSEnumDeclaration",
+                    message: "Use a constant object and a union of its values.",
+                },
+                { selector: "ExportDefaultDeclaration", message: "Use a named export." },
+                { selector: "Literal[raw='null']", message: "Use undefined." },
+                {
+                    selector:
+                        "CallExpression[callee.property.name=/^(skip|todo)$/][callee.object.name=/^(it|test|describe)$/]",
+                    message: "A skipped test is a defect: list it in KNOWN-RED.txt.",
+                },
+            ],
+            "no-restricted-imports": [
+                "error",
+                {
+                    paths: [
+                        "child_process",
+                        "node:child_process",
+                        "cluster",
+                        "node:cluster",
+                        "worker_threads",
+                        "node:worker_threads",
+                    ],
+                },
+            ],
+            "max-lines": ["error", { max: 400, skipBlankLines: false, skipComments: false }],
+            "curly": "error",
+            "eqeqeq": "error",
+        },
+    },
+    {
+        files: ["src/test/**/*.ts"],
+        rules: { "@typescript-eslint/no-floating-promises": "off", "max-lines": ["error", { max: 600 }] },
+    },
+    {
+        // Benches start several real processes; the product itself never does.
+        files: ["bench/**/*.ts"],
+        rules: { "no-restricted-imports": "off" },
+    },
+);
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,45 @@
+/**
+ * Runs every test file below `src/test` with Node's own test runner, each file in a process of its own.
+ *
+ * @remarks Arguments, if any, are substrings: only the files whose path contains one of them run.
+ * Files named by a line of `KNOWN-RED.txt` are left out here and run apart by `.ci/run`.
+ */
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+
+const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const wantsKnownRed = process.argv.includes("--known-red");
+const filters = process.argv.slice(2).filter(argument => !argument.startsWith("--"));
+
+function listKnownRed() {
+    if (!existsSync(KNOWN_RED_FILE)) {
+        return [];
+    }
+    return readFileSync(KNOWN_RED_FILE, "utf8")
+        .split("\n")
+        .filter(line => line.startsWith("src/test/"))
+        .map(line => line.split(/[\s:]/)[0]);
+}
+
+function listTestFiles() {
+    const knownRed = listKnownRed();
+    return readdirSync("src/test", { recursive: true })
+        .map(name => `src/test/${name}`)
+        .filter(name => name.endsWith("_test.ts"))
+        .filter(name => knownRed.includes(name) === wantsKnownRed)
+        .filter(name => filters.length === 0 || filters.some(filter => name.includes(filter)))
+        .sort();
+}
+
+process.execArgv.push("--import", "tsx");
+const files = listTestFiles();
+if (files.length === 0) {
+    console.log("no test file matches");
+    process.exit(wantsKnownRed ? 0 : 1);
+}
+const stream = run({ files, concurrency: 6 });
+stream.on("test:fail", () => {
+    process.exitCode = 1;
+});
+stream.compose(new spec()).pipe(process.stdout);
--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,58 @@
+/**
+ * The clock type of this project. Every duration and instant is a number of milliseconds.
+ *
+ * @remarks Instants come from a monotonic clock: they never jump and mean nothing outside the process.
+ * Wall-clock time appears only in logs and in records that people read.
+ */
+
+/** A duration, or an instant of a monotonic clock, in milliseconds. */
+export type Millis = number;
+
+/** A pending call made by {@link Clock.schedule}. */
+export interface Timer {
+    /** Prevents the call if it has not happened yet; harmless otherwise. */
+    cancel(): void;
+}
+
+/** Source of time for one process. Tests pass a fake one. */
+export interface Clock {
+    /**
+     * Reads the monotonic clock.
+     * @returns Milliseconds since an arbitrary start; never falls.
+     */
+    now(): Millis;
+    /**
+     * Reads the wall clock, for logs and records that people read; never for a decision.
+     * @returns Milliseconds since the Unix epoch.
+     */
+    wallNow(): Millis;
+    /**
+     * Calls back once, no earlier than the delay.
+     * @param delay - Milliseconds to wait; zero means as soon as possible, but not within this call.
+     * @param callback - Runs on the event loop; must not throw.
+     * @returns A handle that cancels the call.
+     */
+    schedule(delay: Millis, callback: () => void): Timer;
+}
+
+/** The clock of the running system. */
+export const systemClock: Clock = {
+    now: () => performance.now(),
+    wallNow: () => Date.now(),
+    schedule(delay, callback) {
+        const handle = setTimeout(callback, Math.max(0, delay));
+        return { cancel: () => clearTimeout(handle) };
+    },
+};
+
+/**
+ * Waits on a clock.
+ * @param clock - Where time comes from.
+ * @param delay - Milliseconds to wait.
+ * @returns A promise that resolves after the delay.
+ */
+export function sleep(clock: Clock, delay: Millis): Promise<void> {
+    return new Promise(resolve => {
+        clock.schedule(delay, resolve);
+    });
+}
--- /dev/null
+++ b/src/common/random.ts
@@ -0,0 +1,45 @@
+/** Random numbers from a seeded generator, so that equal seeds give equal decisions. */
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** A source of random numbers. */
+export interface Random {
+    /**
+     * @param bound - Exclusive upper bound, at least 1.
+     * @returns A whole number from 0 to `bound - 1`, evenly spread.
+     */
+    pickInt(bound: number): number;
+    /** @returns A number from 0 (inclusive) to 1 (exclusive). */
+    pickFraction(): number;
+}
+
+const FRACTION_STEPS = 2 ** 31;
+
+/**
+ * Creates a seeded random source (xoroshiro128+).
+ * @param seed - Any 32-bit whole number.
+ * @returns A source that gives the same sequence for the same seed.
+ */
+export function createRandom(seed: number): Random {
+    const generator = xoroshiro128plus(seed);
+    return {
+        pickInt: bound => uniformInt(generator, 0, bound - 1),
+        pickFraction: () => uniformInt(generator, 0, FRACTION_STEPS - 1) / FRACTION_STEPS,
+    };
+}
+
+/**
+ * Makes an identifier that no other process makes, with overwhelming probability.
+ * @param random - The random source of the process.
+ * @returns 20 lower-case letters and digits (about 103 bits).
+ */
+export function makeUniqueId(random: Random): string {
+    let id = "";
+    for (let length = 0; length < UNIQUE_ID_LENGTH; length++) {
+        id += UNIQUE_ID_ALPHABET[random.pickInt(UNIQUE_ID_ALPHABET.length)];
+    }
+    return id;
+}
+
+const UNIQUE_ID_LENGTH = 20;
+const UNIQUE_ID_ALPHABET = "0123456789abcdefghijklmnopqrstuvwxyz";
--- /dev/null
+++ b/src/request/work.ts
@@ -0,0 +1,99 @@
+/** Units of work: service requests, jobs and the tasks of jobs, as callers hand them in. */
+import type { Millis } from "../common/clock.js";
+import type { Outcome } from "../common/outcome.js";
+import type { Resources } from "../common/resources.js";
+
+/** Kinds of work; the settings tree chooses a policy for each branch of a kind. */
+export const WorkKind = {
+    /** A request answered by a running service. */
+    service: "service",
+    /** Independent tasks, packing first. */
+    batch: "batch",
+    /** Tasks that all start together or not at all. */
+    gang: "gang",
+    /** A few small tasks whose waiting time matters. */
+    short: "short",
+} as const;
+export type WorkKind = (typeof WorkKind)[keyof typeof WorkKind];
+
+/** Kinds of work that are handed in as jobs. */
+export type JobKind = Exclude<WorkKind, "service">;
+
+/** Who asks, as established by the caller's token. */
+export interface Caller {
+    readonly callerId: string;
+    readonly team: string;
+}
+
+/** A service request, checked. */
+export interface ServiceRequest {
+    readonly requestId: string;
+    readonly caller: Caller;
+    /** Path of the branch in the settings tree, such as `services/catalogo-beni`. */
+    readonly branch: string;
+    readonly body: Uint8Array;
+    readonly contentType: string;
+    /** Whether it may be run again when it is proved that it did not run or had ended. */
+    readonly repeatable: boolean;
+    readonly idempotencyKey?: string;
+    /** Instant on this entry's clock by which the caller wants the answer. */
+    readonly deadline: Millis;
+}
+
+/** A job, checked. */
+export interface JobSpec {
+    readonly kind: JobKind;
+    readonly branch: string;
+    /** Number of tasks, at least 1. */
+    readonly tasks: number;
+    /** What each task needs. */
+    readonly resources: Resources;
+    /** Declared run time of a task; often wrong. */
+    readonly estimateMs?: Millis;
+    readonly urgent: boolean;
+    readonly repeatable: boolean;
+    /** What workers run; opaque. */
+    readonly payload: string;
+    readonly idempotencyKey?: string;
+}
+
+/** State of a job as its caller sees it. */
+export const JobState = {
+    waiting: "waiting",
+    running: "running",
+    ended: "ended",
+} as const;
+export type JobState = (typeof JobState)[keyof typeof JobState];
+
+/** A job as its caller sees it. */
+export interface JobView {
+    readonly jobId: string;
+    readonly caller: Caller;
+    readonly spec: JobSpec;
+    readonly state: JobState;
+    readonly submittedWallMs: number;
+    /** Tasks by state; the numbers add up to `spec.tasks`. */
+    readonly counts: {
+        readonly waiting: number;
+        readonly running: number;
+        readonly done: number;
+        readonly failed: number;
+        readonly notRun: number;
+        readonly mayHaveRun: number;
+        readonly cancelled: number;
+    };
+    /** The first tasks with their outcomes and places, at most {@link MAX_TASKS_SHOWN}. */
+    readonly tasks: readonly TaskView[];
+}
+
+/** Tasks listed in a {@link JobView}. */
+export const MAX_TASKS_SHOWN = 100;
+
+/** A task as its caller sees it. */
+export interface TaskView {
+    readonly index: number;
+    readonly state: "waiting" | "running" | "ended";
+    readonly workerId?: string;
+    readonly outcome?: Outcome;
+    readonly attempts: number;
+}
