Ownership of slices: table, leases, suspicion and the right to act

Cause: slices need one owner at a time, over the platform's store alone. Change: one table record changed by compare-and-swap, rendezvous assignment with a load bound and domains kept apart, member leases with overlapping renewals, revocation by majority suspicion, and the standing rule.

--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -26,6 +26,8 @@
     readonly storeContactAgeMs: Millis;
     /** Whether the sender is shutting down and takes nothing new. */
     readonly draining: boolean;
+    /** Members that the sender has heard of before but not lately. */
+    readonly suspects: readonly string[];
     /** Worker slices that the sender owns, with the epoch, and whether all their workers are known. */
     readonly slices: readonly SliceStatus[];
     readonly load: PlacerLoad;
--- /dev/null
+++ b/src/process/ownership/ownership-role.ts
@@ -0,0 +1,393 @@
+/**
+ * The task that follows the ownership table, keeps this entry a member, and makes the changes of the table that
+ * fall to this entry.
+ */
+import type { Millis, Timer } from "../../common/clock.js";
+import type { CellSettings } from "../../version/settings.js";
+import type { StoreListing } from "../ports/store-port.js";
+import type { CallResult, HeardDigest, Member, OwnershipView, RoleContext, SliceOwner } from "../roles.js";
+import { LostMembers } from "./lost-members.js";
+import { MEMBER_PREFIX, MemberLease } from "./member-lease.js";
+import {
+    addMember,
+    addWorkerDomains,
+    listOwnedSlices,
+    listPlannedMoves,
+    moveSlice,
+    type PlannedMove,
+    removeLeavingMember,
+    removeLostMembers,
+    SliceKind,
+    type SliceName,
+} from "./plan.js";
+import { isKnownByMajority, Standing } from "./standing.js";
+import { Suspicion } from "./suspicion.js";
+import {
+    buildEmptyTable,
+    encodeTable,
+    getOwner,
+    type OwnershipTable,
+    parseTable,
+    TABLE_KEY,
+} from "./table.js";
+
+const TICK_MS: Millis = 250;
+/** Planned moves are at least this far apart, so that a joining member causes no burst of hand-overs. */
+const MOVE_PACE_MS: Millis = 1_000;
+/** Patience of a table write; the next tick tries anew from the table as it then is. */
+const WRITE_PATIENCE_MS: Millis = 5_000;
+
+/** What the ownership role is given. */
+export interface OwnershipOptions {
+    readonly context: Omit<RoleContext, "ownership">;
+    readonly self: Member;
+    getCell(): CellSettings;
+    /** Failure domains of workers in the VM list. */
+    listWorkerDomains(): readonly string[];
+    /** Stops acting on a slice and flushes; resolves with whether the slice had been ready. */
+    releaseSlice(name: SliceName): Promise<boolean>;
+}
+
+/** Follows and changes the table; the other roles read it through {@link OwnershipView}. */
+export class OwnershipRole implements OwnershipView {
+    readonly standing: Standing;
+    readonly suspicion: Suspicion;
+    private table: OwnershipTable | undefined;
+    private revision = 0;
+    private readonly listeners: (() => void)[] = [];
+    private readonly lease: MemberLease;
+    /** Member ids with a key in the store, and the lease each key names; undefined before the first listing. */
+    private liveMembers: Map<string, string> | undefined;
+    private readonly lostMembers: LostMembers;
+    private readonly revoking = new Set<string>();
+    private busy = false;
+    private lastMoveAt = Number.NEGATIVE_INFINITY;
+    private timer: Timer | undefined;
+    private closed = false;
+
+    constructor(private readonly options: OwnershipOptions) {
+        const { context } = options;
+        this.lostMembers = new LostMembers(context.clock);
+        const source = {
+            clock: context.clock,
+            memberId: context.memberId,
+            listMemberIds: () => this.listMemberIds(),
+            getDigest: (memberId: string) => context.peers.getDigest(memberId),
+        };
+        this.suspicion = new Suspicion({ ...source, getDigestMs: () => options.getCell().digestMs });
+        this.standing = new Standing({
+            ...source,
+            getCell: () => options.getCell(),
+            getTableRevision: () => this.revision,
+            getLastStoreContact: () => context.store.getLastContact(),
+        });
+        this.lease = new MemberLease({
+            context,
+            standing: this.standing,
+            getTtl: () => options.getCell().memberTtlMs,
+            refreshTable: () => this.refreshTable(),
+            value: leaseId => JSON.stringify({ leaseId, ...options.self }),
+        });
+    }
+
+    /** Starts to follow the table and to be a member. */
+    start(): void {
+        this.lease.start();
+        this.schedule();
+    }
+
+    getRevision(): number {
+        return this.revision;
+    }
+
+    /** The table held, as text, for peers that cannot reach the store. */
+    getTableText(): string | undefined {
+        return this.table === undefined ? undefined : encodeTable(this.table);
+    }
+
+    getTable(): OwnershipTable | undefined {
+        return this.table;
+    }
+
+    listMembers(): readonly Member[] {
+        return this.table?.members ?? [];
+    }
+
+    getWorkerSliceOwner(slice: number): SliceOwner | undefined {
+        return getOwner(this.table?.workerSlices[slice]);
+    }
+
+    getHomeSliceOwner(slice: number): SliceOwner | undefined {
+        return getOwner(this.table?.homeSlices[slice]);
+    }
+
+    mayAct(): boolean {
+        return !this.closed && this.standing.mayAct();
+    }
+
+    getLeaseOnlyDeadline(): Millis {
+        return this.standing.getLeaseDeadline();
+    }
+
+    subscribe(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    /** Whether a majority of the members that may still act knows a table of at least this revision. */
+    isKnownByMajority(revision: number): boolean {
+        const base = [...this.listMemberIds(), ...this.table?.lost ?? []];
+        const { context } = this.options;
+        return isKnownByMajority(
+            base,
+            context.memberId,
+            revision,
+            memberId => context.peers.getDigest(memberId),
+        );
+    }
+
+    /** Takes the store's records of the cell, at the start and after a gap of the watch. */
+    replaceAll(listing: StoreListing): void {
+        this.liveMembers = new Map();
+        for (const record of listing.records) {
+            this.applyEvent(record.key, record.value, record.revision);
+        }
+    }
+
+    /** Takes one change of the store's records of the cell. */
+    applyEvent(key: string, value: string | undefined, revision: number): void {
+        if (key === TABLE_KEY && value !== undefined) {
+            this.acceptTable(value, revision);
+        }
+        else if (key.startsWith(MEMBER_PREFIX)) {
+            this.acceptMemberKey(key.slice(MEMBER_PREFIX.length), value);
+        }
+    }
+
+    /** Fetches the table from a peer that holds a newer one: the watch may be broken here and not there. */
+    receiveDigest(memberId: string, heard: HeardDigest): void {
+        if (heard.digest.tableRevision <= this.revision || this.closed) {
+            return;
+        }
+        const { peers } = this.options.context;
+        void peers.call(memberId, { kind: "table" }, this.options.getCell().freshMs).then(result =>
+            this.acceptPeerTable(result)
+        );
+    }
+
+    /** Hands everything over and stops being a member. */
+    async leave(): Promise<void> {
+        this.timer?.cancel();
+        const owned = this.table === undefined ?
+            [] :
+            listOwnedSlices(this.table, this.options.context.memberId);
+        const unready: number[] = [];
+        await Promise.all(owned.map(async name => {
+            const ready = await this.options.releaseSlice(name);
+            if (!ready && name.kind === SliceKind.worker) {
+                unready.push(name.slice);
+            }
+        }));
+        const { memberId } = this.options.context;
+        const deadline = this.options.context.clock.now() + WRITE_PATIENCE_MS;
+        while (this.isMember()) {
+            const done = await this.write(table => removeLeavingMember(table, memberId, unready));
+            if (!done && this.options.context.clock.now() >= deadline) {
+                break;
+            }
+        }
+        this.closed = true;
+        await this.lease.close();
+    }
+
+    /** Stops at once, as a crash would. */
+    close(): void {
+        this.closed = true;
+        this.timer?.cancel();
+    }
+
+    private listMemberIds(): readonly string[] {
+        return this.listMembers().map(member => member.memberId);
+    }
+
+    /** Reads the table from the store; returns whether the store answered. */
+    private async refreshTable(): Promise<boolean> {
+        const read = await this.options.context.store.read(TABLE_KEY, WRITE_PATIENCE_MS);
+        if (read.kind !== "done") {
+            return false;
+        }
+        if (read.value !== undefined) {
+            this.acceptTable(read.value.value, read.value.revision);
+        }
+        return true;
+    }
+
+    private acceptPeerTable(result: CallResult): void {
+        if (result.kind === "answer" && result.body.kind === "table") {
+            this.acceptTable(result.body.text, result.body.revision);
+        }
+    }
+
+    private acceptTable(text: string, revision: number): void {
+        if (revision <= this.revision || this.closed) {
+            return;
+        }
+        const parsed = parseTable(text);
+        if (parsed.kind === "unreadable") {
+            this.options.context.log.error("CR1002", "ownership table unreadable", {
+                message: parsed.message,
+            });
+            return;
+        }
+        this.table = parsed.table;
+        this.revision = revision;
+        this.lostMembers.track(parsed.table.lost);
+        if (!this.isMember()) {
+            this.standing.dropLease();
+        }
+        this.listeners.forEach(listener => listener());
+    }
+
+    private acceptMemberKey(memberId: string, value: string | undefined): void {
+        this.liveMembers ??= new Map();
+        if (value === undefined) {
+            this.liveMembers.delete(memberId);
+            return;
+        }
+        const leaseId = (JSON.parse(value) as { leaseId?: unknown; }).leaseId;
+        this.liveMembers.set(memberId, typeof leaseId === "string" ? leaseId : "");
+    }
+
+    private isMember(): boolean {
+        return this.listMemberIds().includes(this.options.context.memberId);
+    }
+
+    private schedule(): void {
+        this.timer = this.options.context.clock.schedule(TICK_MS, () => {
+            this.step();
+            this.schedule();
+        });
+    }
+
+    private step(): void {
+        if (this.closed || this.busy || !this.lease.isHeld() || this.liveMembers === undefined) {
+            return;
+        }
+        this.revokeSuspects();
+        const change = this.planChange();
+        if (change !== undefined) {
+            this.busy = true;
+            void change().finally(() => {
+                this.busy = false;
+            });
+        }
+    }
+
+    /** The next change of the table that falls to this entry, if any. */
+    private planChange(): (() => Promise<unknown>) | undefined {
+        const { table } = this;
+        const { self } = this.options;
+        if (table === undefined) {
+            return () => this.write(current => addMember(current, self));
+        }
+        const gone = this.listGone();
+        if (gone.length > 0) {
+            return () => this.write(current => removeLostMembers(current, gone));
+        }
+        if (!this.isMember()) {
+            return () => this.write(current => addMember(current, self));
+        }
+        const domains = this.options.listWorkerDomains();
+        if (addWorkerDomains(table, domains) !== table) {
+            return () => this.write(current => addWorkerDomains(current, domains));
+        }
+        const stopped = this.lostMembers.listStopped(table.lost, this.options.getCell());
+        if (stopped.length > 0) {
+            return () =>
+                this.write(current => ({
+                    ...current,
+                    lost: current.lost.filter(memberId => !stopped.includes(memberId)),
+                }));
+        }
+        return this.planMove(table);
+    }
+
+    private planMove(table: OwnershipTable): (() => Promise<unknown>) | undefined {
+        const { clock, memberId } = this.options.context;
+        if (clock.now() - this.lastMoveAt < MOVE_PACE_MS) {
+            return undefined;
+        }
+        const move = listPlannedMoves(table, memberId)[0];
+        if (move === undefined || !this.suspicion.isReachable(move.to)) {
+            return undefined;
+        }
+        this.lastMoveAt = clock.now();
+        return () => this.releaseAndMove(move);
+    }
+
+    /** Stops acting on the slice first and writes the move after, so that two never act on it. */
+    private async releaseAndMove(move: PlannedMove): Promise<void> {
+        const ready = await this.options.releaseSlice(move);
+        const moved = await this.write(table => moveSlice(table, move, ready));
+        if (!moved) {
+            // The table may name this entry still: the listeners open the slice again from the table.
+            this.listeners.forEach(listener => listener());
+        }
+    }
+
+    /** Members of the table without a key in the store. */
+    private listGone(): readonly string[] {
+        return this.listMembers()
+            .map(member => member.memberId)
+            .filter(memberId =>
+                memberId !== this.options.context.memberId && !this.liveMembers?.has(memberId)
+            );
+    }
+
+    /**
+     * Ends the leases of members that a majority has not heard of lately: a dead entry's slices then move within
+     * seconds and not after its whole lease. Safe, since the lease's end is what removal waits for anyway, and an
+     * entry that is merely cut off learns of it by its next renewal.
+     */
+    private revokeSuspects(): void {
+        for (const member of this.listMembers()) {
+            const leaseId = this.liveMembers?.get(member.memberId);
+            if (leaseId === undefined || leaseId === "" || this.revoking.has(leaseId)) {
+                continue;
+            }
+            if (this.suspicion.isSuspectedByMajority(member.memberId)) {
+                this.revoking.add(leaseId);
+                this.options.context.log.warn("CR1003", "member suspected, its lease is revoked", {
+                    member: member.memberId,
+                });
+                void this.options.context.store.revokeLease(leaseId).finally(() =>
+                    this.revoking.delete(leaseId)
+                );
+            }
+        }
+    }
+
+    /** One compare-and-swap from the table held; a conflict leaves it to the next tick. */
+    private async write(change: (table: OwnershipTable) => OwnershipTable): Promise<boolean> {
+        const base = this.table ?? buildEmptyTable();
+        const next = change(base);
+        if (next === base) {
+            return true;
+        }
+        const text = encodeTable(next);
+        const result = await this.options.context.store.write({
+            key: TABLE_KEY,
+            value: text,
+            expectedRevision: this.revision,
+            patienceMs: WRITE_PATIENCE_MS,
+            vital: true,
+        });
+        if (result.kind === "done") {
+            this.acceptTable(text, result.revision);
+            return true;
+        }
+        if ((result.kind === "refused" || result.kind === "superseded") && result.current !== undefined) {
+            this.acceptTable(result.current.value, result.current.revision);
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/process/ownership/plan.ts
@@ -0,0 +1,179 @@
+/** Changes of the ownership table, as pure functions from table to table. */
+import { HOME_SLICES, WORKER_SLICES } from "../../version/settings.js";
+import type { Member } from "../roles.js";
+import { chooseOwners, listDomainsOfSlice } from "./assignment.js";
+import { type OwnershipTable, Predecessor, type SliceEntry } from "./table.js";
+
+/** Kinds of slice. */
+export const SliceKind = {
+    worker: "worker",
+    home: "home",
+} as const;
+export type SliceKind = (typeof SliceKind)[keyof typeof SliceKind];
+
+/** A slice of either kind. */
+export interface SliceName {
+    readonly kind: SliceKind;
+    readonly slice: number;
+}
+
+/** A slice that should change its owner. */
+export interface PlannedMove extends SliceName {
+    readonly to: string;
+}
+
+/**
+ * Adds a member; no slice moves yet.
+ * @param table - The table so far.
+ * @param member - The member to add.
+ */
+export function addMember(table: OwnershipTable, member: Member): OwnershipTable {
+    const others = table.members.filter(each => each.memberId !== member.memberId);
+    return assignUnowned({ ...table, members: [...others, member] });
+}
+
+/**
+ * Removes members whose lease has lapsed and gives their slices to others, in one step.
+ * @param table - The table so far.
+ * @param gone - Ids of the members to remove.
+ */
+export function removeLostMembers(table: OwnershipTable, gone: readonly string[]): OwnershipTable {
+    const members = table.members.filter(member => !gone.includes(member.memberId));
+    const orphan = (entry: SliceEntry): SliceEntry =>
+        entry.owner !== undefined && gone.includes(entry.owner) ?
+            { epoch: entry.epoch, predecessor: Predecessor.lost } :
+            entry;
+    return assignUnowned({
+        ...table,
+        members,
+        lost: [...new Set([...table.lost, ...gone])],
+        workerSlices: table.workerSlices.map(orphan),
+        homeSlices: table.homeSlices.map(orphan),
+    });
+}
+
+/**
+ * Removes a member that hands over in order. Slices that it had not made ready keep their predecessor's mark.
+ * @param table - The table so far.
+ * @param memberId - The member that leaves; it has stopped acting on all its slices.
+ * @param unready - Worker slices that it owned but never made ready.
+ */
+export function removeLeavingMember(
+    table: OwnershipTable,
+    memberId: string,
+    unready: readonly number[],
+): OwnershipTable {
+    const release = (entry: SliceEntry, isUnready: boolean): SliceEntry =>
+        entry.owner === memberId ?
+            { epoch: entry.epoch, predecessor: isUnready ? entry.predecessor : Predecessor.released } :
+            entry;
+    return assignUnowned({
+        ...table,
+        members: table.members.filter(member => member.memberId !== memberId),
+        workerSlices: table.workerSlices.map((entry, slice) => release(entry, unready.includes(slice))),
+        homeSlices: table.homeSlices.map(entry => release(entry, false)),
+    });
+}
+
+/**
+ * Gives one slice to another member.
+ * @param table - The table so far.
+ * @param move - The slice and its new owner.
+ * @param ready - Whether the owner so far had made the slice ready.
+ */
+export function moveSlice(table: OwnershipTable, move: PlannedMove, ready: boolean): OwnershipTable {
+    const change = (entry: SliceEntry): SliceEntry => ({
+        owner: move.to,
+        epoch: entry.epoch + 1,
+        predecessor: ready ? Predecessor.released : entry.predecessor,
+    });
+    return move.kind === SliceKind.worker ?
+        { ...table, workerSlices: replaceAt(table.workerSlices, move.slice, change) } :
+        { ...table, homeSlices: replaceAt(table.homeSlices, move.slice, change) };
+}
+
+/**
+ * Adds failure domains of workers that the table does not list yet.
+ * @param table - The table so far.
+ * @param domains - Domains seen in the VM list.
+ * @returns The table, the same object when nothing is new.
+ */
+export function addWorkerDomains(table: OwnershipTable, domains: readonly string[]): OwnershipTable {
+    const fresh = domains.filter(domain => !table.workerDomains.includes(domain)).sort();
+    if (fresh.length === 0) {
+        return table;
+    }
+    return { ...table, workerDomains: [...table.workerDomains, ...fresh] };
+}
+
+/**
+ * Lists the slices of one member that should belong to another one.
+ * @param table - The table.
+ * @param memberId - The owner so far.
+ */
+export function listPlannedMoves(table: OwnershipTable, memberId: string): readonly PlannedMove[] {
+    const moves: PlannedMove[] = [];
+    const collect = (
+        kind: SliceKind,
+        entries: readonly SliceEntry[],
+        wanted: readonly (string | undefined)[],
+    ): void => {
+        entries.forEach((entry, slice) => {
+            const to = wanted[slice];
+            if (entry.owner === memberId && to !== undefined && to !== memberId) {
+                moves.push({ kind, slice, to });
+            }
+        });
+    };
+    collect(SliceKind.home, table.homeSlices, chooseHomeOwners(table));
+    collect(SliceKind.worker, table.workerSlices, chooseWorkerOwners(table));
+    return moves;
+}
+
+/**
+ * Lists the slices of a member.
+ * @param table - The table.
+ * @param memberId - The owner.
+ */
+export function listOwnedSlices(table: OwnershipTable, memberId: string): readonly SliceName[] {
+    const list = (kind: SliceKind, entries: readonly SliceEntry[]): readonly SliceName[] =>
+        entries.flatMap((entry, slice) => entry.owner === memberId ? [{ kind, slice }] : []);
+    return [...list(SliceKind.home, table.homeSlices), ...list(SliceKind.worker, table.workerSlices)];
+}
+
+function assignUnowned(table: OwnershipTable): OwnershipTable {
+    const assign =
+        (wanted: readonly (string | undefined)[]) => (entry: SliceEntry, slice: number): SliceEntry => {
+            const owner = wanted[slice];
+            if (entry.owner !== undefined || owner === undefined) {
+                return entry;
+            }
+            return { owner, epoch: entry.epoch + 1, predecessor: entry.predecessor };
+        };
+    return {
+        ...table,
+        workerSlices: table.workerSlices.map(assign(chooseWorkerOwners(table))),
+        homeSlices: table.homeSlices.map(assign(chooseHomeOwners(table))),
+    };
+}
+
+function chooseWorkerOwners(table: OwnershipTable): readonly (string | undefined)[] {
+    return chooseOwners(
+        SliceKind.worker,
+        WORKER_SLICES,
+        table.members,
+        slice => listDomainsOfSlice(table.workerDomains, slice),
+    );
+}
+
+function chooseHomeOwners(table: OwnershipTable): readonly (string | undefined)[] {
+    return chooseOwners(SliceKind.home, HOME_SLICES, table.members, () => []);
+}
+
+function replaceAt<Value>(
+    values: readonly Value[],
+    index: number,
+    change: (value: Value) => Value,
+): readonly Value[] {
+    return values.map((value, position) => position === index ? change(value) : value);
+}
--- a/src/version/settings.ts
+++ b/src/version/settings.ts
@@ -121,7 +121,7 @@
 /** Defaults of the cell. */
 export const DEFAULT_CELL: CellSettings = {
     workerLeaseMs: 20_000,
-    memberTtlMs: 5_000,
+    memberTtlMs: 15_000,
     digestMs: 250,
     freshMs: 3_000,
     outageToleranceMs: 900_000,
