The settings tree: document, checks, inheritance and edits

Cause: operators drive the system only through the tree; nothing read or checked it. Change: schemas with all faults at once, rules between fields, settings with the origin of each value, edits that merge or conflict, repeats recognised by id, bounded history.

--- /dev/null
+++ b/src/version/index.ts
@@ -0,0 +1,18 @@
+/** What lives for one version of the settings: the tree, its checks and the settings built from it. */
+export { applyEdit, type ApplyResult } from "./apply-edit.js";
+export { compareBranches, compareTrees } from "./compare-trees.js";
+export { DEFAULT_TREE } from "./default-tree.js";
+export { type Checked, formatValue, parseJson, validateBySchema } from "./faults.js";
+export {
+    buildChoiceSchema,
+    buildCountSchema,
+    buildFlagSchema,
+    buildMillisSchema,
+    buildNumberSchema,
+    buildTextSchema,
+} from "./field-schemas.js";
+export { buildSettingsVersion, DEFAULT_ORIGIN, getEffective } from "./inherit.js";
+export { checkTree, encodeTree, parseTree, parseTreeFile } from "./parse-tree.js";
+export { ALL_POLICY_NAMES, POLICY_NAMES } from "./policies.js";
+export * from "./settings.js";
+export { type RootNode, rootSchema, TREE_FORMAT, type TreeDocument, type TreeNode } from "./tree-schema.js";
--- /dev/null
+++ b/src/version/policies.ts
@@ -0,0 +1,16 @@
+/**
+ * Names of the placement policies, by kind of work. The handlers stand in `src/process/placement/`; the names
+ * stand here so that a tree with an unknown policy is refused before it is written.
+ */
+import { WorkKind } from "../request/work.js";
+
+/** Policies that a branch of each kind may name; the first one is the default. */
+export const POLICY_NAMES: Readonly<Record<WorkKind, readonly [string, ...string[]]>> = {
+    [WorkKind.service]: ["leastLoaded"],
+    [WorkKind.batch]: ["fairPacking"],
+    [WorkKind.gang]: ["allOrNothing"],
+    [WorkKind.short]: ["shortestFirst"],
+};
+
+/** Names of all policies. */
+export const ALL_POLICY_NAMES: readonly string[] = Object.values(POLICY_NAMES).flat();
