--- /dev/null
+++ b/src/process/placement/load.ts
@@ -0,0 +1,58 @@
+/** What a placer tells the others of its load. */
+import { NO_RESOURCES, type Resources } from "../../common/resources.js";
+import type { PlacerLoad } from "../../connection/messages.js";
+import type { Books } from "./books.js";
+import type { WaitingBook } from "./waiting-book.js";
+
+/** @returns Load of a placer; goes through its workers, a few times a second. */
+export function computeLoad(books: Books, waiting: WaitingBook): PlacerLoad {
+    let freeSlots = 0;
+    let totalSlots = 0;
+    let largestFree = NO_RESOURCES;
+    for (const worker of books.workers.values()) {
+        if (worker.open) {
+            const ceiling = worker.getSlotCeiling();
+            totalSlots += ceiling;
+            freeSlots += Math.max(0, ceiling - worker.inFlight);
+            largestFree = computeMost(largestFree, {
+                cpuMillis: worker.freeCpu,
+                memoryMib: worker.freeMemory,
+                accelerators: worker.freeAccelerators,
+            });
+        }
+    }
+    return {
+        workers: books.workers.size,
+        freeSlots,
+        totalSlots,
+        queuedRequests: waiting.requests,
+        queuedTasks: waiting.tasks,
+        free: books.sumFree(),
+        total: books.teams.total,
+        largestFree,
+        largestWorker: computeLargestCapacity(books),
+        teamUse: books.teams.listUse(),
+    };
+}
+
+/** @returns Largest capacity of one worker, less what others use on it, dimension by dimension. */
+export function computeLargestCapacity(books: Books): Resources {
+    let largest = NO_RESOURCES;
+    for (const worker of books.workers.values()) {
+        const { capacity, foreignUse } = worker.view;
+        largest = computeMost(largest, {
+            cpuMillis: capacity.cpuMillis - foreignUse.cpuMillis,
+            memoryMib: capacity.memoryMib - foreignUse.memoryMib,
+            accelerators: capacity.accelerators - foreignUse.accelerators,
+        });
+    }
+    return largest;
+}
+
+function computeMost(left: Resources, right: Resources): Resources {
+    return {
+        cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+        memoryMib: Math.max(left.memoryMib, right.memoryMib),
+        accelerators: Math.max(left.accelerators, right.accelerators),
+    };
+}
--- /dev/null
+++ b/src/process/placement/slot-pool.ts
@@ -0,0 +1,71 @@
+/** Workers that may take one more service request of a branch; sampling costs constant time. */
+import type { Random } from "../../common/random.js";
+import type { BranchSettings } from "../../version/settings.js";
+import type { WorkItem } from "./placement-core.js";
+import type { Policy, SpreadCount } from "./policy.js";
+import type { WorkerRecord } from "./worker-record.js";
+
+/** Tries to sample a worker that is not to be avoided before all are gone through. */
+const SAMPLE_TRIES = 4;
+
+/** The workers with room for a branch. */
+export class SlotPool {
+    private readonly members: WorkerRecord[] = [];
+    private readonly positions = new Map<WorkerRecord, number>();
+
+    constructor(private readonly branch: BranchSettings) {}
+
+    /** Takes a worker in or out by its present state; returns whether it is in. */
+    update(worker: WorkerRecord): boolean {
+        const position = this.positions.get(worker);
+        const fits = this.hasRoom(worker);
+        if (fits && position === undefined) {
+            this.positions.set(worker, this.members.length);
+            this.members.push(worker);
+        }
+        else if (!fits && position !== undefined) {
+            this.drop(worker, position);
+        }
+        return fits;
+    }
+
+    /** @returns The less loaded of two random workers, none to be avoided if others can take it. */
+    choose(item: WorkItem, policy: Policy, spread: SpreadCount, random: Random): WorkerRecord | undefined {
+        const left = this.sample(item, random);
+        const right = this.sample(item, random);
+        if (left === undefined || right === undefined || left === right) {
+            return left ?? right;
+        }
+        return policy.computeCost(item, left, spread) <= policy.computeCost(item, right, spread) ?
+            left :
+            right;
+    }
+
+    private hasRoom(worker: WorkerRecord): boolean {
+        const limit = Math.min(this.branch.slotsPerWorker, this.branch.connectionsPerWorker);
+        return worker.open && worker.inFlight < worker.getSlotCeiling() &&
+            (worker.inFlightByBranch.get(this.branch.path) ?? 0) < limit;
+    }
+
+    private sample(item: WorkItem, random: Random): WorkerRecord | undefined {
+        if (this.members.length === 0) {
+            return undefined;
+        }
+        for (let step = 0; step < SAMPLE_TRIES; step++) {
+            const worker = this.members[random.pickInt(this.members.length)];
+            if (worker !== undefined && !item.avoid.includes(worker.id)) {
+                return worker;
+            }
+        }
+        return this.members.find(worker => !item.avoid.includes(worker.id)) ?? this.members[0];
+    }
+
+    private drop(worker: WorkerRecord, position: number): void {
+        const last = this.members.pop();
+        if (last !== undefined && last !== worker) {
+            this.members[position] = last;
+            this.positions.set(last, position);
+        }
+        this.positions.delete(worker);
+    }
+}
