Placer role: worker sessions, attempts, service requests, ejection

Cause: the single writer of workers' resources was missing. Change: sessions with attach, renewals, fences by epoch, boot and time, and the bound on leases; attempts from order to acknowledged end; censuses; ejection by failures against other workers; peer hub for calls and notes.

--- /dev/null
+++ b/src/process/peers/index.ts
@@ -0,0 +1,2 @@
+/** Calls, notes and digests between entries. */
+export { createPeerHub, type HubListener, type OwnedPeerHub, type PeerHubOptions } from "./peer-hub.js";
--- /dev/null
+++ b/src/process/placer/placer-role.ts
@@ -0,0 +1,390 @@
+/**
+ * The placer role: the only party that hands out the resources of the workers in the slices this entry owns.
+ * It puts together the decisions of the placement core, the workers' sessions, and requests and tasks.
+ */
+import type { Millis, Timer } from "../../common/clock.js";
+import { NotRunReason } from "../../common/outcome.js";
+import {
+    type AnswerBody,
+    type CallBody,
+    type NoteBody,
+    PeerErrorCode,
+    type PlacerLoad,
+    type SliceStatus,
+} from "../../connection/messages.js";
+import type { SettingsVersion } from "../../version/settings.js";
+import { DEFAULT_CELL } from "../../version/settings.js";
+import type { Predecessor } from "../ownership/index.js";
+import type { Decision, PlacementCore } from "../placement/placement-core.js";
+import type { VmListPort, VmRecord } from "../ports/vm-list-port.js";
+import type { WorkerPort, WorkerReport } from "../ports/worker-port.js";
+import type { PlacerRole, RoleContext, WorkerStatus } from "../roles.js";
+import { AttemptState } from "./attempt-book.js";
+import { AttemptLedger } from "./attempt-ledger.js";
+import { ServiceRunner } from "./service-runner.js";
+import { TaskOrders } from "./task-orders.js";
+import { TaskRuns } from "./task-runs.js";
+import { WorkerFleet } from "./worker-fleet.js";
+import { WorkerHealth } from "./worker-health.js";
+import type { SessionListener, WorkerSession } from "./worker-session.js";
+
+/** Time to wait for the right to act before asking again, with work in the queue. */
+const STANDING_POLL_MS: Millis = 100;
+/** When to ask again after a refusal for want of the right to act. */
+const STANDING_RETRY_MS: Millis = 1_000;
+
+/** What {@link createPlacerRole} is given. */
+export interface PlacerOptions {
+    readonly core: PlacementCore;
+    readonly workers: WorkerPort;
+    readonly vmList: VmListPort;
+    /** Slice of a rack, or undefined while the ownership table does not list its domain. */
+    findSlice(vm: VmRecord): number | undefined;
+    /** Whether a majority of members knows an ownership table of at least this revision. */
+    isKnownByMajority(revision: number): boolean;
+    /** Called when a worker says that a slice has a newer owner. */
+    handleFenced(slice: number, epoch: number): void;
+}
+
+/** The placer role with its own side. */
+export interface OwnedPlacerRole extends PlacerRole {
+    /** Starts to follow the VM list. */
+    start(): void;
+    /** Failure domains in the VM list. */
+    listWorkerDomains(): readonly string[];
+    /** Gives queued work back and takes nothing new. */
+    drain(): void;
+    close(): void;
+}
+
+/**
+ * Creates the placer role of an entry.
+ * @param context - What every role is given.
+ * @param options - The placement core and the ports.
+ */
+export function createPlacerRole(context: RoleContext, options: PlacerOptions): OwnedPlacerRole {
+    return new Placer(context, options);
+}
+
+class Placer implements OwnedPlacerRole, SessionListener {
+    private readonly health: WorkerHealth;
+    private readonly fleet: WorkerFleet;
+    private readonly ledger: AttemptLedger;
+    private readonly orders: TaskOrders;
+    private readonly runs: TaskRuns;
+    private readonly services: ServiceRunner;
+    private decisionTimer: Timer | undefined;
+    private decisionDue = Number.POSITIVE_INFINITY;
+    private draining = false;
+    private closed = false;
+
+    constructor(private readonly context: RoleContext, private readonly options: PlacerOptions) {
+        const { core } = options;
+        const requestDecisions = (): void => this.scheduleDecisions(0);
+        const observeResult = (workerId: string, branch: string, failed: boolean): void =>
+            this.observeResult(workerId, branch, failed);
+        const getCell = (): SettingsVersion["cell"] => context.settings.getCurrent()?.cell ?? DEFAULT_CELL;
+        this.health = new WorkerHealth(context.clock, getCell);
+        this.fleet = new WorkerFleet({
+            context,
+            core,
+            health: this.health,
+            vmList: options.vmList,
+            port: options.workers,
+            getCell,
+            findSlice: vm => options.findSlice(vm),
+            isKnownByMajority: revision => options.isKnownByMajority(revision),
+            listener: this,
+            handleDropped: session => this.runs.handleDropped(session),
+        });
+        this.ledger = new AttemptLedger({ context, core, requestDecisions });
+        this.runs = new TaskRuns({ context, core, ledger: this.ledger, fleet: this.fleet, observeResult });
+        this.orders = new TaskOrders({
+            context,
+            core,
+            ledger: this.ledger,
+            fleet: this.fleet,
+            start: decision => this.runs.start(decision),
+            stop: attempt => this.runs.stop(attempt),
+            requestDecisions,
+        });
+        this.services = new ServiceRunner({
+            context,
+            core,
+            fleet: this.fleet,
+            findBranch: path => context.settings.getCurrent()?.branches.get(path),
+            requestDecisions,
+            observeResult,
+        });
+        context.settings.subscribe(settings => this.applySettings(settings));
+    }
+
+    start(): void {
+        const settings = this.context.settings.getCurrent();
+        if (settings !== undefined) {
+            this.applySettings(settings);
+        }
+        this.fleet.start();
+    }
+
+    drain(): void {
+        this.draining = true;
+        this.orders.returnQueued("the placer is shutting down");
+        this.services.shedAll(NotRunReason.shuttingDown, 0);
+    }
+
+    close(): void {
+        this.closed = true;
+        this.decisionTimer?.cancel();
+        this.fleet.close();
+        this.ledger.close();
+    }
+
+    openSlice(slice: number, epoch: number, predecessor: Predecessor): void {
+        this.fleet.openSlice(slice, epoch, predecessor);
+    }
+
+    async closeSlice(slice: number): Promise<void> {
+        this.fleet.closeSlice(slice);
+        if (this.fleet.listSlices().length === 0) {
+            this.orders.returnQueued("this placer has no workers any more");
+        }
+        await Promise.resolve();
+    }
+
+    listSlices(): readonly SliceStatus[] {
+        return this.fleet.listSlices();
+    }
+
+    getLoad(): PlacerLoad {
+        return this.options.core.getLoad();
+    }
+
+    listWorkerDomains(): readonly string[] {
+        return this.fleet.listDomains();
+    }
+
+    listWorkers(): readonly WorkerStatus[] {
+        return this.fleet.listWorkers(workerId =>
+            this.ledger.book.listOfWorker(workerId).filter(attempt => attempt.state !== AttemptState.ended)
+                .length
+        );
+    }
+
+    explain(attemptId: string): readonly string[] {
+        const attempt = this.ledger.book.find(attemptId);
+        if (attempt === undefined) {
+            return [];
+        }
+        const lines = this.options.core.explain(attemptId, this.context.clock.now());
+        const where = attempt.workerId === undefined ? "" : ` on worker ${attempt.workerId}`;
+        return [`${attempt.state}${where} at placer ${this.context.memberId}`, ...lines];
+    }
+
+    async handleCall(from: string, body: CallBody): Promise<AnswerBody> {
+        if (!this.context.ownership.mayAct()) {
+            return {
+                kind: "error",
+                code: PeerErrorCode.notReady,
+                message: "this entry may not act now: ask another",
+            };
+        }
+        if (this.draining && body.kind !== "census") {
+            return {
+                kind: "error",
+                code: PeerErrorCode.notOwner,
+                message: "this entry is shutting down: ask another",
+            };
+        }
+        switch (body.kind) {
+            case "serve":
+                if (body.home !== undefined && !this.orders.fences.admit(body.home, body.attempt)) {
+                    return {
+                        kind: "error",
+                        code: PeerErrorCode.notOwner,
+                        message: "the home that sent it is outdated",
+                    };
+                }
+                return await this.services.handleCall(body);
+            case "reserve":
+                return this.orders.reserve(body);
+            case "census":
+                return this.orders.takeCensus(body) ??
+                    {
+                        kind: "error",
+                        code: PeerErrorCode.notOwner,
+                        message: "a newer home has taken the census",
+                    };
+            default:
+                return {
+                    kind: "error",
+                    code: PeerErrorCode.invalid,
+                    message: `a placer does not handle ${body.kind} from ${from}`,
+                };
+        }
+    }
+
+    receiveNote(from: string, note: NoteBody): void {
+        switch (note.kind) {
+            case "place":
+                this.orders.receivePlace(note);
+                if (this.draining) {
+                    this.orders.returnQueued("the placer is shutting down");
+                }
+                break;
+            case "withdraw":
+                this.orders.receiveWithdraw(note);
+                break;
+            case "acknowledge":
+                this.orders.receiveAcknowledge(note);
+                break;
+            case "updates":
+                this.context.log.debug("updates are for homes", { from });
+                break;
+        }
+    }
+
+    handleAttached(session: WorkerSession, report: WorkerReport, restarted: boolean): void {
+        this.refreshWorker(session, report);
+        this.runs.handleAttached(session, report, restarted);
+        this.scheduleDecisions(0);
+    }
+
+    handleReport(session: WorkerSession, report: WorkerReport): void {
+        this.refreshWorker(session, report);
+        this.runs.handleReport(session, report);
+        this.scheduleDecisions(0);
+    }
+
+    handleUnreachable(session: WorkerSession): void {
+        this.fleet.refreshOpen(session);
+    }
+
+    handleLost(session: WorkerSession): void {
+        this.context.log.warn("CR1102", "worker lost, its leases have ended", { worker: session.workerId });
+        this.context.metrics.count("placer.workers_lost");
+        this.runs.handleLost(session);
+        this.options.core.removeWorker(session.workerId);
+    }
+
+    handleFenced(session: WorkerSession): void {
+        if (this.fleet.hasSlice(session.slice, session.epoch)) {
+            this.context.log.warn("CR1103", "slice has a newer owner", {
+                slice: session.slice,
+                worker: session.workerId,
+            });
+            this.options.handleFenced(session.slice, session.epoch);
+        }
+    }
+
+    private applySettings(settings: SettingsVersion): void {
+        this.options.core.setSettings(settings);
+        this.scheduleDecisions(0);
+    }
+
+    private refreshWorker(session: WorkerSession, report: WorkerReport): void {
+        this.options.core.upsertWorker({
+            workerId: session.workerId,
+            rack: session.vm.rack,
+            failureDomain: session.vm.failureDomain,
+            capacity: report.capacity,
+            slots: report.slots,
+            maxConnections: report.maxConnections,
+            foreignUse: report.foreignUse,
+        });
+        this.fleet.refreshOpen(session);
+    }
+
+    private observeResult(workerId: string, branch: string, failed: boolean): void {
+        const session = this.fleet.find(workerId);
+        if (this.health.observe(workerId, branch, failed) && session !== undefined) {
+            this.context.log.decide({
+                decision: "eject",
+                subject: workerId,
+                branch,
+                treeVersion: this.context.settings.getCurrent()?.version ?? 0,
+                chosen: workerId,
+                reason: "failed what other workers do well",
+            });
+            this.context.metrics.count("placer.ejections");
+            this.fleet.refreshOpen(session);
+        }
+    }
+
+    /** Decides soon; calls in one turn of the event loop share a round. */
+    private scheduleDecisions(delay: Millis): void {
+        const due = this.context.clock.now() + delay;
+        if (this.closed || this.decisionDue <= due) {
+            return;
+        }
+        this.decisionTimer?.cancel();
+        this.decisionDue = due;
+        this.decisionTimer = this.context.clock.schedule(delay, () => {
+            this.decisionDue = Number.POSITIVE_INFINITY;
+            this.decide();
+        });
+    }
+
+    private decide(): void {
+        if (this.closed) {
+            return;
+        }
+        if (!this.context.ownership.mayAct()) {
+            this.services.shedAll(NotRunReason.settingsUncertain, STANDING_RETRY_MS);
+            this.scheduleDecisions(STANDING_POLL_MS);
+            return;
+        }
+        const now = this.context.clock.now();
+        const startedAt = this.context.clock.now();
+        const decisions = this.options.core.decide(now, this.context.random);
+        const tookUs = Math.round(
+            (this.context.clock.now() - startedAt) * 1_000 / Math.max(1, decisions.length),
+        );
+        for (const decision of decisions) {
+            this.applyDecision(decision, tookUs);
+        }
+        const next = this.options.core.getNextDecisionAt(now);
+        if (next !== undefined) {
+            this.scheduleDecisions(Math.max(1, next - now));
+        }
+    }
+
+    private applyDecision(decision: Decision, tookUs: number): void {
+        this.logDecision(decision, tookUs);
+        switch (decision.kind) {
+            case "start":
+                if (this.services.has(decision.item.id)) {
+                    this.services.start(decision);
+                }
+                else {
+                    this.runs.start(decision);
+                }
+                break;
+            case "shed":
+                this.services.shed(decision.item.id, decision.reason, decision.retryAfterMs);
+                this.orders.shed(decision.item.id, decision.reason, decision.retryAfterMs);
+                break;
+            case "preempt":
+                this.runs.preempt(decision);
+                break;
+            case "shadow":
+                this.services.shed(decision.item.id, "branchOff", STANDING_RETRY_MS);
+                this.orders.shed(decision.item.id, "branchOff", STANDING_RETRY_MS);
+                break;
+        }
+    }
+
+    private logDecision(decision: Decision, tookUs: number): void {
+        const names = { start: "place", shed: "shed", preempt: "preempt", shadow: "shadow" } as const;
+        this.context.log.decide({
+            decision: names[decision.kind],
+            subject: decision.kind === "preempt" ? decision.victimId : decision.item.id,
+            branch: decision.kind === "preempt" ? "" : decision.item.branch,
+            treeVersion: this.context.settings.getCurrent()?.version ?? 0,
+            chosen: decision.kind === "shed" ? undefined : decision.workerId,
+            reason: decision.reason,
+            runnersUp: decision.kind === "start" ? decision.runnersUp : undefined,
+            tookUs,
+        });
+    }
+}
--- /dev/null
+++ b/src/process/placer/task-runs.ts
@@ -0,0 +1,253 @@
+/** The side of a placer that faces workers, for tasks of jobs: starts, stops, reports, adoption, losses. */
+import { TaskUpdateState } from "../../connection/messages.js";
+import type { Decision, PlacementCore } from "../placement/placement-core.js";
+import { type WorkerReport, type WorkerTask, WorkerTaskState } from "../ports/worker-port.js";
+import type { RoleContext } from "../roles.js";
+import { type Attempt, AttemptState } from "./attempt-book.js";
+import { type AttemptLedger, buildItem } from "./attempt-ledger.js";
+import { decodeLabel, encodeLabel } from "./task-label.js";
+import { ORDER_WINDOW_MS } from "./worker-clock.js";
+import type { WorkerFleet } from "./worker-fleet.js";
+import type { WorkerSession } from "./worker-session.js";
+
+/** What {@link TaskRuns} is given. */
+export interface TaskRunsOptions {
+    readonly context: RoleContext;
+    readonly core: PlacementCore;
+    readonly ledger: AttemptLedger;
+    readonly fleet: WorkerFleet;
+    /** Tells the result of a task for the judgement of the worker. */
+    observeResult(workerId: string, branch: string, failed: boolean): void;
+}
+
+/** States in which a worker's task has ended, and what homes are told. */
+const END_STATES = {
+    done: TaskUpdateState.done,
+    failed: TaskUpdateState.failed,
+    stopped: TaskUpdateState.stopped,
+    expired: TaskUpdateState.lost,
+} as const;
+
+/** Drives attempts on workers through their states. */
+export class TaskRuns {
+    constructor(private readonly options: TaskRunsOptions) {}
+
+    /** Carries out a start decision; the core has taken the room already. */
+    start(decision: Extract<Decision, { kind: "start"; }>): void {
+        const attempt = this.options.ledger.book.find(decision.item.id);
+        const session = this.options.fleet.find(decision.workerId);
+        if (attempt === undefined || session === undefined) {
+            this.options.core.release(decision.item.id, this.options.context.clock.now());
+            return;
+        }
+        this.options.ledger.book.assign(attempt, session.workerId, session.slice, session.epoch);
+        attempt.state = AttemptState.starting;
+        attempt.startedAt = this.options.context.clock.now();
+        attempt.startBy = attempt.startedAt + ORDER_WINDOW_MS;
+        void this.sendStart(attempt, session);
+    }
+
+    /** Stops an attempt on order of its home; one whose start is under way is stopped when it is known to run. */
+    stop(attemptId: string): void {
+        const attempt = this.options.ledger.book.find(attemptId);
+        if (attempt !== undefined) {
+            attempt.stopping = true;
+            this.sendStop(attempt);
+        }
+    }
+
+    /** Makes a victim give way. */
+    preempt(decision: Extract<Decision, { kind: "preempt"; }>): void {
+        void this.options.fleet.find(decision.workerId)?.orderTask(decision.step, decision.victimId);
+    }
+
+    /** Takes the full list of a worker that was attached. */
+    handleAttached(session: WorkerSession, report: WorkerReport, restarted: boolean): void {
+        const listed = new Set(report.tasks.map(task => task.attempt));
+        for (const attempt of this.options.ledger.book.listOfWorker(session.workerId)) {
+            if (attempt.state !== AttemptState.ended && !listed.has(attempt.order.attempt)) {
+                this.handleMissing(session, attempt, restarted);
+            }
+        }
+        this.handleReport(session, report);
+    }
+
+    /** Takes the changes that a worker reports. */
+    handleReport(session: WorkerSession, report: WorkerReport): void {
+        for (const task of report.tasks) {
+            this.handleTask(session, task);
+        }
+    }
+
+    /** The tasks of a worker have surely ended without an answer. */
+    handleLost(session: WorkerSession): void {
+        for (const attempt of this.options.ledger.book.listOfWorker(session.workerId)) {
+            if (attempt.state !== AttemptState.ended) {
+                this.options.ledger.end(attempt, {
+                    state: TaskUpdateState.lost,
+                    message: `worker ${session.workerId} was lost`,
+                });
+            }
+        }
+    }
+
+    /**
+     * A worker is another owner's now, and what runs or ended there is told by that one. Ends that only this placer
+     * can know stay until acknowledged, and a start under way until its result is in.
+     */
+    handleDropped(session: WorkerSession): void {
+        const { ledger } = this.options;
+        for (const attempt of ledger.book.listOfWorker(session.workerId)) {
+            if (attempt.state === AttemptState.starting || isKnownHereOnly(attempt)) {
+                continue;
+            }
+            ledger.outbox.drop(attempt.order.home.homeSlice, attempt.order.attempt);
+            ledger.book.remove(attempt);
+        }
+        this.options.core.removeWorker(session.workerId);
+    }
+
+    private sendStop(attempt: Attempt): void {
+        if (attempt.workerId !== undefined && attempt.state === AttemptState.running) {
+            void this.options.fleet.find(attempt.workerId)?.orderTask("stop", attempt.order.attempt);
+        }
+    }
+
+    private async sendStart(attempt: Attempt, session: WorkerSession): Promise<void> {
+        const { order } = attempt;
+        const result = await session.startTask({
+            attempt: order.attempt,
+            label: encodeLabel(order),
+            resources: order.resources,
+            payload: order.payload,
+            checkpoint: order.checkpoint,
+        });
+        if (
+            attempt.state !== AttemptState.starting ||
+            this.options.ledger.book.find(order.attempt) !== attempt
+        ) {
+            return;
+        }
+        const isOwned = this.options.fleet.find(session.workerId) === session;
+        if (result.kind === "notStarted") {
+            this.options.ledger.end(attempt, {
+                state: TaskUpdateState.notStarted,
+                reason: result.reason,
+                retryAfterMs: 0,
+            });
+        }
+        else if (!isOwned) {
+            // The worker went to another owner meanwhile, which learns from the worker whether the task runs.
+            this.options.ledger.book.remove(attempt);
+        }
+        else if (result.kind === "started") {
+            this.markRunning(attempt);
+        }
+        else {
+            attempt.state = AttemptState.uncertain;
+            this.scheduleRefresh(session);
+        }
+    }
+
+    /** Once the worker can no longer take the lost order, a full report proves whether it did. */
+    private scheduleRefresh(session: WorkerSession): void {
+        this.options.context.clock.schedule(ORDER_WINDOW_MS, () => session.refresh());
+    }
+
+    private markRunning(attempt: Attempt): void {
+        this.options.ledger.markRunning(attempt);
+        if (attempt.stopping) {
+            this.sendStop(attempt);
+        }
+    }
+
+    /** A full report does not list an attempt that this placer holds as started. */
+    private handleMissing(session: WorkerSession, attempt: Attempt, restarted: boolean): void {
+        const now = this.options.context.clock.now();
+        const mayStillStart = attempt.startBy !== undefined && now <= attempt.startBy + ORDER_WINDOW_MS;
+        if (attempt.state === AttemptState.queued || attempt.state === AttemptState.starting) {
+            return;
+        }
+        if (!restarted && mayStillStart) {
+            this.scheduleRefresh(session);
+            return;
+        }
+        if (!restarted && attempt.state === AttemptState.uncertain) {
+            this.options.ledger.end(attempt, {
+                state: TaskUpdateState.notStarted,
+                reason: "the worker never took it",
+                retryAfterMs: 0,
+            });
+        }
+        else {
+            this.options.ledger.end(attempt, {
+                state: TaskUpdateState.lost,
+                message: `worker ${attempt.workerId} restarted`,
+            });
+        }
+    }
+
+    private handleTask(session: WorkerSession, task: WorkerTask): void {
+        const attempt = this.options.ledger.book.find(task.attempt) ?? this.adopt(session, task);
+        if (attempt === undefined || attempt.state === AttemptState.ended) {
+            return;
+        }
+        if (task.state === WorkerTaskState.running || task.state === WorkerTaskState.checkpointing) {
+            if (attempt.state !== AttemptState.running) {
+                this.markRunning(attempt);
+            }
+            return;
+        }
+        this.endByWorker(attempt, task);
+    }
+
+    /** Takes up a task that an owner before this one started. */
+    private adopt(session: WorkerSession, task: WorkerTask): Attempt | undefined {
+        const order = decodeLabel(task);
+        if (order === undefined) {
+            this.options.context.log.warn("CR1101", "task with a foreign label left alone", {
+                attempt: task.attempt,
+            });
+            return undefined;
+        }
+        const now = this.options.context.clock.now();
+        const attempt: Attempt = {
+            order,
+            state: AttemptState.uncertain,
+            workerId: session.workerId,
+            slice: session.slice,
+            sliceEpoch: session.epoch,
+            startedAt: now - task.ranMs,
+            stopping: false,
+        };
+        this.options.ledger.book.add(attempt);
+        const ended = task.state !== WorkerTaskState.running && task.state !== WorkerTaskState.checkpointing;
+        if (!ended) {
+            this.options.core.adopt(session.workerId, buildItem(order, now), now);
+        }
+        return attempt;
+    }
+
+    private endByWorker(attempt: Attempt, task: WorkerTask): void {
+        if (task.state === WorkerTaskState.running || task.state === WorkerTaskState.checkpointing) {
+            return;
+        }
+        const failed = task.state === WorkerTaskState.failed;
+        if (failed || task.state === WorkerTaskState.done) {
+            this.options.observeResult(attempt.workerId ?? "", attempt.order.branch, failed);
+        }
+        const { ranMs, checkpoint, answer } = task;
+        const message = failed ? answer : undefined;
+        this.options.ledger.end(attempt, {
+            state: END_STATES[task.state],
+            ranMs,
+            checkpoint,
+            answer,
+            message,
+        }, task);
+    }
+}
+
+function isKnownHereOnly(attempt: Attempt): boolean {
+    return attempt.end?.state === TaskUpdateState.notStarted || attempt.end?.state === TaskUpdateState.lost;
+}
