Store client: true results of writes, watches without gaps, a budget of calls

Cause: the store's answers can be lost after the write took effect, it can be slow or down, and it counts calls. Change: src/process/store: envelope with format and write id; retries with the same write id and expected revision; token buckets; learnt timeouts; watches that list, poll and list again; stale reads discarded; records that cannot be read are refused with CR2101 or CR2102.

--- /dev/null
+++ b/src/process/store/create-store-client.ts
@@ -0,0 +1,135 @@
+/** The store client of one entry. */
+import type { Clock, Millis } from "../../common/clock.js";
+import { makeUniqueId } from "../../common/random.js";
+import type { Random } from "../../common/random.js";
+import type { StoreListing, StorePort, StoreRecord } from "../ports/index.js";
+import type {
+    ReadResult,
+    StoreClient,
+    StoreWrite,
+    WatchHandle,
+    WatchListener,
+    WriteResult,
+} from "../store-client.js";
+import type { Log, Metrics } from "../telemetry.js";
+import { KnownRevisions } from "./known-revisions.js";
+import { listRecords, readRecord, retryCall } from "./read-operation.js";
+import type { OperationContext } from "./read-operation.js";
+import { StoreCalls } from "./store-calls.js";
+import { WatchLoop } from "./watch-loop.js";
+import { runWrite } from "./write-operation.js";
+
+/** What a store client needs. */
+export interface StoreClientOptions {
+    readonly port: StorePort;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly metrics: Metrics;
+    readonly log: Log;
+    /** Unique for this life of the entry; write ids begin with it. */
+    readonly memberId: string;
+}
+
+/** Milliseconds to try to end a lease; if it fails, the lease ends by itself. */
+const REVOKE_PATIENCE_MS = 2_000;
+
+/**
+ * Creates the store client of an entry.
+ * @param options - The port and its helpers.
+ */
+export function createStoreClient(options: StoreClientOptions): StoreClient {
+    return new PortStoreClient(options);
+}
+
+class PortStoreClient implements StoreClient {
+    private readonly calls: StoreCalls;
+    private readonly context: OperationContext;
+    private readonly known = new KnownRevisions();
+
+    constructor(private readonly options: StoreClientOptions) {
+        this.calls = new StoreCalls(options.port, options.clock, options.metrics);
+        this.context = { calls: this.calls, random: options.random, log: options.log };
+    }
+
+    async read(key: string, patienceMs: Millis): Promise<ReadResult<StoreRecord | undefined>> {
+        const deadline = this.getDeadline(patienceMs);
+        const result = await readRecord(this.context, key, deadline, this.known.get(key));
+        if (result.kind === "done" && result.value !== undefined) {
+            this.known.observe(key, result.value.revision);
+        }
+        return result;
+    }
+
+    async list(prefix: string, patienceMs: Millis): Promise<ReadResult<StoreListing>> {
+        const result = await listRecords(this.context, prefix, this.getDeadline(patienceMs));
+        if (result.kind === "done") {
+            result.value.records.forEach(record => this.known.observe(record.key, record.revision));
+        }
+        return result;
+    }
+
+    async write(write: StoreWrite): Promise<WriteResult> {
+        const writeId = `${this.options.memberId}.${makeUniqueId(this.options.random)}`;
+        const result = await runWrite(this.context, write, writeId);
+        if (result.kind === "done") {
+            this.known.observe(write.key, result.revision);
+        }
+        if (result.kind === "refused" || result.kind === "superseded") {
+            this.known.observe(write.key, result.current?.revision ?? 0);
+        }
+        return result;
+    }
+
+    watch(prefix: string, listener: WatchListener): WatchHandle {
+        const loop = new WatchLoop(this.context, prefix, listener);
+        void loop.run();
+        return loop;
+    }
+
+    grantLease(ttlMs: Millis, patienceMs: Millis): Promise<ReadResult<string>> {
+        return retryCall(this.context, {
+            kind: "leases",
+            deadline: this.getDeadline(patienceMs),
+            send: timeout => this.calls.port.grantLease(ttlMs, timeout),
+        });
+    }
+
+    async renewLease(leaseId: string, timeoutMs: Millis): Promise<"done" | "lapsed" | "unavailable"> {
+        const answer = await this.calls.request(
+            { kind: "leases", deadline: this.getDeadline(timeoutMs), timeout: timeoutMs },
+            (port, timeout) => port.renewLease(leaseId, timeout),
+        );
+        if (answer.kind === "refused") {
+            return "lapsed";
+        }
+        return answer.kind === "done" ? "done" : "unavailable";
+    }
+
+    async revokeLease(leaseId: string): Promise<void> {
+        await retryCall(this.context, {
+            kind: "leases",
+            deadline: this.getDeadline(REVOKE_PATIENCE_MS),
+            send: timeout => this.calls.port.revokeLease(leaseId, timeout),
+        });
+    }
+
+    getLastContact(): Millis | undefined {
+        return this.calls.getLastContact();
+    }
+
+    setBudget(writesPerSecond: number, readsPerSecond: number): void {
+        this.calls.setBudget(writesPerSecond, readsPerSecond);
+    }
+
+    getCounters(): ReturnType<StoreClient["getCounters"]> {
+        return this.calls.getCounters();
+    }
+
+    close(): void {
+        this.calls.close();
+    }
+
+    private getDeadline(patience: Millis): Millis {
+        return this.calls.clock.now() + patience;
+    }
+}
--- /dev/null
+++ b/src/process/store/index.ts
@@ -0,0 +1,5 @@
+/** The store client: true results of writes, watches without gaps, a budget of calls. */
+export { createStoreClient } from "./create-store-client.js";
+export type { StoreClientOptions } from "./create-store-client.js";
+export { decodeEnvelope, encodeEnvelope, ENVELOPE_FORMAT } from "./envelope.js";
+export { CORRUPT_RECORD_CODE, NEWER_RECORD_CODE } from "./record-codec.js";
