--- /dev/null
+++ b/src/process/home/home-role.ts
@@ -0,0 +1,112 @@
+/** The home role of an entry: the home slices that it owns. */
+import type { HomeReply, HomeRequest, UpdateNote } from "../../connection/messages.js";
+import type { HomeRole, HomeStatus, RoleContext } from "../roles.js";
+import { HomeSlice } from "./home-slice.js";
+import type { HomeOptions } from "./options.js";
+import { DEFAULT_HOME_OPTIONS } from "./options.js";
+import { buildNotOwner, refuseWith } from "./run/refusals.js";
+
+/** Part of the cell's write budget that home slices use; the rest is for ownership and the tree. */
+const WRITE_SHARE = 0.8;
+const DEFAULT_WRITES_PER_SECOND = 200;
+
+/** All home slices of one entry. */
+class Home implements HomeRole {
+    private readonly slices = new Map<number, HomeSlice>();
+
+    constructor(private readonly context: RoleContext, private readonly options: HomeOptions) {
+        context.ownership.subscribe(() => this.handleTable());
+    }
+
+    openSlice(slice: number, epoch: number): void {
+        const before = this.slices.get(slice);
+        if (before !== undefined && before.epoch >= epoch) {
+            return;
+        }
+        before?.close();
+        const opened = new HomeSlice(this.context, this.options, slice, epoch, {
+            handleLost: (lost, lostEpoch) => this.dropSlice(lost, lostEpoch),
+            getWriteRate: () => this.getWriteRate(),
+        });
+        this.slices.set(slice, opened);
+        void opened.takeOver();
+    }
+
+    async closeSlice(slice: number, mode: "handOver" | "lost"): Promise<void> {
+        const closing = this.slices.get(slice);
+        if (closing === undefined) {
+            return;
+        }
+        if (mode === "handOver") {
+            await closing.releaseSlice();
+        }
+        closing.close();
+        this.dropSlice(slice, closing.epoch);
+    }
+
+    handleRequest(slice: number, request: HomeRequest): Promise<HomeReply> {
+        const owned = this.slices.get(slice);
+        if (owned === undefined) {
+            return Promise.resolve(refuseWith(buildNotOwner(`home slice ${slice} is not here: ask again`)));
+        }
+        return owned.handleRequest(request);
+    }
+
+    receiveUpdates(from: string, note: UpdateNote): void {
+        this.slices.get(note.homeSlice)?.receiveUpdates(from, note);
+    }
+
+    listReady(): readonly number[] {
+        return [...this.slices.values()].filter(slice => slice.getOpen() !== undefined).map(slice =>
+            slice.slice
+        );
+    }
+
+    getStatus(): HomeStatus {
+        const slices = [...this.slices.values()];
+        const status = { jobs: 0, waitingTasks: 0, runningTasks: 0 };
+        for (const slice of slices) {
+            for (const run of slice.getOpen()?.engine.runs.values() ?? []) {
+                status.jobs++;
+                status.runningTasks += run.running;
+                status.waitingTasks += run.record.countOpen() - run.running;
+            }
+        }
+        return {
+            ...status,
+            slices: slices.map(slice => ({
+                slice: slice.slice,
+                epoch: slice.epoch,
+                ready: slice.getOpen() !== undefined,
+            })),
+        };
+    }
+
+    private dropSlice(slice: number, epoch: number): void {
+        if (this.slices.get(slice)?.epoch === epoch) {
+            this.slices.delete(slice);
+        }
+    }
+
+    private handleTable(): void {
+        for (const slice of this.slices.values()) {
+            slice.getOpen()?.handleTable();
+        }
+    }
+
+    private getWriteRate(): number {
+        const { settings, ownership } = this.context;
+        const all = settings.getCurrent()?.cell.storeWritesPerSecond ?? DEFAULT_WRITES_PER_SECOND;
+        const members = Math.max(1, ownership.listMembers().length);
+        return Math.max(1, all * WRITE_SHARE / members / Math.max(1, this.slices.size));
+    }
+}
+
+/**
+ * Creates the home role.
+ * @param context - What every role is given.
+ * @param options - Limits that differ from the defaults.
+ */
+export function createHomeRole(context: RoleContext, options: Partial<HomeOptions> = {}): HomeRole {
+    return new Home(context, { ...DEFAULT_HOME_OPTIONS, ...options });
+}
--- /dev/null
+++ b/src/process/home/log/index.ts
@@ -0,0 +1,8 @@
+/** The durable log of a home slice. */
+export { DEFAULT_SLOTS, openSlice } from "./open-log.js";
+export type { OpenedSlice, OpenResult } from "./open-log.js";
+export { CommitPacer } from "./pacer.js";
+export { buildImage } from "./read-back.js";
+export type { RecordFault, RecordWriter } from "./records.js";
+export { SliceLog } from "./slice-log.js";
+export type { AppendEnd, AppendResult } from "./ticket.js";
--- /dev/null
+++ b/src/process/home/log/keys.ts
@@ -0,0 +1,22 @@
+/** Keys of a home slice in the store. */
+import type { SnapshotSet } from "./records.js";
+
+/** Prefix of all keys of a slice. */
+export function makeSlicePrefix(slice: number): string {
+    return `home/${slice}/`;
+}
+
+/** Key of the record that names the snapshot. */
+export function makeHeadKey(slice: number): string {
+    return `${makeSlicePrefix(slice)}head`;
+}
+
+/** Key that a record of the ring stands at. */
+export function makeSlotKey(slice: number, sequence: number, slots: number): string {
+    return `${makeSlicePrefix(slice)}slot/${sequence % slots}`;
+}
+
+/** Key of a part of a snapshot. */
+export function makePartKey(slice: number, set: SnapshotSet, part: number): string {
+    return `${makeSlicePrefix(slice)}snapshot/${set}/${part}`;
+}
--- /dev/null
+++ b/src/process/home/run/outbox.ts
@@ -0,0 +1,110 @@
+/** Notes to placers, collected for one round and sent in a few messages; withdrawals are paced. */
+import type { PlaceOrder } from "../../../connection/messages.js";
+import type { SliceCore } from "./core.js";
+
+const NOTE_LIMIT = 64;
+const ACKNOWLEDGE_LIMIT = 512;
+
+interface Withdrawal {
+    readonly memberId: string;
+    readonly attempt: string;
+}
+
+/** Called when a first order surely did not leave this entry. */
+export type UnsentListener = (memberId: string, order: PlaceOrder) => void;
+
+/** Notes of one slice that wait to be sent. */
+export class Outbox {
+    private readonly places = new Map<string, PlaceOrder[]>();
+    private readonly acknowledgements = new Map<string, string[]>();
+    private withdrawals: Withdrawal[] = [];
+
+    constructor(private readonly core: SliceCore) {}
+
+    addOrder(memberId: string, order: PlaceOrder): void {
+        pushTo(this.places, memberId, order);
+    }
+
+    addAcknowledgement(memberId: string, attempt: string): void {
+        pushTo(this.acknowledgements, memberId, attempt);
+    }
+
+    addWithdrawal(memberId: string, attempt: string): void {
+        this.withdrawals.push({ memberId, attempt });
+    }
+
+    countWithdrawals(): number {
+        return this.withdrawals.length;
+    }
+
+    /**
+     * Sends what is collected. Without the right to act nothing leaves; orders are then reported unsent.
+     * @param handleUnsent - Told of each order that no link took.
+     */
+    flush(handleUnsent: UnsentListener): void {
+        this.flushAcknowledgements();
+        this.flushWithdrawals();
+        for (const [memberId, orders] of this.places) {
+            this.places.delete(memberId);
+            for (const group of splitOrders(orders)) {
+                const isSent = this.core.mayOrder() &&
+                    this.core.context.peers.note(memberId, { kind: "place", orders: group });
+                if (!isSent) {
+                    group.forEach(order => handleUnsent(memberId, order));
+                }
+            }
+        }
+    }
+
+    private flushAcknowledgements(): void {
+        const homeSlice = this.core.slice;
+        for (const [memberId, attempts] of this.acknowledgements) {
+            this.acknowledgements.delete(memberId);
+            for (let start = 0; start < attempts.length; start += ACKNOWLEDGE_LIMIT) {
+                const part = attempts.slice(start, start + ACKNOWLEDGE_LIMIT);
+                this.core.context.peers.note(memberId, { kind: "acknowledge", homeSlice, attempts: part });
+            }
+        }
+    }
+
+    private flushWithdrawals(): void {
+        const homeSlice = this.core.slice;
+        const due = this.withdrawals.splice(0, this.core.options.withdrawalsPerTick);
+        const byMember = new Map<string, string[]>();
+        for (const { memberId, attempt } of due) {
+            pushTo(byMember, memberId, attempt);
+        }
+        for (const [memberId, attempts] of byMember) {
+            this.core.context.peers.note(memberId, { kind: "withdraw", homeSlice, attempts, stop: true });
+        }
+    }
+}
+
+/** Orders of a gang stay in one note, since the note commits the gang's hold; others go in small groups. */
+function splitOrders(orders: readonly PlaceOrder[]): PlaceOrder[][] {
+    const gangs = new Map<string, PlaceOrder[]>();
+    const groups: PlaceOrder[][] = [];
+    let single: PlaceOrder[] = [];
+    for (const order of orders) {
+        if (order.gangId !== undefined) {
+            pushTo(gangs, order.gangId, order);
+            continue;
+        }
+        if (single.length === 0 || single.length >= NOTE_LIMIT) {
+            single = [];
+            groups.push(single);
+        }
+        single.push(order);
+    }
+    return [...groups, ...gangs.values()];
+}
+
+function pushTo<Value>(lists: Map<string, Value[]>, key: string, value: Value): void {
+    const list = lists.get(key);
+    if (list === undefined) {
+        lists.set(key, [value]);
+    }
+    else {
+        list.push(value);
+    }
+}
--- /dev/null
+++ b/src/process/home/run/updates.ts
@@ -0,0 +1,176 @@
+/** What each kind of update from a placer means to the home, as a table of handlers. */
+import type { Millis } from "../../../common/clock.js";
+import type { TaskUpdate, TaskUpdateState } from "../../../connection/messages.js";
+import type { JobRun, LiveAttempt } from "./job-run.js";
+import { AttemptPhase } from "./job-run.js";
+import { isFinalState } from "./task-engine.js";
+import type { TaskEngine } from "./task-engine.js";
+
+/** Longest answer of a task that is kept, in characters; what is over is cut, and the media type says so. */
+export const MAX_ANSWER_CHARACTERS = 65_536;
+const ANSWER_TYPE = "text/plain; charset=utf-8";
+const RETRY_BASE_MS: Millis = 500;
+const MAX_RETRY_MS: Millis = 30_000;
+const DEFAULT_REFUSED_PAUSE_MS: Millis = 1_000;
+
+type UpdateHandler = (engine: TaskEngine, live: LiveAttempt, update: TaskUpdate, from: string) => void;
+
+const updateHandlers: { readonly [State in TaskUpdateState]: UpdateHandler; } = {
+    queued: (engine, live, update, from) => {
+        engine.movePlacer(live, from);
+        if (live.phase === AttemptPhase.sent) {
+            engine.setPhase(live, AttemptPhase.queued);
+        }
+        live.run.reason = update.reason ?? `it waits at placer ${from}`;
+    },
+    running: (engine, live, update, from) => {
+        const sliceEpoch = update.sliceEpoch ?? 0;
+        if (sliceEpoch < live.sliceEpoch) {
+            return;
+        }
+        engine.movePlacer(live, from);
+        engine.setPhase(live, AttemptPhase.running);
+        live.sliceEpoch = sliceEpoch;
+        live.workerId = update.workerId;
+        live.run.started.add(live.index);
+        if (live.isWithdrawn) {
+            engine.withdrawAttempt(live);
+        }
+        live.run.wakeWaiters();
+    },
+    done: (engine, live, update, from) => {
+        engine.movePlacer(live, from);
+        const text = update.answer ?? "";
+        const isCut = text.length > MAX_ANSWER_CHARACTERS;
+        engine.endTask(live, {
+            kind: "done",
+            answer: new TextEncoder().encode(text.slice(0, MAX_ANSWER_CHARACTERS)),
+            contentType: isCut ? `${ANSWER_TYPE}; cut-from=${text.length}` : ANSWER_TYPE,
+            workerId: live.workerId ?? "",
+        });
+    },
+    failed: (engine, live, update, from) => {
+        engine.movePlacer(live, from);
+        const { record } = live.run;
+        const failures = (record.retries.get(live.index)?.failures ?? 0) + 1;
+        const { maxAttempts } = engine.core.getBranch(record.spec.branch);
+        if (record.spec.repeatable && !record.cancelled && failures < maxAttempts) {
+            const delay = Math.min(MAX_RETRY_MS, RETRY_BASE_MS * 2 ** (failures - 1));
+            engine.retryTask(live, failures, undefined, delay);
+            return;
+        }
+        const message = update.message ?? update.answer ?? "the worker gave no reason";
+        engine.endTask(live, { kind: "failed", message, workerId: live.workerId ?? "" });
+    },
+    stopped: (engine, live, update, from) => {
+        engine.movePlacer(live, from);
+        const { record } = live.run;
+        live.run.started.add(live.index);
+        if (record.cancelled) {
+            engine.endTask(live, { kind: "cancelled", started: true });
+        }
+        else if (record.spec.repeatable || update.checkpoint !== undefined) {
+            const before = record.retries.get(live.index);
+            const checkpoint = update.checkpoint ?? before?.checkpoint;
+            engine.retryTask(live, before?.failures ?? 0, checkpoint, 0);
+        }
+        else {
+            const message = "it was started and stopped before its end; what it did until then stands";
+            engine.endTask(live, { kind: "mayHaveRun", message });
+        }
+    },
+    notStarted: (engine, live, update, from) => {
+        engine.movePlacer(live, from);
+        const { record } = live.run;
+        if (record.cancelled) {
+            const started = engine.mayHaveStarted(live.run, live.index);
+            engine.endTask(live, { kind: "cancelled", started });
+            return;
+        }
+        const pauseMs = update.retryAfterMs ?? DEFAULT_REFUSED_PAUSE_MS;
+        engine.choice.pausePlacer(from, record.spec.branch, pauseMs);
+        engine.outbox.addAcknowledgement(from, live.attempt);
+        engine.returnTask(live, 0, update.reason ?? update.message ?? `placer ${from} refused it`);
+    },
+    lost: (engine, live, _update, from) => {
+        engine.movePlacer(live, from);
+        live.run.started.add(live.index);
+        if (live.run.record.spec.repeatable && !live.run.record.cancelled) {
+            engine.outbox.addAcknowledgement(from, live.attempt);
+        }
+        engine.resolveLost(live);
+    },
+};
+
+/**
+ * Handles one update.
+ *
+ * @remarks Updates come late, doubled and out of order. Only one about the current attempt has an effect; an end
+ * of any other is acknowledged, and any other that runs or waits is stopped.
+ */
+export function receiveUpdate(engine: TaskEngine, from: string, update: TaskUpdate): void {
+    const run = engine.runs.get(update.jobId);
+    if (run?.found !== undefined && run.record.isTaskOpen(update.index)) {
+        collectFound(run, from, update);
+        return;
+    }
+    const live = engine.findAttempt(update.attempt);
+    if (live === undefined || live.phase === AttemptPhase.marking) {
+        replyToStale(engine, from, update);
+        return;
+    }
+    live.heardAt = engine.core.context.clock.now();
+    if (live.phase !== AttemptPhase.ending) {
+        applyUpdate(engine, live, update, from);
+    }
+}
+
+/** Handles an update about the current attempt of a task. */
+export function applyUpdate(engine: TaskEngine, live: LiveAttempt, update: TaskUpdate, from: string): void {
+    if (isFinalState(update) && !engine.core.log.hasRoom()) {
+        // The store is away for long: the placer repeats the end, so it need not be kept here meanwhile.
+        return;
+    }
+    live.workerId = update.workerId ?? live.workerId;
+    updateHandlers[update.state](engine, live, update, from);
+}
+
+function replyToStale(engine: TaskEngine, from: string, update: TaskUpdate): void {
+    if (isFinalState(update)) {
+        engine.outbox.addAcknowledgement(from, update.attempt);
+    }
+    else {
+        engine.outbox.addWithdrawal(from, update.attempt);
+    }
+}
+
+/** Keeps the newest word on each task of an owner before; see {@link isNewer}. */
+function collectFound(run: JobRun, from: string, update: TaskUpdate): void {
+    const before = run.found?.get(update.index);
+    if (before === undefined || isNewer(update, before.update)) {
+        run.found?.set(update.index, { from, update });
+    }
+}
+
+/**
+ * Guards against an old attempt's end that is told again while a newer attempt runs: acting on it would start the
+ * task twice. An owner begins an attempt only when the one before is over, so the highest attempt counts.
+ */
+function isNewer(update: TaskUpdate, before: TaskUpdate): boolean {
+    const order = compareAttempts(update.attempt, before.attempt);
+    if (order !== 0) {
+        return order > 0;
+    }
+    if (isFinalState(before)) {
+        return false;
+    }
+    return isFinalState(update) || before.state === "queued" ||
+        (update.sliceEpoch ?? 0) > (before.sliceEpoch ?? 0);
+}
+
+/** Orders attempts of one task by the owner's epoch and the try, the last two fields of the id. */
+function compareAttempts(left: string, right: string): number {
+    const [leftTry = 0, leftEpoch = 0] = left.split(".").reverse().map(Number);
+    const [rightTry = 0, rightEpoch = 0] = right.split(".").reverse().map(Number);
+    return leftEpoch - rightEpoch || leftTry - rightTry;
+}
--- /dev/null
+++ b/src/process/home/state/job-record.ts
@@ -0,0 +1,112 @@
+/** A job as its home remembers it: one byte for each task, and details only where they can be shown. */
+import type { Millis } from "../../../common/clock.js";
+import type { Caller, JobSpec } from "../../../request/work.js";
+import { MAX_TASKS_SHOWN } from "../../../request/work.js";
+import type { StoredOutcome, TaskEnd } from "./entries.js";
+
+/** State of one task in a byte. */
+export const TaskCode = {
+    waiting: 0,
+    /** A start marker is durable. */
+    marked: 1,
+    done: 2,
+    failed: 3,
+    notRun: 4,
+    mayHaveRun: 5,
+    cancelledBefore: 6,
+    cancelledAfter: 7,
+} as const;
+export type TaskCode = (typeof TaskCode)[keyof typeof TaskCode];
+
+const TASK_CODES = 8;
+
+/** What is kept of an ended task besides its code. */
+export interface TaskDetail {
+    readonly outcome: StoredOutcome;
+    readonly workerId?: string;
+    readonly attempts: number;
+}
+
+/** What is kept of a task that was tried before and waits again. */
+export interface TaskRetry {
+    readonly failures: number;
+    readonly checkpoint?: string;
+}
+
+/** A job and its tasks. */
+export class JobRecord {
+    readonly codes: Uint8Array;
+    /** Number of tasks with each code. */
+    readonly totals: number[] = new Array<number>(TASK_CODES).fill(0);
+    readonly details = new Map<number, TaskDetail>();
+    readonly retries = new Map<number, TaskRetry>();
+    cancelled = false;
+    /** Log time at which the last task ended. */
+    endedAt: Millis | undefined;
+
+    /**
+     * @param acceptedAt - Log time of acceptance.
+     */
+    constructor(
+        readonly jobId: string,
+        readonly caller: Caller,
+        readonly spec: JobSpec,
+        readonly submittedWallMs: number,
+        readonly acceptedAt: Millis,
+    ) {
+        this.codes = new Uint8Array(spec.tasks);
+        this.totals[TaskCode.waiting] = spec.tasks;
+    }
+
+    /** Whether every task has ended. */
+    isEnded(): boolean {
+        return this.countOpen() === 0;
+    }
+
+    /** Tasks without an end. */
+    countOpen(): number {
+        return this.getTotal(TaskCode.waiting) + this.getTotal(TaskCode.marked);
+    }
+
+    getTotal(code: TaskCode): number {
+        return this.totals[code] ?? 0;
+    }
+
+    /** Whether a task is of this job and has no end yet. */
+    isTaskOpen(index: number): boolean {
+        const code = this.codes[index];
+        return code === TaskCode.waiting || code === TaskCode.marked;
+    }
+
+    /** Changes a code of an open task; an end is never changed again. */
+    setCode(index: number, code: TaskCode): boolean {
+        if (!this.isTaskOpen(index)) {
+            return false;
+        }
+        const before = this.codes[index] ?? 0;
+        this.codes[index] = code;
+        this.totals[before] = (this.totals[before] ?? 0) - 1;
+        this.totals[code] = (this.totals[code] ?? 0) + 1;
+        return true;
+    }
+
+    /** Records an end; the first end of a task counts. */
+    endTask(end: TaskEnd): void {
+        if (!this.setCode(end.index, convertToCode(end.outcome))) {
+            return;
+        }
+        this.retries.delete(end.index);
+        if (end.index < MAX_TASKS_SHOWN) {
+            const { outcome, workerId, attempts } = end;
+            this.details.set(end.index, { outcome, workerId, attempts });
+        }
+    }
+}
+
+/** Code of an outcome. */
+function convertToCode(outcome: StoredOutcome): TaskCode {
+    if (outcome.kind === "cancelled") {
+        return outcome.started ? TaskCode.cancelledAfter : TaskCode.cancelledBefore;
+    }
+    return TaskCode[outcome.kind];
+}
--- a/src/request/work.ts
+++ b/src/request/work.ts
@@ -96,4 +96,6 @@
     readonly workerId?: string;
     readonly outcome?: Outcome;
     readonly attempts: number;
+    /** What a waiting task waits for, in words. */
+    readonly waitsFor?: string;
 }
