--- a/src/process/home/run/open-slice.ts
+++ b/src/process/home/run/open-slice.ts
@@ -222,17 +222,23 @@
         }
     }
 
-    /** Orders and withdrawals may be lost on the way: they are sent again until a placer speaks of them. */
+    /**
+     * Orders and withdrawals may be lost on the way: they are sent again, ever less often, until a placer speaks of
+     * them. A placer passes over an order that it has seen and says nothing, so in the end a census asks.
+     */
     private syncAttempts(now: Millis): void {
         if (now < this.nextSyncAt) {
             return;
         }
         const { resendMs } = this.core.options;
         this.nextSyncAt = now + resendMs / SYNCS_PER_RESEND;
+        let isSilent = false;
         for (const live of this.engine.listAttempts()) {
-            if (now - live.sentAt < resendMs) {
+            const pause = resendMs * 2 ** Math.min(live.sends, MAX_DOUBLINGS);
+            if (now - live.sentAt < pause) {
                 continue;
             }
+            isSilent ||= live.phase === AttemptPhase.sent && live.sends >= SENDS_BEFORE_CENSUS;
             if (live.isWithdrawn && live.phase !== AttemptPhase.ending) {
                 this.engine.withdrawAttempt(live);
             }
@@ -240,6 +246,9 @@
                 this.engine.sendOrder(live);
             }
         }
+        if (isSilent) {
+            this.census.request();
+        }
     }
 
     private expireOld(now: Millis): void {
@@ -265,3 +274,5 @@
 }
 
 const SYNCS_PER_RESEND = 4;
+const MAX_DOUBLINGS = 4;
+const SENDS_BEFORE_CENSUS = 2;
--- a/src/process/home/run/request-sender.ts
+++ b/src/process/home/run/request-sender.ts
@@ -46,7 +46,7 @@
                 return buildNotOwner("this entry cannot rule out that another has taken over: ask again");
             }
             tried.add(chosen.memberId);
-            const result = await this.tryPlacer(chosen.memberId, request, tried.size, left);
+            const result = await this.tryPlacer(chosen.memberId, request, left);
             if (result.kind === "final") {
                 return result.outcome;
             }
@@ -58,20 +58,20 @@
     private async tryPlacer(
         memberId: string,
         request: KeyedRequest,
-        attempt: number,
         left: Millis,
     ): Promise<TryResult> {
+        const home = this.core.makeFence();
         const call: ServeCall = {
             kind: "serve",
             requestId: request.requestId,
-            attempt: `${request.requestId}.${this.core.epoch}.${attempt}`,
+            attempt: `${request.requestId}.${home.epoch}.${home.sequence}`,
             caller: request.caller,
             branch: request.branch,
             body: request.body,
             contentType: request.contentType,
             deadlineMs: left,
             avoid: [],
-            home: this.core.makeFence(),
+            home,
         };
         const result = await this.core.context.peers.call(memberId, call, left);
         switch (result.kind) {
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -256,6 +256,7 @@
     /** Has an attempt stopped wherever it is; repeated by the sync until its end is known. */
     withdrawAttempt(live: LiveAttempt): void {
         live.isWithdrawn = true;
+        live.sends++;
         live.sentAt = this.core.context.clock.now();
         this.outbox.addWithdrawal(live.placer, live.attempt);
         this.wake();
