Links between entries over TCP

Change: frame codec, message checks, handshake with mutual proof, PeerLink, PeerMesh; recording telemetry for tests.

--- /dev/null
+++ b/src/test/connection/peer-mesh_test.ts
@@ -0,0 +1,256 @@
+/** Real meshes on loopback: one link for each pair, and strangers that harm nobody. */
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { systemClock } from "../../common/clock.js";
+import { createRandom } from "../../common/random.js";
+import { encodeFrame, FrameDecoder } from "../../connection/frame-codec.js";
+import { computeProof } from "../../connection/handshake.js";
+import type { PeerMessage } from "../../connection/messages.js";
+import { createPeerMesh } from "../../connection/peer-mesh.js";
+import type { PeerMesh, PeerMeshOptions } from "../../connection/peer-mesh.js";
+import { createRecordingLog, createRecordingMetrics } from "../fakes/recording-telemetry.js";
+import type { RecordingLog } from "../fakes/recording-telemetry.js";
+import { waitUntil } from "../fakes/wait-until.js";
+import { SAMPLE_DIGEST, SAMPLE_SERVE } from "./sample-messages.js";
+
+const HOST = "127.0.0.1";
+const SECRET = "long and shared";
+const NONCE = new Uint8Array(16).fill(5);
+
+interface Member {
+    readonly id: string;
+    readonly mesh: PeerMesh;
+    readonly log: RecordingLog;
+    readonly received: { readonly from: string; readonly message: PeerMessage; }[];
+    readonly up: Set<string>;
+    readonly changes: string[];
+}
+
+const opened: { close(): unknown; }[] = [];
+afterEach(async () => {
+    await Promise.all(opened.splice(0).map(item => item.close()));
+});
+
+async function openMember(id: string, options: Partial<PeerMeshOptions> = {}): Promise<Member> {
+    const log = createRecordingLog();
+    const mesh = await createPeerMesh({
+        memberId: id,
+        cell: "test",
+        secret: SECRET,
+        host: HOST,
+        port: 0,
+        clock: systemClock,
+        random: createRandom(1),
+        log,
+        metrics: createRecordingMetrics(),
+        ...options,
+        limits: { minBackoffMs: 2_000, ...options.limits },
+    });
+    const member: Member = { id, mesh, log, received: [], up: new Set(), changes: [] };
+    mesh.install({
+        receiveMessage: (from, message) => member.received.push({ from, message }),
+        handleLinkChange: (peer, up) => {
+            member.changes.push(`${peer} ${up ? "up" : "down"}`);
+            if (up) {
+                member.up.add(peer);
+            }
+            else {
+                member.up.delete(peer);
+            }
+        },
+    });
+    opened.push(mesh);
+    return member;
+}
+
+function connectAll(members: readonly Member[]): void {
+    const addresses = members.map(({ id, mesh }) => ({ memberId: id, host: HOST, port: mesh.port }));
+    members.forEach(member => member.mesh.setPeers(addresses));
+}
+
+/** A peer made by hand, which can break every rule. */
+class RawPeer {
+    readonly frames: Record<string, unknown>[] = [];
+    ended = false;
+    private readonly decoder = new FrameDecoder(1_000_000);
+
+    constructor(readonly socket: Socket) {
+        socket.on("data", chunk => this.decoder.push(chunk, frame => this.frames.push(frame as never) > 0));
+        socket.on("close", () => {
+            this.ended = true;
+        });
+        socket.on("error", () => undefined);
+        opened.push({ close: () => socket.destroy() });
+    }
+
+    async connectAs(memberId: string, secret: string, linkNumber: number): Promise<void> {
+        this.socket.write(encodeFrame({ kind: "hello", version: 1, cell: "test", memberId, nonce: NONCE }));
+        await waitUntil(() => this.frames.length > 0 || this.ended, "an answer to hello");
+        const welcome = this.frames[0] as { readonly memberId: string; readonly nonce: Uint8Array; };
+        const transcript = {
+            cell: "test",
+            dialerId: memberId,
+            acceptorId: welcome.memberId,
+            dialerNonce: NONCE,
+            acceptorNonce: welcome.nonce,
+        };
+        const proof = computeProof(secret, "dialer", transcript);
+        this.socket.write(encodeFrame({ kind: "confirm", proof, linkNumber }));
+    }
+}
+
+function openRaw(mesh: PeerMesh): RawPeer {
+    return new RawPeer(connect(mesh.port, HOST));
+}
+
+describe("PeerMesh", () => {
+    it("carries messages both ways in order", async () => {
+        const [a, b] = [await openMember("a"), await openMember("b")];
+        connectAll([a, b]);
+        await waitUntil(() => a.up.has("b") && b.up.has("a"), "a link");
+        for (let sequence = 0; sequence < 200; sequence++) {
+            assert.equal(a.mesh.send("b", { ...SAMPLE_DIGEST, sequence } as PeerMessage), true);
+        }
+        b.mesh.send("a", SAMPLE_SERVE);
+        await waitUntil(() => b.received.length === 200 && a.received.length === 1, "all messages");
+        const sequences = b.received.map(({ message }) => message.kind === "digest" && message.sequence);
+        assert.deepEqual(sequences, [...Array(200).keys()]);
+    });
+
+    it("settles at one link for each pair when all dial at once", async () => {
+        // With the first wait taken away every pair dials from both ends in the same instant.
+        const limits = { minBackoffMs: 0, maxBackoffMs: 1 };
+        const members = await Promise.all(["a", "b", "c", "d", "e"].map(id => openMember(id, { limits })));
+        connectAll(members);
+        await waitUntil(() => members.every(member => member.up.size === 4), "a full mesh");
+        await waitUntil(() => {
+            // Sent over and over: what was under way on a link that is then replaced is lost.
+            members.forEach(member => members.forEach(other => member.mesh.send(other.id, SAMPLE_SERVE)));
+            return members.every(member => new Set(member.received.map(({ from }) => from)).size === 4);
+        }, "messages from each member to each other");
+        assert.deepEqual(members.flatMap(member => member.log.listCodes()), []);
+    });
+
+    it("links again after a member came back at another port", async () => {
+        // A VM is replaced: its links break, the others dial in vain, then the table gives the new address.
+        const [a, b] = [await openMember("a"), await openMember("b")];
+        connectAll([a, b]);
+        await waitUntil(() => a.up.has("b"), "the first link");
+        await b.mesh.close();
+        await waitUntil(() => !a.up.has("b"), "the loss of the link");
+        assert.equal(a.mesh.send("b", SAMPLE_SERVE), false);
+        const replacement = await openMember("b2");
+        connectAll([a, replacement]);
+        await waitUntil(() => a.up.has("b2"), "the new link");
+        assert.deepEqual(a.changes, ["b up", "b down", "b2 up"]);
+    });
+
+    it("drops what an older link brings after a newer one replaced it", async () => {
+        // A peer's VM was cut off and linked anew. The old connection wakes and brings an old digest.
+        // Taken as new, it would undo what the entry learned since.
+        const z = await openMember("z");
+        z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+        const [older, newer] = [openRaw(z.mesh), openRaw(z.mesh)];
+        await older.connectAs("b", SECRET, 1);
+        await waitUntil(() => z.up.has("b"), "the first link");
+        await newer.connectAs("b", SECRET, 2);
+        await waitUntil(() => older.ended, "the end of the older link");
+        older.socket.write(encodeFrame(SAMPLE_DIGEST));
+        newer.socket.write(encodeFrame(SAMPLE_SERVE));
+        await waitUntil(() => z.received.length > 0, "a message");
+        assert.deepEqual(z.received.map(({ message }) => message.kind), ["call"]);
+        assert.deepEqual(z.changes, ["b up", "b down", "b up"]);
+    });
+
+    it("keeps the link with the higher number when frames cross", async () => {
+        const z = await openMember("z");
+        z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+        const [late, early] = [openRaw(z.mesh), openRaw(z.mesh)];
+        await early.connectAs("b", SECRET, 2);
+        await waitUntil(() => z.up.has("b"), "the link with number 2");
+        await late.connectAs("b", SECRET, 1);
+        await waitUntil(() => late.ended, "the end of the link with number 1");
+        assert.deepEqual([early.ended, z.changes], [false, ["b up"]]);
+    });
+
+    const oversized = Buffer.from([0x7f, 0xff, 0xff, 0xff]);
+    const strangers = [
+        { name: "HTTP", bytes: Buffer.from("GET / HTTP/1.1\r\nhost: x\r\n\r\n"), code: "CR1301" },
+        { name: "an oversized frame", bytes: oversized, code: "CR1301" },
+        { name: "another message first", bytes: encodeFrame(SAMPLE_SERVE), code: "CR1303" },
+        {
+            name: "another version",
+            bytes: encodeFrame({ kind: "hello", version: 2, cell: "test", memberId: "b", nonce: NONCE }),
+            code: "CR1305",
+        },
+        {
+            name: "another cell",
+            bytes: encodeFrame({ kind: "hello", version: 1, cell: "x", memberId: "b", nonce: NONCE }),
+            code: "CR1303",
+        },
+    ];
+    for (const { name, bytes, code } of strangers) {
+        it(`closes only the link of a stranger that sends ${name}`, async () => {
+            const [a, b] = [await openMember("a"), await openMember("b")];
+            connectAll([a, b]);
+            await waitUntil(() => a.up.has("b"), "the honest link");
+            const stranger = openRaw(a.mesh);
+            stranger.socket.write(bytes);
+            await waitUntil(() => stranger.ended, "the end of the stranger's link");
+            assert.deepEqual(a.log.listCodes(), [code]);
+            assert.deepEqual(a.changes, ["b up"]);
+        });
+    }
+
+    it("refuses a peer that does not know the secret", async () => {
+        const z = await openMember("z");
+        z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+        const stranger = openRaw(z.mesh);
+        await stranger.connectAs("b", "guessed", 1);
+        await waitUntil(() => stranger.ended, "the end of the stranger's link");
+        assert.deepEqual(z.log.listCodes(), ["CR1304"]);
+        assert.equal(stranger.frames.at(-1)?.["kind"], "refused");
+    });
+
+    for (
+        const { name, frame, code } of [
+            { name: "malformed message", frame: encodeFrame({ kind: "digest" }), code: "CR1302" },
+            { name: "oversized frame", frame: oversized, code: "CR1301" },
+        ]
+    ) {
+        it(`closes the link at a ${name} of a member, and takes the member back`, async () => {
+            const z = await openMember("z");
+            z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+            const faulty = openRaw(z.mesh);
+            await faulty.connectAs("b", SECRET, 1);
+            await waitUntil(() => z.up.has("b"), "a link");
+            faulty.socket.write(frame);
+            await waitUntil(() => faulty.ended, "the end of the link");
+            assert.deepEqual(z.log.listCodes(), [code]);
+            await openRaw(z.mesh).connectAs("b", SECRET, 2);
+            await waitUntil(() => z.up.has("b"), "the next link");
+        });
+    }
+
+    it("refuses to queue more than the buffer for a member that does not read", async () => {
+        const z = await openMember("z", { limits: { maxBufferedBytes: 100_000 } });
+        z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+        const slow = openRaw(z.mesh);
+        await slow.connectAs("b", SECRET, 1);
+        await waitUntil(() => z.up.has("b"), "a link");
+        slow.socket.pause();
+        const message: PeerMessage = {
+            kind: "answer",
+            callId: "1",
+            body: { kind: "error", code: "invalid", message: "x".repeat(50_000) },
+        };
+        let queued = 0;
+        while (queued < 1_000 && z.mesh.send("b", message)) {
+            queued++;
+        }
+        // Two wait; the third finds more than the limit.
+        assert.equal(queued, 2);
+    });
+});
