--- a/src/connection/message-schema.ts
+++ b/src/connection/message-schema.ts
@@ -49,6 +49,7 @@
     tableRevision: count,
     storeContactAgeMs: z.number(),
     draining: z.boolean(),
+    suspects: z.array(text),
     slices: z.array(sliceStatus),
     load: placerLoad,
 });
--- a/src/test/connection/sample-messages.ts
+++ b/src/test/connection/sample-messages.ts
@@ -27,6 +27,7 @@
     tableRevision: 20,
     storeContactAgeMs: -1,
     draining: false,
+    suspects: ["b"],
     slices: [0, 3, 17, 21, 40, 63].map(slice => ({ slice, epoch: 2, ready: true })),
     load: {
         workers: 10,
--- /dev/null
+++ b/src/test/process/sinks/line-buffer_test.ts
@@ -0,0 +1,78 @@
+/** The log never waits for its output: it holds a bounded amount and drops the rest. */
+import assert from "node:assert/strict";
+import { closeSync, openSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+import { createDescriptorOutput, LineBuffer } from "../../../process/sinks/index.js";
+import { FakeClock, flushMicrotasks } from "../../fakes/fake-clock.js";
+
+function openBuffer(maxBytes: number) {
+    const batches: string[] = [];
+    const waiting: (() => void)[] = [];
+    const buffer = new LineBuffer((bytes, finished) => {
+        batches.push(bytes.toString());
+        waiting.push(finished);
+    }, maxBytes);
+    return { buffer, batches, finishWrite: () => waiting.shift()?.() };
+}
+
+describe("LineBuffer", () => {
+    it("writes one batch at a time, in order", async () => {
+        const { buffer, batches, finishWrite } = openBuffer(100);
+        buffer.write("a\n");
+        buffer.write("b\n");
+        await flushMicrotasks();
+        buffer.write("c\n");
+        await flushMicrotasks();
+        assert.deepEqual(batches, ["a\nb\n"]);
+        finishWrite();
+        assert.deepEqual(batches, ["a\nb\n", "c\n"]);
+        const flushed = buffer.flush();
+        finishWrite();
+        await flushed;
+    });
+
+    it("drops and counts what finds no room, and goes on when the output does", async () => {
+        // The log collector stops reading. Callers would see every request hang if the entry waited for it, and
+        // the entry would run out of memory if it kept all lines.
+        const { buffer, batches, finishWrite } = openBuffer(10);
+        for (const line of ["12345\n", "123\n", "1\n"]) {
+            buffer.write(line);
+        }
+        await flushMicrotasks();
+        assert.deepEqual([batches, buffer.takeDropped()], [["12345\n123\n"], 1]);
+        finishWrite();
+        buffer.write("again\n");
+        await flushMicrotasks();
+        assert.deepEqual([batches.at(-1), buffer.takeDropped()], ["again\n", 0]);
+    });
+
+    it("keeps the last quarter for warnings", () => {
+        const { buffer } = openBuffer(100);
+        assert.equal(buffer.hasRoomForDecision(), true);
+        buffer.write("x".repeat(80));
+        assert.equal(buffer.hasRoomForDecision(), false);
+        buffer.write("warning");
+        assert.equal(buffer.takeDropped(), 1);
+    });
+});
+
+describe("createDescriptorOutput", () => {
+    it("writes all bytes, and gives up on a descriptor that takes none", async () => {
+        const path = join(tmpdir(), `line-buffer-${process.pid}`);
+        const descriptor = openSync(path, "w");
+        const output = createDescriptorOutput(descriptor, new FakeClock());
+        await new Promise<void>(resolve => {
+            output(Buffer.from("line\n"), resolve);
+        });
+        closeSync(descriptor);
+        assert.equal(readFileSync(path, "utf8"), "line\n");
+        const readOnly = openSync(path, "r");
+        await new Promise<void>(resolve => {
+            createDescriptorOutput(readOnly, new FakeClock())(Buffer.from("lost\n"), resolve);
+        });
+        closeSync(readOnly);
+        rmSync(path);
+    });
+});
