--- a/src/version/policies.ts
+++ b/src/version/policies.ts
@@ -6,11 +6,11 @@
 
 /** Policies that a branch of each kind may name; the first one is the default. */
 export const POLICY_NAMES: Readonly<Record<WorkKind, readonly [string, ...string[]]>> = {
-    [WorkKind.service]: ["leastLoaded"],
-    [WorkKind.batch]: ["fairPacking"],
-    [WorkKind.gang]: ["allOrNothing"],
-    [WorkKind.short]: ["shortestFirst"],
+    [WorkKind.service]: ["service"],
+    [WorkKind.batch]: ["batch", "short"],
+    [WorkKind.gang]: ["gang"],
+    [WorkKind.short]: ["short", "batch"],
 };
 
 /** Names of all policies. */
-export const ALL_POLICY_NAMES: readonly string[] = Object.values(POLICY_NAMES).flat();
+export const ALL_POLICY_NAMES: readonly string[] = [...new Set(Object.values(POLICY_NAMES).flat())];
