--- a/src/process/placement/admission.ts
+++ b/src/process/placement/admission.ts
@@ -1,11 +1,9 @@
 /** Takes work into the queues, refuses it, or gives it up: every refusal at once and with when to come back. */
 import type { Millis } from "../../common/clock.js";
-import { NO_RESOURCES, type Resources } from "../../common/resources.js";
 import type { BranchSettings } from "../../version/settings.js";
 import type { Books } from "./books.js";
 import { ExpiryQueue } from "./expiry-queue.js";
 import type { ItemRecord } from "./item-record.js";
-import { computeLargestCapacity } from "./load.js";
 import { type Decision, type EnqueueResult, ShedReason } from "./placement-core.js";
 import type { Policy } from "./policy.js";
 import type { RoomScheduler } from "./room-scheduler.js";
@@ -78,8 +76,8 @@
         policy: Policy,
         now: Millis,
     ): EnqueueResult {
-        if (!this.canEverHold(record.item.resources)) {
-            return { kind: "neverFits", largest: computeLargestCapacity(this.books) };
+        if (!this.books.canEverHold(record.item.resources)) {
+            return { kind: "neverFits", largest: this.books.getLargestCapacity() };
         }
         const refusal = this.makeRoomInQueue(branch, 0, now);
         if (refusal !== undefined) {
@@ -168,16 +166,6 @@
             }
         }
     }
-
-    private canEverHold(need: Resources): boolean {
-        const hasWorkers = this.books.workers.size > 0;
-        const { cpuMillis, memoryMib, accelerators } = hasWorkers ?
-            computeLargestCapacity(this.books) :
-            NO_RESOURCES;
-        const mayFit = need.cpuMillis <= cpuMillis && need.memoryMib <= memoryMib &&
-            need.accelerators <= accelerators;
-        return mayFit && this.books.listCandidates(need).some(worker => worker.canHold(need));
-    }
 }
 
 function computeRetry(wait: Millis): Millis {
--- a/src/process/placement/books.ts
+++ b/src/process/placement/books.ts
@@ -1,6 +1,12 @@
 /** The books of one placer: its workers, what runs where, use by team, and where a branch's tasks lie. */
 import type { Millis } from "../../common/clock.js";
-import { addResources, NO_RESOURCES, removeResources, type Resources } from "../../common/resources.js";
+import {
+    addResources,
+    isWithin,
+    NO_RESOURCES,
+    removeResources,
+    type Resources,
+} from "../../common/resources.js";
 import { Spread } from "../../version/settings.js";
 import { type ItemRecord, ItemState } from "./item-record.js";
 import type { WorkerView, WorkItem } from "./placement-core.js";
@@ -30,8 +36,8 @@
     private readonly roomListeners: RoomListener[] = [];
     private readonly slotListeners: SlotListener[] = [];
     private readonly spread = new Map<string, number>();
-    /** Made again after the fleet changes. */
-    private candidates: { readonly all: WorkerRecord[]; readonly accelerated: WorkerRecord[]; } | undefined;
+    /** Made again after workers came, went or changed their capacity. */
+    private fleet: Fleet | undefined;
 
     /** Adds a listener; called before the first worker. */
     subscribeRoom(listener: RoomListener): void {
@@ -46,13 +52,16 @@
     /** Adds a worker, closed, or takes over its new capacity. */
     updateWorker(view: WorkerView): void {
         const worker = this.workers.get(view.workerId);
-        this.candidates = undefined;
         if (worker === undefined) {
+            this.fleet = undefined;
             this.workers.set(view.workerId, new WorkerRecord(view));
             this.teams.total = addResources(this.teams.total, view.capacity);
             return;
         }
         const { capacity } = worker.view;
+        if (!isSameAmount(capacity, view.capacity)) {
+            this.fleet = undefined;
+        }
         this.teams.total = addResources(removeResources(this.teams.total, capacity), view.capacity);
         if (view.slots !== worker.view.slots) {
             worker.slotLimit = view.slots;
@@ -75,7 +84,7 @@
             this.release(record);
         }
         this.workers.delete(workerId);
-        this.candidates = undefined;
+        this.fleet = undefined;
         this.teams.total = removeResources(this.teams.total, worker.view.capacity);
         return lost;
     }
@@ -148,14 +157,18 @@
 
     /** @returns Workers from which to sample a place for a need; those with accelerators if it needs any. */
     listCandidates(need: Resources): readonly WorkerRecord[] {
-        if (this.candidates === undefined) {
-            const all = [...this.workers.values()];
-            this.candidates = {
-                all,
-                accelerated: all.filter(worker => worker.view.capacity.accelerators > 0),
-            };
-        }
-        return need.accelerators > 0 ? this.candidates.accelerated : this.candidates.all;
+        const { all, accelerated } = this.getFleet();
+        return need.accelerators > 0 ? accelerated : all;
+    }
+
+    /** @returns Largest capacity of one worker, dimension by dimension. */
+    getLargestCapacity(): Resources {
+        return this.getFleet().largest;
+    }
+
+    /** @returns Whether some worker could hold the need when empty. */
+    canEverHold(need: Resources): boolean {
+        return this.getFleet().sizes.some(size => isWithin(need, size));
     }
 
     countNear(item: WorkItem, place: PlaceView): number {
@@ -178,6 +191,11 @@
         return free;
     }
 
+    private getFleet(): Fleet {
+        this.fleet ??= buildFleet([...this.workers.values()]);
+        return this.fleet;
+    }
+
     private refresh(worker: WorkerRecord): void {
         this.placeInIndex(worker);
         if (worker.open) {
@@ -214,3 +232,36 @@
         }
     }
 }
+
+/** What changes only with the fleet itself. */
+interface Fleet {
+    readonly all: readonly WorkerRecord[];
+    readonly accelerated: readonly WorkerRecord[];
+    readonly largest: Resources;
+    /** Capacities that occur, each once. */
+    readonly sizes: readonly Resources[];
+}
+
+function buildFleet(all: readonly WorkerRecord[]): Fleet {
+    const sizes = new Map<string, Resources>();
+    let largest = NO_RESOURCES;
+    for (const { view: { capacity } } of all) {
+        sizes.set(`${capacity.cpuMillis}/${capacity.memoryMib}/${capacity.accelerators}`, capacity);
+        largest = computeMost(largest, capacity);
+    }
+    const accelerated = all.filter(worker => worker.view.capacity.accelerators > 0);
+    return { all, accelerated, largest, sizes: [...sizes.values()] };
+}
+
+function isSameAmount(left: Resources, right: Resources): boolean {
+    return isWithin(left, right) && isWithin(right, left);
+}
+
+/** @returns The larger amount in each dimension. */
+export function computeMost(left: Resources, right: Resources): Resources {
+    return {
+        cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+        memoryMib: Math.max(left.memoryMib, right.memoryMib),
+        accelerators: Math.max(left.accelerators, right.accelerators),
+    };
+}
--- a/src/process/placement/load.ts
+++ b/src/process/placement/load.ts
@@ -1,7 +1,7 @@
 /** What a placer tells the others of its load. */
-import { NO_RESOURCES, type Resources } from "../../common/resources.js";
+import { NO_RESOURCES } from "../../common/resources.js";
 import type { PlacerLoad } from "../../connection/messages.js";
-import type { Books } from "./books.js";
+import { type Books, computeMost } from "./books.js";
 import type { WaitingBook } from "./waiting-book.js";
 
 /** @returns Load of a placer; goes through its workers, a few times a second. */
@@ -30,29 +30,7 @@
         free: books.sumFree(),
         total: books.teams.total,
         largestFree,
-        largestWorker: computeLargestCapacity(books),
+        largestWorker: books.getLargestCapacity(),
         teamUse: books.teams.listUse(),
     };
 }
-
-/** @returns Largest capacity of one worker, less what others use on it, dimension by dimension. */
-export function computeLargestCapacity(books: Books): Resources {
-    let largest = NO_RESOURCES;
-    for (const worker of books.workers.values()) {
-        const { capacity, foreignUse } = worker.view;
-        largest = computeMost(largest, {
-            cpuMillis: capacity.cpuMillis - foreignUse.cpuMillis,
-            memoryMib: capacity.memoryMib - foreignUse.memoryMib,
-            accelerators: capacity.accelerators - foreignUse.accelerators,
-        });
-    }
-    return largest;
-}
-
-function computeMost(left: Resources, right: Resources): Resources {
-    return {
-        cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
-        memoryMib: Math.max(left.memoryMib, right.memoryMib),
-        accelerators: Math.max(left.accelerators, right.accelerators),
-    };
-}
