--- /dev/null
+++ b/src/process/platform/http-vm-list-port.ts
@@ -0,0 +1,39 @@
+/** The VM list port over HTTP. */
+import { Pool } from "undici";
+import type { Clock, Millis } from "../../common/clock.js";
+import type { VmListPort, VmRecord } from "../ports/index.js";
+import { sendHttpRequest } from "./http-request.js";
+import { parseJsonAnswer } from "./json-answer.js";
+import { nothingSchema, vmListSchema } from "./schemas.js";
+
+/** Most bytes of the list: 3,800 records of some 200 bytes, with room to grow. */
+const MAX_LIST_BYTES = 16_777_216;
+
+/** Reads the platform's list of VMs. */
+export class HttpVmListPort implements VmListPort {
+    private readonly pool: Pool;
+
+    /**
+     * @param url - `http://host:port` of the list.
+     * @param clock - Where timeouts come from.
+     */
+    constructor(url: string, private readonly clock: Clock) {
+        this.pool = new Pool(url, { connections: 1 });
+    }
+
+    async list(timeout: Millis): Promise<readonly VmRecord[] | undefined> {
+        const end = await sendHttpRequest(this.pool, this.clock, {
+            method: "GET",
+            path: "/v1/vms",
+            timeout,
+            maxBytes: MAX_LIST_BYTES,
+        });
+        const answer = parseJsonAnswer(end, vmListSchema, nothingSchema);
+        return answer.kind === "done" ? answer.value : undefined;
+    }
+
+    /** Closes the connection. */
+    async close(): Promise<void> {
+        await this.pool.destroy();
+    }
+}
--- /dev/null
+++ b/src/process/platform/json-answer.ts
@@ -0,0 +1,73 @@
+/** Reads the JSON answers of the platform and of workers, and checks them. */
+import type { z } from "zod";
+import type { HttpEnd } from "./http-request.js";
+
+/** An answer whose body was checked. */
+export type JsonAnswer<Value, Refusal> =
+    | { readonly kind: "done"; readonly value: Value; }
+    | { readonly kind: "refused"; readonly refusal: Refusal; }
+    | { readonly kind: "unavailable"; readonly message: string; }
+    | { readonly kind: "unknown"; readonly message: string; };
+
+/** Statuses of the protocol in docs/PLATFORM-PROTOCOL.md. */
+export const HttpStatus = {
+    done: 200,
+    invalid: 400,
+    refused: 409,
+    tooMany: 429,
+    serverError: 500,
+    unavailable: 503,
+} as const;
+
+/**
+ * Reads an answer.
+ * @param end - How the request ended.
+ * @param valueSchema - What stands under `value` when it was done.
+ * @param refusalSchema - What the body of a refusal is.
+ * @returns What it means; an answer that cannot be read is `unknown`, since the request may have had its effect.
+ */
+export function parseJsonAnswer<Value, Refusal>(
+    end: HttpEnd,
+    valueSchema: z.ZodType<Value>,
+    refusalSchema: z.ZodType<Refusal>,
+): JsonAnswer<Value, Refusal> {
+    switch (end.kind) {
+        case "notSent":
+            return { kind: "unavailable", message: end.message };
+        case "lost":
+            return { kind: "unknown", message: end.message };
+        case "response":
+            return parseResponse(end.status, end.body, valueSchema, refusalSchema);
+    }
+}
+
+function parseResponse<Value, Refusal>(
+    status: number,
+    body: Buffer,
+    valueSchema: z.ZodType<Value>,
+    refusalSchema: z.ZodType<Refusal>,
+): JsonAnswer<Value, Refusal> {
+    if (status === HttpStatus.done) {
+        const parsed = valueSchema.safeParse(parseBody(body)?.value);
+        return parsed.success ? { kind: "done", value: parsed.data } : UNREADABLE;
+    }
+    if (status === HttpStatus.refused) {
+        const parsed = refusalSchema.safeParse(parseBody(body));
+        return parsed.success ? { kind: "refused", refusal: parsed.data } : UNREADABLE;
+    }
+    const message = `HTTP status ${status}: ${body.toString("utf8", 0, MAX_MESSAGE_BYTES)}`;
+    const hadNoEffect = status < HttpStatus.serverError || status === HttpStatus.unavailable;
+    return { kind: hadNoEffect ? "unavailable" : "unknown", message };
+}
+
+function parseBody(body: Buffer): { readonly value?: unknown; } | undefined {
+    try {
+        return JSON.parse(body.toString("utf8")) as { readonly value?: unknown; };
+    }
+    catch {
+        return undefined;
+    }
+}
+
+const MAX_MESSAGE_BYTES = 200;
+const UNREADABLE = { kind: "unknown", message: "the answer does not follow the protocol" } as const;
--- /dev/null
+++ b/src/process/platform/schemas.ts
@@ -0,0 +1,117 @@
+/** Shapes of the bodies on the wire between this system, the platform and workers; see docs/PLATFORM-PROTOCOL.md. */
+import { z } from "zod";
+import type {
+    StoreChanges,
+    StoreListing,
+    StoreRecord,
+    StoreSwap,
+    VmRecord,
+    WorkerReport,
+} from "../ports/index.js";
+import { StoreRefusal, VmState, WorkerRefusal, WorkerTaskState } from "../ports/index.js";
+
+const revision = z.number().int().nonnegative();
+
+export const recordSchema: z.ZodType<StoreRecord> = z.object({
+    key: z.string(),
+    value: z.string(),
+    revision,
+});
+
+export const listingSchema: z.ZodType<StoreListing> = z.object({ records: z.array(recordSchema), revision });
+
+export const changesSchema: z.ZodType<StoreChanges> = z.object({
+    events: z.array(
+        z.object({ key: z.string(), value: z.string().optional(), revision })
+            .transform(event => ({ ...event, value: event.value })),
+    ),
+    revision,
+});
+
+export const storeRefusalSchema = z.object({
+    reason: z.enum(Object.values(StoreRefusal)),
+    current: recordSchema.optional(),
+});
+
+export const swapSchema: z.ZodType<StoreSwap> = z.object({
+    key: z.string().min(1),
+    value: z.string().optional(),
+    expectedRevision: revision,
+    leaseId: z.string().optional(),
+}).transform(swap => ({ ...swap, value: swap.value }));
+
+export const grantSchema = z.object({ ttlMs: z.number().positive() });
+
+export const vmListSchema: z.ZodType<readonly VmRecord[]> = z.array(z.object({
+    workerId: z.string().min(1),
+    url: z.string().min(1),
+    rack: z.string(),
+    failureDomain: z.string(),
+    state: z.enum(Object.values(VmState)),
+}));
+
+const resourcesSchema = z.object({
+    cpuMillis: z.number().int(),
+    memoryMib: z.number().int(),
+    accelerators: z.number().int(),
+});
+
+const taskSchema = z.object({
+    attempt: z.string(),
+    state: z.enum(Object.values(WorkerTaskState)),
+    label: z.string(),
+    resources: resourcesSchema,
+    ranMs: z.number(),
+    usage: resourcesSchema.optional(),
+    answer: z.string().optional(),
+    checkpoint: z.string().optional(),
+    throttled: z.boolean().optional(),
+});
+
+export const reportSchema: z.ZodType<WorkerReport> = z.object({
+    bootId: z.string(),
+    workerNow: z.number(),
+    capacity: resourcesSchema,
+    slots: z.number().int(),
+    maxConnections: z.number().int(),
+    comparesEpochs: z.boolean(),
+    leaving: z.boolean(),
+    foreignUse: resourcesSchema,
+    tasks: z.array(taskSchema),
+    sequence: z.number().int(),
+});
+
+export const workerRefusalSchema = z.object({
+    reason: z.enum(Object.values(WorkerRefusal)),
+    message: z.string(),
+});
+
+const fenceShape = {
+    epoch: z.number().int(),
+    bootId: z.string().optional(),
+    notAfter: z.number(),
+};
+
+export const attachSchema = z.object({ ...fenceShape, leaseMs: z.number() });
+
+export const renewSchema = z.object({
+    ...fenceShape,
+    leaseMs: z.number(),
+    afterSequence: z.number().int(),
+    acknowledged: z.array(z.string()),
+    waitMs: z.number(),
+});
+
+export const startSchema = z.object({
+    ...fenceShape,
+    attempt: z.string().min(1),
+    label: z.string(),
+    resources: resourcesSchema,
+    payload: z.string(),
+    checkpoint: z.string().optional(),
+});
+
+export const taskOrderSchema = z.object({ ...fenceShape, attempt: z.string().min(1) });
+
+/** Value of an answer that carries none. */
+export const nothingSchema: z.ZodType<undefined> = z.undefined();
--- a/src/stand-ins/worker-model.ts
+++ b/src/stand-ins/worker-model.ts
@@ -2,7 +2,7 @@
  * A worker as this system assumes it, without I/O: it runs synthetic tasks under one lease that ends by the
  * worker's own clock, keeps ended tasks until they are acknowledged, and answers service requests in slots.
  */
-import type { Clock, Millis } from "../common/clock.js";
+import type { Clock, Millis, Timer } from "../common/clock.js";
 import { isWithin, NO_RESOURCES, removeResources } from "../common/resources.js";
 import type { Resources } from "../common/resources.js";
 import { WorkerRefusal } from "../process/ports/index.js";
@@ -62,6 +62,7 @@
     private bootedAt: Millis;
     private highestEpoch = 0;
     private leaseEndsAt: Millis;
+    private leaseTimer: Timer | undefined;
     private leaving = false;
     private failing = false;
     private foreignUse: Resources = NO_RESOURCES;
@@ -156,8 +157,7 @@
 
     /** Forgets all tasks, epochs and leases, as a restart does. Requests under way get no answer. */
     restart(): void {
-        this.slots.dropAll();
-        this.tasks.dropAll();
+        this.close();
         this.boots++;
         this.bootedAt = this.clock.now();
         this.highestEpoch = 0;
@@ -168,6 +168,13 @@
         this.recordCapacity();
     }
 
+    /** Dies: everything that runs ends without an answer. */
+    close(): void {
+        this.leaseTimer?.cancel();
+        this.slots.dropAll();
+        this.tasks.dropAll();
+    }
+
     /** Sets whether the worker takes nothing new. */
     setLeaving(leaving: boolean): void {
         this.leaving = leaving;
@@ -285,15 +292,11 @@
             return;
         }
         this.leaseEndsAt = until;
-        const boot = this.boots;
-        this.clock.schedule(leaseMs / this.getRate(), () => this.expireTasks(boot));
-    }
-
-    private expireTasks(boot: number): void {
-        if (boot === this.boots && this.leaseEndsAt <= this.getNow() + CLOCK_GRAIN_MS) {
+        this.leaseTimer?.cancel();
+        this.leaseTimer = this.clock.schedule(leaseMs / this.getRate(), () => {
             this.tasks.expire();
             this.waiters.wake();
-        }
+        });
     }
 
     private buildReport(afterSequence: number): WorkerReport {
@@ -349,9 +352,6 @@
     }
 }
 
-/** Rounding of instants when the worker's clock runs at another rate. */
-const CLOCK_GRAIN_MS = 0.001;
-
 const DONE: WorkerAnswer<undefined> = { kind: "done", value: undefined };
 
 function getSubject(order: OrderFence & { readonly attempt?: string; readonly requestId?: string; }): string {
--- /dev/null
+++ b/src/test/process/platform/http-adapters_test.ts
@@ -0,0 +1,128 @@
+/** The HTTP adapters tell a request that was never sent from one whose answer is missing. */
+import assert from "node:assert/strict";
+import { createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { after, describe, it } from "node:test";
+import { systemClock } from "../../../common/clock.js";
+import { HttpStorePort, HttpVmListPort, HttpWorkerPort } from "../../../process/platform/index.js";
+import { startVmListStandIn } from "../../../stand-ins/index.js";
+
+const SWAP = { key: "k", value: "v", expectedRevision: 0 };
+
+/** What a broken server does with each connection, and what a caller must make of it. */
+interface BrokenServer {
+    readonly name: string;
+    readonly handle: (socket: Socket) => void;
+    readonly expected: string;
+}
+
+const brokenServers: BrokenServer[] = [
+    {
+        name: "resets after the request",
+        handle: socket => socket.once("data", () => socket.resetAndDestroy()),
+        expected: "unknown",
+    },
+    {
+        name: "closes after the request",
+        handle: socket => socket.once("data", () => socket.end()),
+        expected: "unknown",
+    },
+    { name: "never answers", handle: socket => socket.resume(), expected: "unknown" },
+    {
+        name: "cuts its answer short",
+        handle: socket =>
+            socket.once("data", () => socket.end('HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{"va')),
+        expected: "unknown",
+    },
+    {
+        name: "answers with something else",
+        handle: socket =>
+            socket.once("data", () => socket.end("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi")),
+        expected: "unknown",
+    },
+    {
+        name: "fails inside",
+        handle: socket =>
+            socket.once("data", () => socket.end("HTTP/1.1 500 X\r\ncontent-length: 2\r\n\r\nhi")),
+        expected: "unknown",
+    },
+    {
+        name: "is overloaded",
+        handle: socket =>
+            socket.once("data", () => socket.end("HTTP/1.1 503 X\r\ncontent-length: 2\r\n\r\nhi")),
+        expected: "unavailable",
+    },
+];
+
+describe("HTTP adapters", () => {
+    const closers: (() => unknown)[] = [];
+    after(async () => {
+        await Promise.all(closers.map(close => close()));
+    });
+
+    async function startServer(handle: (socket: Socket) => void): Promise<{ url: string; server: Server; }> {
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            closers.push(() => {
+                socket.destroy();
+            });
+            handle(socket);
+        });
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        closers.push(() => server.close());
+        return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, server };
+    }
+
+    function createStorePort(url: string, connections?: number): HttpStorePort {
+        const port = new HttpStorePort({ url, clock: systemClock, connections });
+        closers.push(() => port.close());
+        return port;
+    }
+
+    for (const { name, handle, expected } of brokenServers) {
+        it(`a store that ${name}: ${expected}`, async () => {
+            const { url } = await startServer(handle);
+            assert.equal((await createStorePort(url).swap(SWAP, 100)).kind, expected);
+        });
+    }
+
+    it("a port without a listener: unavailable", async () => {
+        const { url, server } = await startServer(() => undefined);
+        await new Promise(resolve => server.close(resolve));
+        assert.equal((await createStorePort(url).swap(SWAP, 1_000)).kind, "unavailable");
+        const workers = new HttpWorkerPort({ clock: systemClock });
+        closers.push(() => workers.close());
+        const order = { epoch: 1, notAfter: 1, attempt: "a" };
+        assert.equal((await workers.stop({ workerId: "w", url }, order, 1_000)).kind, "unavailable");
+    });
+
+    it("a request that waited for a connection until its timeout was never sent", async () => {
+        // A caller sees: "not run" though the start was queued. Order: the only connection is taken by a call that
+        // hangs, the second call times out in the queue. Cause: a bounded pool; it must not be reported as unknown.
+        let requests = 0;
+        const { url } = await startServer(socket => socket.on("data", () => requests++));
+        const port = createStorePort(url, 1);
+        const hanging = port.swap(SWAP, 300);
+        const queued = await port.swap(SWAP, 100);
+        assert.equal(queued.kind, "unavailable");
+        assert.equal((await hanging).kind, "unknown");
+        assert.equal(requests, 1);
+    });
+
+    it("reads the VM list, and tells when it cannot be read", async () => {
+        const standIn = await startVmListStandIn({ clock: systemClock });
+        const vm = {
+            workerId: "w",
+            url: "http://127.0.0.1:1",
+            rack: "r",
+            failureDomain: "d",
+            state: "live",
+        } as const;
+        standIn.model.put(vm);
+        const port = new HttpVmListPort(standIn.url, systemClock);
+        closers.push(() => port.close());
+        assert.deepEqual(await port.list(1_000), [vm]);
+        await standIn.close();
+        assert.equal(await port.list(200), undefined);
+    });
+});
