--- a/src/common/outcome.ts
+++ b/src/common/outcome.ts
@@ -29,6 +29,8 @@
     refusedByWorker: "refusedByWorker",
     notOwner: "notOwner",
     linkDown: "linkDown",
+    /** The idempotency key was used before with other content. */
+    keyConflict: "keyConflict",
 } as const;
 export type NotRunReason = (typeof NotRunReason)[keyof typeof NotRunReason];
 
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -343,6 +343,10 @@
         for (const decision of decisions) {
             this.applyDecision(decision, tookUs);
         }
+        if (decisions.length > 0) {
+            // One call of the core decides a bounded number: there may be more.
+            this.scheduleDecisions(0);
+        }
         const next = this.options.core.getNextDecisionAt(now);
         if (next !== undefined) {
             this.scheduleDecisions(Math.max(1, next - now));
--- /dev/null
+++ b/src/process/router/router.ts
@@ -0,0 +1,177 @@
+/** The gateway of callers' interfaces: finds who handles a request or job, and brings back the answer. */
+import { type Millis, sleep } from "../../common/clock.js";
+import { buildNotRun, NotRunReason, type Outcome } from "../../common/outcome.js";
+import { makeUniqueId } from "../../common/random.js";
+import { type HomeReply, type HomeRequest, PeerErrorCode } from "../../connection/messages.js";
+import { type Caller, type JobSpec, type ServiceRequest, WorkKind } from "../../request/work.js";
+import { Adoption } from "../../version/settings.js";
+import type { CallerGateway, RoleContext, ServiceResult } from "../roles.js";
+import { ServiceRouter } from "./service-router.js";
+import { computeHomeSlice, findHomeSlice, makeJobIdFrom } from "./work-ids.js";
+
+/** Time between two tries to reach the owner of a home slice. */
+const HOME_RETRY_MS: Millis = 100;
+/** Time after which a request whose home has no owner is refused. */
+const HOME_PATIENCE_MS: Millis = 3_000;
+const RETRY_AFTER_MS: Millis = 2_000;
+const ANSWER_GRACE_MS: Millis = 500;
+
+/** What {@link createRouter} is given beside the context. */
+export interface RouterOptions {
+    /** Whether the entry is shutting down. */
+    isDraining(): boolean;
+}
+
+/**
+ * Creates the gateway.
+ * @param context - What every role is given.
+ * @param options - The entry's own state.
+ */
+export function createRouter(context: RoleContext, options: RouterOptions): CallerGateway {
+    return new Router(context, options);
+}
+
+class Router implements CallerGateway {
+    private readonly services: ServiceRouter;
+
+    constructor(private readonly context: RoleContext, private readonly options: RouterOptions) {
+        this.services = new ServiceRouter(context);
+    }
+
+    findRefusal(): Outcome | undefined {
+        if (this.options.isDraining()) {
+            return buildNotRun(
+                NotRunReason.shuttingDown,
+                "this entry is shutting down: ask again, another answers",
+                0,
+            );
+        }
+        if (!this.context.settings.isCurrent()) {
+            const remedy =
+                "this entry cannot tell whether its settings are in force: ask again, another may answer";
+            return buildNotRun(NotRunReason.settingsUncertain, remedy, RETRY_AFTER_MS);
+        }
+        return undefined;
+    }
+
+    async runService(request: ServiceRequest): Promise<ServiceResult> {
+        const settings = this.context.settings.getCurrent();
+        const refusal = this.findRefusal();
+        const branch = settings?.branches.get(request.branch);
+        const treeVersion = settings?.version ?? 0;
+        if (refusal !== undefined || settings === undefined) {
+            const outcome = refusal ??
+                buildNotRun(NotRunReason.settingsUncertain, "no settings yet: ask again", RETRY_AFTER_MS);
+            return { outcome, attempts: 0, repeated: false, treeVersion };
+        }
+        if (branch === undefined || branch.kind !== WorkKind.service || branch.adoption === Adoption.off) {
+            const remedy =
+                `no service branch "${request.branch}" takes requests: check the path, or its adoption in the tree`;
+            return {
+                outcome: buildNotRun(NotRunReason.branchOff, remedy),
+                attempts: 0,
+                repeated: false,
+                treeVersion,
+            };
+        }
+        if (request.repeatable && request.idempotencyKey === undefined) {
+            return await this.services.run(request, branch, settings);
+        }
+        return await this.runAtHome(request, treeVersion);
+    }
+
+    makeJobId(caller: Caller, spec: JobSpec): string {
+        const key = spec.idempotencyKey ?? makeUniqueId(this.context.random);
+        return makeJobIdFrom(caller.team, key);
+    }
+
+    async callHome(jobId: string, request: HomeRequest, timeoutMs: Millis): Promise<HomeReply> {
+        const slice = findHomeSlice(jobId);
+        return slice === undefined ? { kind: "notFound" } : await this.callSlice(slice, request, timeoutMs);
+    }
+
+    private async runAtHome(request: ServiceRequest, treeVersion: number): Promise<ServiceResult> {
+        const requestKey = `${request.caller.team}/${request.idempotencyKey ?? request.requestId}`;
+        const { clock } = this.context;
+        const reply = await this.callSlice(computeHomeSlice(requestKey), {
+            kind: "runRequest",
+            requestKey,
+            requestId: request.requestId,
+            caller: request.caller,
+            branch: request.branch,
+            body: request.body,
+            contentType: request.contentType,
+            repeatable: request.repeatable,
+            deadlineMs: request.deadline - clock.now(),
+        }, request.deadline - clock.now());
+        const repeated = reply.kind === "outcome" && reply.repeated;
+        return { outcome: describeReply(reply), attempts: 1, repeated, treeVersion };
+    }
+
+    /**
+     * Asks the owner of a home slice until it answers or the time is over. Every request to a home may be repeated:
+     * the home knows it again by its job id or request key.
+     */
+    private async callSlice(slice: number, request: HomeRequest, timeoutMs: Millis): Promise<HomeReply> {
+        const { clock, ownership, peers } = this.context;
+        const deadline = clock.now() + timeoutMs;
+        const unreachableAt = clock.now() + Math.min(timeoutMs, HOME_PATIENCE_MS);
+        let mayHaveArrived = false;
+        for (;;) {
+            const owner = ownership.getHomeSliceOwner(slice);
+            const left = deadline - clock.now();
+            if (owner !== undefined && left > 0) {
+                const body = {
+                    kind: "home",
+                    homeSlice: slice,
+                    request: withDeadline(request, left),
+                } as const;
+                const result = await peers.call(owner.memberId, body, left + ANSWER_GRACE_MS);
+                if (result.kind === "answer" && result.body.kind === "home") {
+                    return result.body.reply;
+                }
+                const refused = result.kind === "notSent" ||
+                    (result.kind === "answer" && result.body.kind === "error" &&
+                        result.body.code !== PeerErrorCode.invalid);
+                mayHaveArrived ||= !refused;
+            }
+            if (clock.now() >= (mayHaveArrived ? deadline : unreachableAt)) {
+                return buildGivenUp(mayHaveArrived);
+            }
+            await sleep(clock, HOME_RETRY_MS);
+        }
+    }
+}
+
+function withDeadline(request: HomeRequest, left: Millis): HomeRequest {
+    return request.kind === "runRequest" ?
+        { ...request, deadlineMs: Math.min(request.deadlineMs, left) } :
+        request;
+}
+
+function buildGivenUp(mayHaveArrived: boolean): HomeReply {
+    if (mayHaveArrived) {
+        return {
+            kind: "uncertain",
+            message: "the entry that owns it did not answer in time: ask again with the same key",
+        };
+    }
+    const remedy = "the entry that owns it cannot be reached now: ask again with the same key";
+    return { kind: "refused", outcome: buildNotRun(NotRunReason.linkDown, remedy, RETRY_AFTER_MS) };
+}
+
+function describeReply(reply: HomeReply): Outcome {
+    switch (reply.kind) {
+        case "outcome":
+        case "refused":
+            return reply.outcome;
+        case "keyConflict":
+            return buildNotRun(NotRunReason.keyConflict, reply.message);
+        case "uncertain":
+            return { kind: "mayHaveRun", message: reply.message };
+        case "job":
+        case "explanation":
+        case "notFound":
+            return { kind: "mayHaveRun", message: "unexpected answer of the home: report this as a defect" };
+    }
+}
