--- a/src/process/ownership/ownership-role.ts
+++ b/src/process/ownership/ownership-role.ts
@@ -11,6 +11,7 @@
 import {
     addMember,
     addWorkerDomains,
+    isOwner,
     listOwnedSlices,
     listPlannedMoves,
     moveSlice,
@@ -61,6 +62,8 @@
     private readonly lostMembers: LostMembers;
     private readonly revoking = new Set<string>();
     private busy = false;
+    /** A slice released for a hand-over that was not written. */
+    private reclaim: PlannedMove | undefined;
     private lastMoveAt = Number.NEGATIVE_INFINITY;
     private timer: Timer | undefined;
     private closed = false;
@@ -313,6 +316,10 @@
 
     private planMove(table: OwnershipTable): (() => Promise<unknown>) | undefined {
         const { clock, memberId } = this.options.context;
+        const { reclaim } = this;
+        if (reclaim !== undefined) {
+            return () => this.takeBack(reclaim);
+        }
         if (clock.now() - this.lastMoveAt < MOVE_PACE_MS) {
             return undefined;
         }
@@ -324,14 +331,23 @@
         return () => this.releaseAndMove(move);
     }
 
+    /**
+     * Takes a slice again whose hand-over did not come to pass, by raising its epoch. The write of the hand-over
+     * may still be on its way to the store; the raise makes its expected revision outdated, so that it can no
+     * longer take effect behind the back of an owner that went on acting.
+     */
+    private async takeBack(move: PlannedMove): Promise<void> {
+        const done = await this.write(table => isOwner(table, move) ? moveSlice(table, move, true) : table);
+        if (done) {
+            this.reclaim = undefined;
+        }
+    }
+
     /** Stops acting on the slice first and writes the move after, so that two never act on it. */
     private async releaseAndMove(move: PlannedMove): Promise<void> {
         const ready = await this.options.releaseSlice(move);
         const moved = await this.write(table => moveSlice(table, move, ready));
-        if (!moved) {
-            // The table may name this entry still: the listeners open the slice again from the table.
-            this.listeners.forEach(listener => listener());
-        }
+        this.reclaim = moved ? undefined : { ...move, to: this.options.context.memberId };
     }
 
     /** Members of the table without a key in the store. */
--- a/src/process/ownership/plan.ts
+++ b/src/process/ownership/plan.ts
@@ -141,6 +141,16 @@
     return [...list(SliceKind.home, table.homeSlices), ...list(SliceKind.worker, table.workerSlices)];
 }
 
+/**
+ * Tells whether a slice belongs to a member.
+ * @param table - The table.
+ * @param move - The slice, and the member in `to`.
+ */
+export function isOwner(table: OwnershipTable, move: PlannedMove): boolean {
+    const entries = move.kind === SliceKind.worker ? table.workerSlices : table.homeSlices;
+    return entries[move.slice]?.owner === move.to;
+}
+
 function assignUnowned(table: OwnershipTable): OwnershipTable {
     const assign =
         (wanted: readonly (string | undefined)[]) => (entry: SliceEntry, slice: number): SliceEntry => {
--- a/src/process/router/service-router.ts
+++ b/src/process/router/service-router.ts
@@ -53,13 +53,8 @@
         let attempts = 0;
         for (;;) {
             attempts++;
-            const tried = await this.tryOnce(
-                request,
-                `${request.requestId}.${attempts}`,
-                settings,
-                avoidMembers,
-                avoidWorkers,
-            );
+            const attempt = `${request.requestId}.${attempts}`;
+            const tried = await this.tryOnce(request, branch, attempt, settings, avoidMembers, avoidWorkers);
             const final = !tried.retrySafe || attempts >= branch.maxAttempts ||
                 !this.isWorthRetrying(request, tried);
             if (final || !budget.tryTake()) {
