--- a/src/process/ownership/ownership-role.ts
+++ b/src/process/ownership/ownership-role.ts
@@ -7,6 +7,7 @@
 import type { StoreListing } from "../ports/store-port.js";
 import type { CallResult, HeardDigest, Member, OwnershipView, RoleContext, SliceOwner } from "../roles.js";
 import { LostMembers } from "./lost-members.js";
+import { MemberKeys } from "./member-keys.js";
 import { MEMBER_PREFIX, MemberLease } from "./member-lease.js";
 import {
     addMember,
@@ -57,10 +58,8 @@
     private revision = 0;
     private readonly listeners: (() => void)[] = [];
     private readonly lease: MemberLease;
-    /** Member ids with a key in the store, and the lease each key names; undefined before the first listing. */
-    private liveMembers: Map<string, string> | undefined;
+    private readonly memberKeys: MemberKeys;
     private readonly lostMembers: LostMembers;
-    private readonly revoking = new Set<string>();
     private busy = false;
     /** A slice released for a hand-over that was not written. */
     private reclaim: PlannedMove | undefined;
@@ -71,6 +70,7 @@
     constructor(private readonly options: OwnershipOptions) {
         const { context } = options;
         this.lostMembers = new LostMembers(context.clock);
+        this.memberKeys = new MemberKeys(context);
         const source = {
             clock: context.clock,
             memberId: context.memberId,
@@ -150,7 +150,7 @@
 
     /** Takes the store's records of the cell, at the start and after a gap of the watch. */
     replaceAll(listing: StoreListing): void {
-        this.liveMembers = new Map();
+        this.memberKeys.clear();
         for (const record of listing.records) {
             this.applyEvent(record.key, record.value, record.revision);
         }
@@ -162,7 +162,7 @@
             this.acceptTable(value, revision);
         }
         else if (key.startsWith(MEMBER_PREFIX)) {
-            this.acceptMemberKey(key.slice(MEMBER_PREFIX.length), value);
+            this.memberKeys.apply(key.slice(MEMBER_PREFIX.length), value);
         }
     }
 
@@ -250,16 +250,6 @@
         this.listeners.forEach(listener => listener());
     }
 
-    private acceptMemberKey(memberId: string, value: string | undefined): void {
-        this.liveMembers ??= new Map();
-        if (value === undefined) {
-            this.liveMembers.delete(memberId);
-            return;
-        }
-        const leaseId = (JSON.parse(value) as { leaseId?: unknown; }).leaseId;
-        this.liveMembers.set(memberId, typeof leaseId === "string" ? leaseId : "");
-    }
-
     private isMember(): boolean {
         return this.listMemberIds().includes(this.options.context.memberId);
     }
@@ -272,7 +262,7 @@
     }
 
     private step(): void {
-        if (this.closed || this.busy || !this.lease.isHeld() || this.liveMembers === undefined) {
+        if (this.closed || this.busy || !this.lease.isHeld() || !this.memberKeys.isKnown()) {
             return;
         }
         this.revokeSuspects();
@@ -354,32 +344,13 @@
     private listGone(): readonly string[] {
         return this.listMembers()
             .map(member => member.memberId)
-            .filter(memberId =>
-                memberId !== this.options.context.memberId && !this.liveMembers?.has(memberId)
-            );
+            .filter(memberId => memberId !== this.options.context.memberId && !this.memberKeys.has(memberId));
     }
 
-    /**
-     * Ends the leases of members that a majority has not heard of lately: a dead entry's slices then move within
-     * seconds and not after its whole lease. Safe, since the lease's end is what removal waits for anyway, and an
-     * entry that is merely cut off learns of it by its next renewal.
-     */
     private revokeSuspects(): void {
-        for (const member of this.listMembers()) {
-            const leaseId = this.liveMembers?.get(member.memberId);
-            if (leaseId === undefined || leaseId === "" || this.revoking.has(leaseId)) {
-                continue;
-            }
-            if (this.suspicion.isSuspectedByMajority(member.memberId)) {
-                this.revoking.add(leaseId);
-                this.options.context.log.warn("CR1003", "member suspected, its lease is revoked", {
-                    member: member.memberId,
-                });
-                void this.options.context.store.revokeLease(leaseId).finally(() =>
-                    this.revoking.delete(leaseId)
-                );
-            }
-        }
+        this.listMemberIds()
+            .filter(memberId => this.suspicion.isSuspectedByMajority(memberId))
+            .forEach(memberId => this.memberKeys.revoke(memberId));
     }
 
     /** One compare-and-swap from the table held; a conflict leaves it to the next tick. */
