--- a/src/version/faults.ts
+++ b/src/version/faults.ts
@@ -102,7 +102,7 @@
     const allowed = findAllowed(target) ?? issue.message;
     return [{
         path: formatPath(issue.path),
-        found: formatValue(found),
+        found: isSecret(target) ? `a value of ${String(found).length} characters` : formatValue(found),
         allowed,
         remedy: describeRemedy(found, allowed, target),
     }];
@@ -178,6 +178,10 @@
     return schema instanceof z.ZodArray ? schema.element as z.ZodType : undefined;
 }
 
+function isSecret(schema: z.ZodType | undefined): boolean {
+    return schema !== undefined && z.globalRegistry.get(schema)?.secret === true;
+}
+
 function findAllowed(schema: z.ZodType | undefined): string | undefined {
     if (schema === undefined) {
         return undefined;
--- a/src/version/field-schemas.ts
+++ b/src/version/field-schemas.ts
@@ -10,6 +10,8 @@
         allowed?: string;
         /** Unit of a number. */
         unit?: string;
+        /** Whether a found value must not be shown. */
+        secret?: boolean;
     }
 }
 
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -11,8 +11,17 @@
     buildNumberSchema,
     buildTextSchema,
 } from "./field-schemas.js";
-export { buildSettingsVersion, DEFAULT_ORIGIN, getEffective } from "./inherit.js";
+export { buildSettingsVersion, DEFAULT_ORIGIN, getEffective, listLeaves } from "./inherit.js";
 export { checkTree, encodeTree, parseTree, parseTreeFile } from "./parse-tree.js";
 export { ALL_POLICY_NAMES, POLICY_NAMES } from "./policies.js";
 export * from "./settings.js";
-export { type RootNode, rootSchema, TREE_FORMAT, type TreeDocument, type TreeNode } from "./tree-schema.js";
+export {
+    branchSettingsSchema,
+    cellSettingsSchema,
+    type RootNode,
+    rootSchema,
+    teamSchema,
+    TREE_FORMAT,
+    type TreeDocument,
+    type TreeNode,
+} from "./tree-schema.js";
