Home: stories of deaths, pauses, cancellations and store outages; the log under random histories

Cause: a task whose end was being written could be offered meanwhile (found by the marker stories). Change: tasks whose end is being written are held back; markers under way no longer fill placers' windows.

--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -13,6 +13,8 @@
 
 /** Jobs of one team looked at in one round when the first ones find no placer. */
 const JOBS_SCANNED = 64;
+/** Start markers under way at most, so that a store outage does not bind every task here. */
+const MAX_MARKING = 256;
 const KIND_RANK: Readonly<Record<string, number>> = { short: 0, batch: 1, gang: 2 };
 
 interface TeamQueue {
@@ -25,6 +27,8 @@
 export class Dispatcher {
     /** Position of each team on the common scale: the lowest goes next (stride scheduling). */
     private readonly passes = new Map<string, number>();
+    /** Tasks whose start markers are being written; they take no place in a placer's window yet. */
+    private marking = 0;
 
     constructor(private readonly engine: TaskEngine) {}
 
@@ -79,6 +83,10 @@
                 team.runs.splice(team.runs.indexOf(run), 1);
                 continue;
             }
+            if (this.marking >= MAX_MARKING && !run.record.spec.repeatable && !hasMarker(run, index)) {
+                run.reason = "start markers wait for the store";
+                continue;
+            }
             const { resources, branch, urgent } = run.record.spec;
             const chosen = this.engine.choice.chooseForTask(candidates, resources, branch, urgent);
             if (chosen !== undefined) {
@@ -103,11 +111,13 @@
     }
 
     private async sendAfterMarker(run: JobRun, list: readonly LiveAttempt[]): Promise<void> {
+        this.marking += list.length;
         const indexes = list.map(live => live.index).sort((left, right) => left - right);
         const ranges = packRanges(indexes);
         const result = await this.engine.core.log.commit([
             { kind: "tasksStarting", jobId: run.record.jobId, ranges },
         ]);
+        this.marking -= list.length;
         if (result.kind !== "durable") {
             return;
         }
--- a/src/process/home/run/job-run.ts
+++ b/src/process/home/run/job-run.ts
@@ -51,6 +51,8 @@
 /** A job under way. */
 export class JobRun {
     readonly live = new Map<number, LiveAttempt>();
+    /** Tasks without an attempt whose end is being written: they must not be offered meanwhile. */
+    readonly ending = new Set<number>();
     /** Tasks that have been seen running under this owner. */
     readonly started = new Set<number>();
     /** Found by the census; undefined once it is complete. */
@@ -118,7 +120,7 @@
     listFree(): number[] {
         const free: number[] = [];
         for (let index = 0; index < this.record.codes.length; index++) {
-            if (this.record.isTaskOpen(index) && !this.live.has(index)) {
+            if (this.isIdle(index)) {
                 free.push(index);
             }
         }
@@ -135,13 +137,18 @@
     private readonly held = new Set<number>();
 
     private isFree(index: number): boolean {
-        return this.record.isTaskOpen(index) && !this.live.has(index) && !this.held.has(index);
+        return this.isIdle(index) && !this.held.has(index);
+    }
+
+    /** Whether a task has neither an end, nor one being written, nor an attempt. */
+    private isIdle(index: number): boolean {
+        return this.record.isTaskOpen(index) && !this.live.has(index) && !this.ending.has(index);
     }
 
     private dropStaleRequeued(): void {
         for (;;) {
             const first = this.requeued.peek();
-            if (first === undefined || this.record.isTaskOpen(first.index) && !this.live.has(first.index)) {
+            if (first === undefined || this.isIdle(first.index)) {
                 return;
             }
             this.requeued.pop();
--- a/src/process/home/run/placer-choice.ts
+++ b/src/process/home/run/placer-choice.ts
@@ -20,7 +20,7 @@
     constructor(private readonly core: SliceCore) {}
 
     /** Counts an order in or out of a placer's window. */
-    recordWaiting(memberId: string, change: 1 | -1): void {
+    recordWaiting(memberId: string, change: number): void {
         const count = (this.waiting.get(memberId) ?? 0) + change;
         if (count <= 0) {
             this.waiting.delete(memberId);
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -76,7 +76,6 @@
         };
         run.live.set(index, live);
         this.attempts.set(live.attempt, live);
-        this.choice.recordWaiting(placer, 1);
         return live;
     }
 
@@ -91,7 +90,7 @@
         live.sentAt = this.core.context.clock.now();
         live.sends++;
         if (live.phase === AttemptPhase.marking) {
-            live.phase = AttemptPhase.sent;
+            this.setPhase(live, AttemptPhase.sent);
         }
         this.outbox.addOrder(live.placer, order);
     }
@@ -209,8 +208,11 @@
         }
     }
 
-    /** Ends tasks that have no attempt, such as those that no census found. */
+    /** Ends tasks that have no attempt, such as those that no census found; none is offered from now on. */
     async endFreeTasks(run: JobRun, ends: readonly TaskEnd[]): Promise<void> {
+        for (const { index } of ends) {
+            run.ending.add(index);
+        }
         for (let start = 0; start < ends.length; start += ENDS_PER_ENTRY) {
             const part = ends.slice(start, start + ENDS_PER_ENTRY);
             const { jobId } = run.record;
@@ -234,9 +236,8 @@
         if (before === phase) {
             return;
         }
-        if (isWaiting(before) && !isWaiting(phase)) {
-            this.choice.recordWaiting(live.placer, -1);
-        }
+        const change = Number(isWaiting(phase)) - Number(isWaiting(before));
+        this.choice.recordWaiting(live.placer, change);
         live.run.running += Number(phase === AttemptPhase.running) - Number(before === AttemptPhase.running);
         live.phase = phase;
     }
@@ -284,7 +285,7 @@
 }
 
 function isWaiting(phase: AttemptPhase): boolean {
-    return phase === AttemptPhase.marking || phase === AttemptPhase.sent || phase === AttemptPhase.queued;
+    return phase === AttemptPhase.sent || phase === AttemptPhase.queued;
 }
 
 /** Whether a start marker of a task is durable. */
--- /dev/null
+++ b/src/test/process/home/home-cancel_test.ts
@@ -0,0 +1,130 @@
+/** Cancellation at each point of a task's life, and waves of it. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HomeCell, makeSubmit, requireJob } from "./home-cell.js";
+
+async function makeCell() {
+    const cell = new HomeCell();
+    const entry = cell.addEntry("h1");
+    await cell.openSliceAt(entry);
+    return { cell, entry };
+}
+
+const MOST_WAITING_AT_PLACER = 64;
+const cancel = { kind: "cancelJob", jobId: "j", team: undefined } as const;
+const show = { kind: "showJob", jobId: "j", team: undefined } as const;
+
+describe("cancellation", () => {
+    // A council withdraws its programme. The answer says of each task whether it had started: "not started" is a
+    // promise, and is given only for tasks that no worker can have begun.
+    it("before the start: the tasks end as not started", async () => {
+        const { cell, entry } = await makeCell();
+        cell.getPlacer().isReady = false;
+        await cell.query(entry, makeSubmit("j", { tasks: 5 }));
+        const job = requireJob(await cell.query(entry, cancel));
+        assert.deepEqual([job.state, job.counts.cancelled], ["ended", 5]);
+        assert.deepEqual(job.tasks[0]?.outcome, { kind: "cancelled", started: false });
+        assert.deepEqual(requireJob(await cell.query(entry, cancel)).counts, job.counts);
+    });
+
+    it("while it waits at a placer: it is withdrawn, and ends as not started", async () => {
+        const { cell, entry } = await makeCell();
+        await cell.query(entry, makeSubmit("j"));
+        await cell.clock.step(100);
+        await cell.query(entry, cancel);
+        await cell.clock.step(200);
+        const job = requireJob(await cell.query(entry, show));
+        assert.deepEqual(job.tasks[0]?.outcome, { kind: "cancelled", started: false });
+    });
+
+    it("while it runs: it is stopped, and ends as started", async () => {
+        const { cell, entry } = await makeCell();
+        cell.handleOrder = (placer, order) => placer.startTask(order);
+        await cell.query(entry, makeSubmit("j"));
+        await cell.clock.step(100);
+        await cell.query(entry, cancel);
+        await cell.clock.step(200);
+        const job = requireJob(await cell.query(entry, show));
+        assert.deepEqual(job.tasks[0]?.outcome, { kind: "cancelled", started: true });
+    });
+
+    // The task was done before the stop reached it. Its result stands: it did run.
+    it("after the end: the result stands", async () => {
+        const { cell, entry } = await makeCell();
+        cell.handleOrder = (placer, order) => {
+            placer.startTask(order);
+            placer.report(order, { state: "done", answer: "42" });
+        };
+        await cell.query(entry, makeSubmit("j"));
+        await cell.query(entry, cancel);
+        await cell.clock.step(200);
+        assert.equal(requireJob(await cell.query(entry, show)).counts.done, 1);
+    });
+
+    // The start marker is being written when the cancellation comes: neither may overtake the other so that an
+    // order leaves for a cancelled task.
+    it("while a start marker is being written: no order leaves", async () => {
+        const { cell, entry } = await makeCell();
+        entry.store.latencyMs = 100;
+        await cell.query(entry, makeSubmit("j", { repeatable: false }));
+        await cell.clock.step(10);
+        await cell.query(entry, cancel);
+        await cell.clock.step(1_000);
+        const job = requireJob(await cell.query(entry, show));
+        assert.deepEqual(job.tasks[0]?.outcome, { kind: "cancelled", started: false });
+        assert.deepEqual(cell.getPlacer().orders, []);
+    });
+
+    it("with the store down: changes nothing and says so at once", async () => {
+        const { cell, entry } = await makeCell();
+        await cell.query(entry, makeSubmit("j"));
+        entry.store.isAway = true;
+        const reply = await cell.query(entry, cancel);
+        assert.equal(reply.kind, "refused");
+        const job = requireJob(await cell.query(entry, show));
+        assert.equal(job.counts.cancelled, 0);
+    });
+
+    // The cancellation is written, and the home dies before it can withdraw what runs. The new home stops it.
+    it("followed by a take-over: the new home stops what runs", async () => {
+        const { cell, entry } = await makeCell();
+        const second = cell.addEntry("h2");
+        cell.handleOrder = (placer, order) => placer.startTask(order);
+        await cell.query(entry, makeSubmit("j"));
+        await cell.clock.step(100);
+        entry.store.plan("doneThenSilent");
+        void entry.home.handleRequest(3, cancel);
+        await cell.clock.step(10);
+        entry.clock.kill();
+        await cell.openSliceAt(second);
+        await cell.clock.step(1_000);
+        const job = requireJob(await cell.query(second, show));
+        assert.deepEqual(job.tasks[0]?.outcome, { kind: "cancelled", started: true });
+        assert.equal(cell.getPlacer().withdrawn.length > 0, true);
+    });
+
+    // A client drops a tender: 50,000 tasks are cancelled at once, while another team's short run comes in. The
+    // wave must not hold the short run up.
+    it("of 50,000 tasks does not hold up a short run of another team", async () => {
+        const { cell, entry } = await makeCell();
+        const started = new Map<string, number>();
+        cell.handleOrder = (placer, order) => {
+            started.set(order.jobId, started.get(order.jobId) ?? cell.clock.now());
+            placer.startTask(order);
+        };
+        await cell.query(entry, makeSubmit("j", { tasks: 50_000 }));
+        await cell.clock.step(2_000);
+        const running = requireJob(await cell.query(entry, show)).counts.running;
+        assert.ok(running > 1_000, `${running} running`);
+        const submittedAt = cell.clock.now();
+        const cancelled = cell.query(entry, cancel);
+        await cell.query(entry, makeSubmit("s", { kind: "short" }));
+        const reply = await cancelled;
+        await cell.clock.step(100);
+        assert.ok((started.get("s") ?? Infinity) - submittedAt < 150);
+        await cell.clock.step(20_000);
+        const job = requireJob(await cell.query(entry, show));
+        assert.ok(requireJob(reply).counts.cancelled >= 50_000 - running - MOST_WAITING_AT_PLACER);
+        assert.deepEqual([job.state, job.counts.cancelled], ["ended", 50_000]);
+    });
+});
--- a/src/test/process/home/home-cell.ts
+++ b/src/test/process/home/home-cell.ts
@@ -44,6 +44,7 @@
     largestWorker = BIG;
     room = 1_000;
     serve: (requestId: string) => Promise<AnswerBody> | "never" = () => Promise.resolve(makeServed());
+    private readonly byAttempt = new Map<string, PlaceOrder>();
     private floor = { epoch: 0, sequence: 0 };
 
     constructor(readonly memberId: string, private readonly cell: HomeCell) {}
@@ -127,9 +128,10 @@
         const { epoch, sequence } = order.home;
         const isOld = epoch < this.floor.epoch ||
             epoch === this.floor.epoch && sequence < this.floor.sequence;
-        if (isOld || this.orders.some(({ attempt }) => attempt === order.attempt)) {
+        if (isOld || this.byAttempt.has(order.attempt)) {
             return;
         }
+        this.byAttempt.set(order.attempt, order);
         this.orders.push(order);
         this.known.set(order.attempt, { ...order, state: "queued" });
         this.cell.handleOrder(this, order);
@@ -137,7 +139,7 @@
 
     private receiveWithdrawal(attempt: string): void {
         this.withdrawn.push(attempt);
-        const order = this.orders.find(candidate => candidate.attempt === attempt);
+        const order = this.byAttempt.get(attempt);
         const state = this.known.get(attempt)?.state;
         if (order !== undefined && state === "queued") {
             this.report(order, { state: "notStarted", reason: "withdrawn" });
--- /dev/null
+++ b/src/test/process/home/log/log-owner.ts
@@ -0,0 +1,80 @@
+/** An owner of a home slice's log, for tests of the log alone. */
+import { createRandom } from "../../../../common/random.js";
+import { CommitPacer, openSlice, SliceLog } from "../../../../process/home/log/index.js";
+import type { AppendEnd, OpenResult } from "../../../../process/home/log/index.js";
+import type { HomeEntry } from "../../../../process/home/state/index.js";
+import type { StoreModel } from "../../../../stand-ins/store-model.js";
+import type { FakeClock } from "../../../fakes/fake-clock.js";
+import { createFakeLog } from "../../../fakes/fake-telemetry.js";
+import { PausableClock } from "../../../fakes/pausable-clock.js";
+import { StoreForHome } from "../store-for-home.js";
+
+export const SLICE = 5;
+const PACER_RATE = 10_000;
+
+/** What became of the commits of an owner; `open` until it is told. */
+export interface CommitFate {
+    readonly key: string;
+    fate: AppendEnd["kind"] | "open";
+}
+
+/** One owner in its life. */
+export class LogOwner {
+    readonly clock: PausableClock;
+    readonly store: StoreForHome;
+    log: SliceLog | undefined;
+    result: OpenResult | undefined;
+    isFenced = false;
+
+    constructor(
+        base: FakeClock,
+        model: StoreModel,
+        readonly epoch: number,
+        private readonly slots: number,
+    ) {
+        this.clock = new PausableClock(base);
+        this.store = new StoreForHome(model, this.clock);
+    }
+
+    /** Opens the slice; the log is there when this resolves and nothing went wrong. */
+    async open(): Promise<void> {
+        const context = {
+            store: this.store,
+            clock: this.clock,
+            random: createRandom(this.epoch),
+            log: createFakeLog(),
+        };
+        const scope = { context, isStopped: () => this.isFenced };
+        const writer = { slice: SLICE, epoch: this.epoch, writer: `m${this.epoch}` };
+        this.result = await openSlice(scope, writer, this.slots);
+        if (this.result.kind === "open") {
+            const pacer = new CommitPacer(this.clock, () => PACER_RATE);
+            this.log = new SliceLog(scope, writer, this.result.opened, pacer, {
+                handleFenced: () => {
+                    this.isFenced = true;
+                },
+            });
+        }
+    }
+
+    /** Commits one entry and follows what becomes of it. */
+    commitKey(key: string, size = 0): CommitFate {
+        const fate: CommitFate = { key, fate: "open" };
+        void this.log?.commit([makeEntry(key, size)]).then(async result => {
+            fate.fate = result.kind === "uncertain" ? (await result.settled).kind : result.kind;
+        });
+        return fate;
+    }
+}
+
+/** An entry that stays in the state: the start marker of a request. */
+export function makeEntry(key: string, size = 0): HomeEntry {
+    return {
+        kind: "requestStarting",
+        requestKey: key,
+        fingerprint: "f".repeat(size),
+        repeatable: false,
+        settleMs: 1,
+        branch: "services/catalogo-beni",
+    };
+}
--- a/src/test/process/home/store-for-home.ts
+++ b/src/test/process/home/store-for-home.ts
@@ -7,6 +7,7 @@
 
 /** What happens to one write. */
 export type WriteFault =
+    | "none"
     /** It takes effect, and its answer is lost for good. */
     | "doneButUnknown"
     /** It has no effect, and nobody can tell. */
