Explanations from placers; an entry that nobody hears leaves and comes back paced

Cause: explain knew only what the home knew; an entry cut from its peers kept its slices or rejoined at once. Change: explain calls to all placers; rejoin waits that double; readiness needs half of the members.

--- a/src/connection/message-schema.ts
+++ b/src/connection/message-schema.ts
@@ -182,6 +182,7 @@
     z.object({ kind: z.literal("tree") }),
     z.object({ kind: z.literal("table") }),
     z.object({ kind: z.literal("force"), version: count, text, revision: count }),
+    z.object({ kind: z.literal("explain"), jobId: text }),
 ]);
 
 const answerBody: z.ZodType<AnswerBody> = z.discriminatedUnion("kind", [
@@ -192,6 +193,7 @@
     z.object({ kind: z.literal("tree"), version: count, text, revision: count }),
     z.object({ kind: z.literal("table"), text, revision: count }),
     z.object({ kind: z.literal("forced"), version: count }),
+    z.object({ kind: z.literal("explained"), lines: z.array(text) }),
     z.object({ kind: z.literal("error"), code: z.enum(PeerErrorCode), message: text }),
 ]);
 
--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -81,7 +81,15 @@
     readonly body: NoteBody;
 }
 
-export type CallBody = ServeCall | HomeCall | CensusCall | ReserveCall | TreeCall | TableCall | ForceCall;
+export type CallBody =
+    | ServeCall
+    | HomeCall
+    | CensusCall
+    | ReserveCall
+    | TreeCall
+    | TableCall
+    | ForceCall
+    | ExplainCall;
 export type AnswerBody =
     | ServeAnswer
     | HomeAnswer
@@ -90,6 +98,7 @@
     | TreeAnswer
     | TableAnswer
     | ForceAnswer
+    | ExplainAnswer
     | ErrorAnswer;
 export type NoteBody = PlaceNote | WithdrawNote | AcknowledgeNote | UpdateNote;
 
@@ -248,6 +257,18 @@
     readonly version: number;
 }
 
+/** Asks a placer why the tasks of a job wait there or run where they run. */
+export interface ExplainCall {
+    readonly kind: "explain";
+    readonly jobId: string;
+}
+
+export interface ExplainAnswer {
+    readonly kind: "explained";
+    /** In words, a bounded number; empty when the placer knows nothing of the job. */
+    readonly lines: readonly string[];
+}
+
 /** The call could not be handled; it had no effect. */
 export interface ErrorAnswer {
     readonly kind: "error";
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -147,8 +147,9 @@
     }
 
     isReady(): boolean {
-        return !this.closed && this.callers.findRefusal() === undefined &&
-            this.ownership.listMembers().length > 0;
+        const members = this.ownership.listMembers().length;
+        const hearsEnough = this.hub.listReachable().length * 2 >= members;
+        return !this.closed && members > 0 && hearsEnough && this.callers.findRefusal() === undefined;
     }
 
     track(): () => void {
@@ -192,6 +193,7 @@
             case "serve":
             case "reserve":
             case "census":
+            case "explain":
                 return await this.placer.handleCall(from, body);
             case "home":
                 return await this.handleHomeCall(body);
--- a/src/process/ownership/member-lease.ts
+++ b/src/process/ownership/member-lease.ts
@@ -1,5 +1,5 @@
 /** This entry's lease in the store and the member key that lives on it. */
-import type { Timer } from "../../common/clock.js";
+import type { Millis, Timer } from "../../common/clock.js";
 import type { RoleContext } from "../roles.js";
 import type { Standing } from "./standing.js";
 
@@ -12,6 +12,10 @@
 /** Renewals under way at once: a store that answers in 5 s must not end a lease of 15 s. */
 const MAX_RENEWALS_IN_FLIGHT = 4;
 
+/** Waits after a lease that lapsed, doubling: an entry that the others cannot hear is removed again and again. */
+const FIRST_REJOIN_DELAY_MS: Millis = 1_000;
+const LAST_REJOIN_DELAY_MS: Millis = 60_000;
+
 /** What {@link MemberLease} is given. */
 export interface MemberLeaseOptions {
     readonly context: Pick<RoleContext, "memberId" | "clock" | "log" | "store">;
@@ -29,6 +33,9 @@
     private inFlight = 0;
     private granting = false;
     private closed = false;
+    private rejoinDelay = FIRST_REJOIN_DELAY_MS;
+    private grantNotBefore = Number.NEGATIVE_INFINITY;
+    private heldSince: Millis = 0;
     private timer: Timer | undefined;
 
     constructor(private readonly options: MemberLeaseOptions) {}
@@ -69,7 +76,7 @@
     }
 
     private async grant(): Promise<void> {
-        if (this.granting) {
+        if (this.granting || this.options.context.clock.now() < this.grantNotBefore) {
             return;
         }
         this.granting = true;
@@ -90,6 +97,7 @@
             // new lease must not let it act on the table from before.
             if (written.kind === "done" && await this.options.refreshTable()) {
                 this.leaseId = granted.value;
+                this.heldSince = clock.now();
                 this.options.standing.renewLease(sentAt);
                 log.info("member lease granted", { leaseId: granted.value });
             }
@@ -113,7 +121,17 @@
             // The store has deleted the member key: others may already have taken the slices.
             this.leaseId = undefined;
             this.options.standing.dropLease();
+            this.holdBackRejoin();
             log.warn("CR1001", "member lease lapsed", { leaseId });
         }
     }
+
+    private holdBackRejoin(): void {
+        const now = this.options.context.clock.now();
+        const wasSteady = now - this.heldSince > LAST_REJOIN_DELAY_MS;
+        this.rejoinDelay = wasSteady ?
+            FIRST_REJOIN_DELAY_MS :
+            Math.min(LAST_REJOIN_DELAY_MS, this.rejoinDelay * 2);
+        this.grantNotBefore = now + this.rejoinDelay;
+    }
 }
--- a/src/process/placer/attempt-book.ts
+++ b/src/process/placer/attempt-book.ts
@@ -35,6 +35,7 @@
 export class AttemptBook {
     private readonly byId = new Map<string, Attempt>();
     private readonly byHome = new Map<number, Set<Attempt>>();
+    private readonly byJob = new Map<string, Set<Attempt>>();
     private readonly byWorker = new Map<string, Set<Attempt>>();
 
     find(attempt: string): Attempt | undefined {
@@ -44,6 +45,7 @@
     add(attempt: Attempt): void {
         this.byId.set(attempt.order.attempt, attempt);
         insertInto(this.byHome, attempt.order.home.homeSlice, attempt);
+        insertInto(this.byJob, attempt.order.jobId, attempt);
         if (attempt.workerId !== undefined) {
             insertInto(this.byWorker, attempt.workerId, attempt);
         }
@@ -59,9 +61,10 @@
 
     remove(attempt: Attempt): void {
         this.byId.delete(attempt.order.attempt);
-        this.byHome.get(attempt.order.home.homeSlice)?.delete(attempt);
+        dropFrom(this.byHome, attempt.order.home.homeSlice, attempt);
+        dropFrom(this.byJob, attempt.order.jobId, attempt);
         if (attempt.workerId !== undefined) {
-            this.byWorker.get(attempt.workerId)?.delete(attempt);
+            dropFrom(this.byWorker, attempt.workerId, attempt);
         }
     }
 
@@ -69,6 +72,10 @@
         return [...this.byHome.get(homeSlice) ?? []];
     }
 
+    listOfJob(jobId: string, limit: number): readonly Attempt[] {
+        return [...this.byJob.get(jobId) ?? []].slice(0, limit);
+    }
+
     listOfWorker(workerId: string): readonly Attempt[] {
         return [...this.byWorker.get(workerId) ?? []];
     }
@@ -92,3 +99,11 @@
         set.add(attempt);
     }
 }
+
+function dropFrom<Key>(index: Map<Key, Set<Attempt>>, key: Key, attempt: Attempt): void {
+    const set = index.get(key);
+    set?.delete(attempt);
+    if (set?.size === 0) {
+        index.delete(key);
+    }
+}
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -30,6 +30,8 @@
 
 /** Time to wait for the right to act before asking again, with work in the queue. */
 const STANDING_POLL_MS: Millis = 100;
+/** Tasks of one job that an explanation names at most. */
+const MAX_ATTEMPTS_EXPLAINED = 10;
 /** When to ask again after a refusal for want of the right to act. */
 const STANDING_RETRY_MS: Millis = 1_000;
 
@@ -171,14 +173,13 @@
         );
     }
 
-    explain(attemptId: string): readonly string[] {
-        const attempt = this.ledger.book.find(attemptId);
-        if (attempt === undefined) {
-            return [];
-        }
-        const lines = this.options.core.explain(attemptId, this.context.clock.now());
-        const where = attempt.workerId === undefined ? "" : ` on worker ${attempt.workerId}`;
-        return [`${attempt.state}${where} at placer ${this.context.memberId}`, ...lines];
+    explain(jobId: string): readonly string[] {
+        const now = this.context.clock.now();
+        return this.ledger.book.listOfJob(jobId, MAX_ATTEMPTS_EXPLAINED).map(attempt => {
+            const where = attempt.workerId === undefined ? "" : ` on worker ${attempt.workerId}`;
+            const reasons = this.options.core.explain(attempt.order.attempt, now).join("; ");
+            return `task ${attempt.order.index}: ${attempt.state}${where} at placer ${this.context.memberId}: ${reasons}`;
+        });
     }
 
     async handleCall(from: string, body: CallBody): Promise<AnswerBody> {
@@ -206,6 +207,8 @@
                     };
                 }
                 return await this.services.handleCall(body);
+            case "explain":
+                return { kind: "explained", lines: this.explain(body.jobId) };
             case "reserve":
                 return this.orders.reserve(body);
             case "census":
--- a/src/process/roles.ts
+++ b/src/process/roles.ts
@@ -138,8 +138,8 @@
     listSlices(): readonly SliceStatus[];
     getLoad(): PlacerLoad;
     listWorkers(): readonly WorkerStatus[];
-    /** Says in words why an attempt waits here or where it runs; empty if unknown. */
-    explain(attempt: string): readonly string[];
+    /** Says in words why tasks of a job wait here or where they run; empty if it knows of none. */
+    explain(jobId: string): readonly string[];
 }
 
 /** A worker as its placer sees it, for operators. */
--- a/src/process/router/router.ts
+++ b/src/process/router/router.ts
@@ -14,6 +14,7 @@
 /** Time after which a request whose home has no owner is refused. */
 const HOME_PATIENCE_MS: Millis = 3_000;
 const RETRY_AFTER_MS: Millis = 2_000;
+const EXPLAIN_TIMEOUT_MS: Millis = 1_000;
 const ANSWER_GRACE_MS: Millis = 500;
 
 /** What {@link createRouter} is given beside the context. */
@@ -87,7 +88,25 @@
 
     async callHome(jobId: string, request: HomeRequest, timeoutMs: Millis): Promise<HomeReply> {
         const slice = findHomeSlice(jobId);
-        return slice === undefined ? { kind: "notFound" } : await this.callSlice(slice, request, timeoutMs);
+        if (slice === undefined) {
+            return { kind: "notFound" };
+        }
+        const reply = await this.callSlice(slice, request, timeoutMs);
+        return reply.kind === "explanation" ? await this.addPlacerLines(jobId, reply.lines) : reply;
+    }
+
+    /** Adds what placers know of a job to what its home said; entries that do not answer are left out. */
+    private async addPlacerLines(jobId: string, lines: readonly string[]): Promise<HomeReply> {
+        const { peers } = this.context;
+        const answers = await Promise.all(
+            peers.listReachable().map(memberId =>
+                peers.call(memberId, { kind: "explain", jobId }, EXPLAIN_TIMEOUT_MS)
+            ),
+        );
+        const known = answers.flatMap(answer =>
+            answer.kind === "answer" && answer.body.kind === "explained" ? answer.body.lines : []
+        );
+        return { kind: "explanation", lines: [...lines, ...known] };
     }
 
     private async runAtHome(request: ServiceRequest, treeVersion: number): Promise<ServiceResult> {
