Schema of messages must cover every field

Cause: an optional field added to messages only would be dropped on receipt; it had happened to waitsFor. Change: a type that fails to compile when the schema lacks a field. Conclusion: the compiler names the gap.

--- a/src/connection/message-schema.ts
+++ b/src/connection/message-schema.ts
@@ -3,7 +3,7 @@
 import { NotRunReason } from "../common/outcome.js";
 import { JobState, WorkKind } from "../request/work.js";
 import { PeerErrorCode, TaskUpdateState } from "./messages.js";
-import type { AnswerBody, CallBody, HomeReply, HomeRequest, NoteBody, PeerMessage } from "./messages.js";
+import type { PeerMessage } from "./messages.js";
 
 const count = z.int().nonnegative();
 const text = z.string();
@@ -87,6 +87,7 @@
         workerId: text.optional(),
         outcome: outcome.optional(),
         attempts: count,
+        waitsFor: text.optional(),
     })),
 });
 
@@ -95,7 +96,7 @@
     value => value === undefined || typeof value === "string",
     "expected a team's name or undefined",
 );
-const homeRequest: z.ZodType<HomeRequest> = z.discriminatedUnion("kind", [
+const homeRequest = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("submitJob"), jobId: text, caller, spec: jobSpec }),
     z.object({ kind: z.literal("showJob"), jobId: text, team }),
     z.object({ kind: z.literal("waitJob"), jobId: text, team, waitMs: z.number() }),
@@ -114,7 +115,7 @@
     }),
 ]);
 
-const homeReply: z.ZodType<HomeReply> = z.discriminatedUnion("kind", [
+const homeReply = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("job"), job: jobView, created: z.boolean() }),
     z.object({ kind: z.literal("explanation"), lines: z.array(text) }),
     z.object({ kind: z.literal("outcome"), outcome, repeated: z.boolean() }),
@@ -157,7 +158,7 @@
     ranMs: z.number().optional(),
 });
 
-const callBody: z.ZodType<CallBody> = z.discriminatedUnion("kind", [
+const callBody = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("serve"),
         requestId: text,
@@ -185,7 +186,7 @@
     z.object({ kind: z.literal("explain"), jobId: text }),
 ]);
 
-const answerBody: z.ZodType<AnswerBody> = z.discriminatedUnion("kind", [
+const answerBody = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("served"), outcome, retrySafe: z.boolean() }),
     z.object({ kind: z.literal("home"), reply: homeReply }),
     z.object({ kind: z.literal("census"), slices: z.array(sliceStatus), tasks: z.array(taskUpdate) }),
@@ -197,7 +198,7 @@
     z.object({ kind: z.literal("error"), code: z.enum(PeerErrorCode), message: text }),
 ]);
 
-const noteBody: z.ZodType<NoteBody> = z.discriminatedUnion("kind", [
+const noteBody = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("place"), orders: z.array(placeOrder) }),
     z.object({
         kind: z.literal("withdraw"),
@@ -209,13 +210,30 @@
     z.object({ kind: z.literal("updates"), homeSlice: count, updates: z.array(taskUpdate) }),
 ]);
 
-const peerMessage: z.ZodType<PeerMessage> = z.discriminatedUnion("kind", [
+const peerMessage = z.discriminatedUnion("kind", [
     digest,
     z.object({ kind: z.literal("call"), callId: text, timeoutMs: z.number(), body: callBody }),
     z.object({ kind: z.literal("answer"), callId: text, body: answerBody }),
     z.object({ kind: z.literal("note"), body: noteBody }),
 ]);
 
+type Complete<Type> = Type extends Uint8Array ? Uint8Array :
+    Type extends readonly (infer Element)[] ? readonly Complete<Element>[] :
+    Type extends object ? { readonly [Key in keyof Type]-?: Complete<Type[Key]>; } :
+    Type;
+
+/**
+ * Fails to compile when a field of a message, optional ones included, is missing from the schema.
+ *
+ * @remarks Failure guarded against: a field is added to `messages.ts` only. The check would drop it silently
+ * on receipt, and only work that crosses entries would lose it.
+ */
+export type SchemaCoversMessages = Must<
+    Complete<z.output<typeof peerMessage>> extends Complete<PeerMessage> ? true : false
+>;
+
+type Must<Condition extends true> = Condition;
+
 /** Result of a check. */
 export type MessageCheck =
     | { readonly kind: "valid"; readonly message: PeerMessage; }
