Callers' and operators' HTTP interface

Change: HTTP server with limits and graceful shutdown, routes for services, jobs and administration, tokens, errors. Conclusion: broken, slow and hostile clients get a clear answer over real sockets, and others are served.

--- /dev/null
+++ b/src/connection/http/index.ts
@@ -0,0 +1,5 @@
+/** Callers' and operators' connections. */
+export { DEFAULT_HTTP_LIMITS } from "./http-limits.js";
+export type { HttpLimits } from "./http-limits.js";
+export { HttpServer } from "./http-server.js";
+export type { HttpServerOptions } from "./http-server.js";
--- /dev/null
+++ b/src/request/http/route-table.ts
@@ -0,0 +1,8 @@
+/** All routes of the HTTP interface. docs/openapi.json documents them, and a test holds the two together. */
+import { ADMIN_ROUTES } from "./admin-routes.js";
+import type { Route } from "./exchange.js";
+import { HEALTH_ROUTES } from "./health-routes.js";
+import { JOB_ROUTES } from "./job-routes.js";
+import { SERVICE_ROUTES } from "./service-routes.js";
+
+export const ROUTES: readonly Route[] = [...HEALTH_ROUTES, ...SERVICE_ROUTES, ...JOB_ROUTES, ...ADMIN_ROUTES];
--- /dev/null
+++ b/src/test/connection/http/http-harness.ts
@@ -0,0 +1,96 @@
+/** A real server on loopback in front of fakes, and clients that can break the rules of HTTP. */
+import { connect } from "node:net";
+import { afterEach } from "node:test";
+import { systemClock } from "../../../common/clock.js";
+import { createRandom } from "../../../common/random.js";
+import { HttpServer } from "../../../connection/http/index.js";
+import type { HttpLimits } from "../../../connection/http/index.js";
+import {
+    createFakeSettings,
+    FakeGateway,
+    hashToken,
+    OPERATOR_TOKEN,
+    TEAM_TOKEN,
+} from "../../fakes/fake-gateway.js";
+import { FakeOperatorGateway } from "../../fakes/fake-operator-gateway.js";
+import { createRecordingLog, createRecordingMetrics } from "../../fakes/recording-telemetry.js";
+
+const HOST = "127.0.0.1";
+
+const opened: { close(): unknown; }[] = [];
+afterEach(async () => {
+    await Promise.all(opened.splice(0).map(item => item.close()));
+});
+
+/** A reply as tests compare it. */
+export interface TestReply {
+    readonly status: number;
+    readonly headers: Headers;
+    readonly text: string;
+    // Tests look into answers of many shapes.
+    readonly json: () => Record<string, unknown>;
+}
+
+export async function openHttp(limits: Partial<HttpLimits> = {}) {
+    const gateway = new FakeGateway();
+    const operators = new FakeOperatorGateway();
+    const log = createRecordingLog();
+    const metrics = createRecordingMetrics();
+    const server = new HttpServer({
+        host: HOST,
+        port: 0,
+        random: createRandom(5),
+        clock: systemClock,
+        log,
+        metrics,
+        callers: gateway,
+        operators,
+        settings: createFakeSettings(),
+        operatorTokens: [{ name: "anna", sha256: hashToken(OPERATOR_TOKEN) }],
+        limits,
+    });
+    await server.open();
+    opened.push({ close: () => server.close(0) });
+    async function send(
+        method: string,
+        path: string,
+        init: RequestInit & { token?: string; } = {},
+    ): Promise<TestReply> {
+        const { token = TEAM_TOKEN, headers, ...rest } = init;
+        const authorization = token === "" ? undefined : { authorization: `Bearer ${token}` };
+        const response = await fetch(`http://${HOST}:${server.port}${path}`, {
+            method,
+            headers: { ...authorization, ...headers as Record<string, string> },
+            ...rest,
+        });
+        const text = await response.text();
+        return { status: response.status, headers: response.headers, text, json: () => JSON.parse(text) };
+    }
+    return { server, gateway, operators, log, metrics, send };
+}
+
+/** A TCP client; keeps what it received. */
+export function openSocket(port: number) {
+    const socket = connect(port, HOST);
+    const state = { received: "", closed: false };
+    socket.on("data", chunk => {
+        state.received += chunk.toString();
+    });
+    socket.on("close", () => {
+        state.closed = true;
+    });
+    socket.on("error", () => undefined);
+    opened.push({ close: () => socket.destroy() });
+    return { socket, state };
+}
+
+/** The head of a request with a token. */
+export function buildHead(method: string, path: string, headers: readonly string[] = []): string {
+    const lines = [
+        `${method} ${path} HTTP/1.1`,
+        "host: x",
+        `authorization: Bearer ${TEAM_TOKEN}`,
+        ...headers,
+    ];
+    return `${lines.join("\r\n")}\r\n\r\n`;
+}
--- /dev/null
+++ b/src/test/connection/http/http-server_test.ts
@@ -0,0 +1,281 @@
+/** Hostile, broken and slow clients over real sockets: a clear answer for each, and no harm to others. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Outcome } from "../../../common/outcome.js";
+import { waitUntil } from "../../fakes/wait-until.js";
+import { buildHead, openHttp, openSocket } from "./http-harness.js";
+
+const SERVICE = "/v1/services/catalogo-beni";
+const BRANCH_PATH = "/v1/services/services/catalogo-beni";
+const DONE: Outcome = { kind: "done", answer: Buffer.from("late"), contentType: "text/plain", workerId: "w" };
+
+function parseBody(received: string): Record<string, unknown> {
+    return JSON.parse(received.slice(received.indexOf("\r\n\r\n") + 4));
+}
+
+describe("broken clients", () => {
+    const cases = [
+        { name: "garbage", bytes: "\x16\x03\x01 hello\r\n\r\n", status: 400, kind: "malformed" },
+        { name: "an impossible version", bytes: "GET / HTTP/9.9\r\n\r\n", status: 400, kind: "malformed" },
+        {
+            name: "two lengths",
+            bytes: buildHead("POST", BRANCH_PATH, ["content-length: 1", "content-length: 2"]),
+            status: 400,
+            kind: "malformed",
+        },
+        {
+            name: "length and chunks at once",
+            bytes: buildHead("POST", BRANCH_PATH, ["content-length: 1", "transfer-encoding: chunked"]),
+            status: 400,
+            kind: "malformed",
+        },
+        {
+            name: "a broken chunk",
+            bytes: `${buildHead("POST", BRANCH_PATH, ["transfer-encoding: chunked"])}zz\r\n`,
+            status: 400,
+            kind: "malformed",
+        },
+        {
+            name: "headers over the limit",
+            bytes: buildHead("GET", "/healthz", [`x-long: ${"x".repeat(5_000)}`]),
+            status: 431,
+            kind: "headersTooLarge",
+        },
+        {
+            name: "a body that declares too much",
+            bytes: buildHead("POST", BRANCH_PATH, ["content-length: 1001"]),
+            status: 413,
+            kind: "tooLarge",
+        },
+        {
+            name: "chunks that grow too large",
+            bytes: `${buildHead("POST", BRANCH_PATH, ["transfer-encoding: chunked"])}7d0\r\n${
+                "x".repeat(2_000)
+            }\r\n`,
+            status: 413,
+            kind: "tooLarge",
+        },
+        {
+            name: "a body where none belongs",
+            bytes: `${buildHead("GET", "/healthz", ["content-length: 1"])}x`,
+            status: 400,
+            kind: "invalid",
+        },
+        {
+            name: "headers that never end",
+            bytes: "GET /healthz HTTP/1.1\r\nhost: x\r\n",
+            status: 408,
+            kind: "tooSlow",
+        },
+        {
+            name: "a body that never ends",
+            bytes: `${buildHead("POST", BRANCH_PATH, ["content-length: 10"])}x`,
+            status: 408,
+            kind: "tooSlow",
+        },
+    ];
+    for (const { name, bytes, status, kind } of cases) {
+        it(`${name}: ${status} ${kind}, and others are served`, async () => {
+            const { server, gateway, send } = await openHttp({
+                maxHeaderBytes: 2_000,
+                maxBodyBytes: 1_000,
+                headersTimeoutMs: 200,
+                requestTimeoutMs: 300,
+            });
+            const { socket, state } = openSocket(server.port);
+            socket.write(bytes);
+            const other = await send("POST", BRANCH_PATH, { body: "ciao" });
+            assert.equal(other.text, "CIAO");
+            await waitUntil(() => state.received.includes("}"), "an answer");
+            assert.match(state.received, new RegExp(`^HTTP/1.1 ${status} `));
+            const body = parseBody(state.received);
+            assert.deepEqual([body["kind"], body["ran"]], [kind, "no"]);
+            assert.equal(typeof body["remedy"], "string");
+            await waitUntil(() => state.closed || status === 400, "the end of the connection");
+            assert.equal(gateway.served.length, 1);
+        });
+    }
+
+    it("a client that goes away in the middle of its body starts nothing", async () => {
+        const { server, gateway, metrics } = await openHttp();
+        const { socket } = openSocket(server.port);
+        socket.write(`${buildHead("POST", BRANCH_PATH, ["content-length: 10"])}abc`);
+        await waitUntil(() => server.countInFlight() === 1, "the request");
+        socket.destroy();
+        await waitUntil(() => server.countInFlight() === 0, "its end");
+        assert.equal(gateway.served.length, 0);
+        assert.ok((metrics.counts.get("http.clientGone") ?? 0) > 0);
+    });
+
+    it("a client that goes away before its answer harms nobody", async () => {
+        const { server, gateway, log, send } = await openHttp();
+        let finish: (outcome: Outcome) => void = () => undefined;
+        gateway.serve = request =>
+            request.body.length === 3 ?
+                new Promise<Outcome>(resolve => {
+                    finish = resolve;
+                }) :
+                DONE;
+        const { socket } = openSocket(server.port);
+        socket.write(`${buildHead("POST", BRANCH_PATH, ["content-length: 3"])}abc`);
+        await waitUntil(() => gateway.served.length === 1, "the request");
+        socket.destroy();
+        await waitUntil(() => server.countInFlight() === 0, "its end");
+        finish(DONE);
+        assert.equal((await send("POST", BRANCH_PATH, { body: "other" })).text, "late");
+        assert.deepEqual(log.listCodes(), []);
+    });
+
+    it("waits with the body when the client asks first, and refuses it unread when it is too large", async () => {
+        const { server } = await openHttp({ maxBodyBytes: 1_000 });
+        const small = openSocket(server.port);
+        small.socket.write(buildHead("POST", BRANCH_PATH, ["content-length: 2", "expect: 100-continue"]));
+        await waitUntil(() => small.state.received.includes("100 Continue"), "the word to go on");
+        small.socket.write("ok");
+        await waitUntil(() => small.state.received.includes("OK"), "the answer");
+        const large = openSocket(server.port);
+        large.socket.write(buildHead("POST", BRANCH_PATH, ["content-length: 2000", "expect: 100-continue"]));
+        await waitUntil(() => large.state.received.includes("}"), "the refusal");
+        assert.match(large.state.received, /^HTTP\/1.1 413 /);
+    });
+
+    it("gives up an answer that its client does not read", async () => {
+        const { server, gateway, send } = await openHttp({ writeTimeoutMs: 50 });
+        gateway.serve = request =>
+            request.body.length > 0 ? { ...DONE, answer: Buffer.alloc(30_000_000) } as Outcome : DONE;
+        const { socket } = openSocket(server.port);
+        socket.pause();
+        socket.write(`${buildHead("POST", BRANCH_PATH, ["content-length: 1"])}x`);
+        await waitUntil(() => gateway.served.length === 1, "the request");
+        await waitUntil(() => server.countInFlight() === 0, "the end of its answer");
+        assert.equal((await send("POST", BRANCH_PATH)).status, 200);
+    });
+});
+
+describe("limits", () => {
+    it("refuses at once more requests than it may hold", async () => {
+        const { server, gateway, send } = await openHttp({ maxInFlight: 1 });
+        let finish: (outcome: Outcome) => void = () => undefined;
+        gateway.serve = () =>
+            new Promise<Outcome>(resolve => {
+                finish = resolve;
+            });
+        const first = send("POST", BRANCH_PATH, { body: "a" });
+        await waitUntil(() => gateway.served.length === 1, "the first request");
+        const second = await send("POST", BRANCH_PATH, { body: "b" });
+        assert.deepEqual([second.status, second.headers.get("retry-after")], [503, "1"]);
+        assert.deepEqual([second.json()["reason"], second.json()["ran"]], ["overloaded", "no"]);
+        finish(DONE);
+        assert.equal((await first).text, "late");
+        assert.equal(server.countInFlight(), 0);
+    });
+
+    it("refuses bodies that together are over the limit, and gives the room back", async () => {
+        const { server, send } = await openHttp({ maxBufferedBytes: 100 });
+        const { socket } = openSocket(server.port);
+        socket.write(`${buildHead("POST", BRANCH_PATH, ["content-length: 90"])}${"x".repeat(80)}`);
+        await waitUntil(() => server.countInFlight() === 1, "the first request");
+        assert.equal((await send("POST", BRANCH_PATH, { body: "x".repeat(50) })).status, 503);
+        socket.destroy();
+        await waitUntil(() => server.countInFlight() === 0, "its end");
+        assert.equal((await send("POST", BRANCH_PATH, { body: "x".repeat(50) })).status, 200);
+    });
+
+    it("closes connections over the limit and says so once", async () => {
+        const { server, log } = await openHttp({ maxConnections: 1 });
+        const first = openSocket(server.port);
+        first.socket.write(buildHead("GET", "/healthz"));
+        await waitUntil(() => first.state.received.includes("ok"), "an answer");
+        const others = [openSocket(server.port), openSocket(server.port)];
+        await waitUntil(() => others.every(({ state }) => state.closed), "the end of the others");
+        assert.deepEqual(log.listCodes(), ["CR1404"]);
+    });
+});
+
+describe("shutdown", () => {
+    it("lets requests under way finish, on kept connections too", async () => {
+        // An operator stops an entry. The balancer still sends for a second or two, and some answers take long.
+        // A caller whose connection is cut cannot tell whether the work ran.
+        const { server, gateway, send, log } = await openHttp();
+        let finish: (outcome: Outcome) => void = () => undefined;
+        gateway.serve = () =>
+            new Promise<Outcome>(resolve => {
+                finish = resolve;
+            });
+        const slow = send("POST", BRANCH_PATH, { body: "a" });
+        const idle = openSocket(server.port);
+        idle.socket.write(buildHead("GET", "/healthz"));
+        await waitUntil(
+            () => gateway.served.length === 1 && idle.state.received.includes("ok"),
+            "both requests",
+        );
+        server.startDraining();
+        assert.equal((await send("GET", "/readyz")).status, 503);
+        const during = await send("GET", "/healthz");
+        assert.deepEqual([during.status, during.headers.get("connection")], [200, "close"]);
+        const closed = server.close(5_000);
+        await waitUntil(() => idle.state.closed, "the end of the idle connection");
+        finish(DONE);
+        assert.equal((await slow).text, "late");
+        await closed;
+        assert.deepEqual(log.listCodes(), []);
+    });
+
+    it("cuts off what outlasts its time, and says so", async () => {
+        const { server, gateway, send, log } = await openHttp();
+        gateway.serve = () => new Promise(() => undefined);
+        const lost = assert.rejects(send("POST", BRANCH_PATH, { body: "a" }));
+        await waitUntil(() => gateway.served.length === 1, "the request");
+        await server.close(20);
+        await lost;
+        assert.deepEqual(log.listCodes(), ["CR1405"]);
+    });
+});
+
+describe("answers", () => {
+    it("go to the connection that their request came from, whatever order they come in", async () => {
+        // Two visitors choose the same request id by chance. Each must get the answer to the own question.
+        const { gateway, send } = await openHttp();
+        const waiting: (() => void)[] = [];
+        gateway.serve = request =>
+            new Promise(resolve => {
+                waiting.unshift(() => resolve({ ...DONE, answer: request.body } as Outcome));
+            });
+        const headers = { "x-request-id": "same" };
+        const replies = Promise.all(
+            ["a", "b", "c", "d"].map(body => send("POST", BRANCH_PATH, { body, headers })),
+        );
+        await waitUntil(() => waiting.length === 4, "all requests");
+        waiting.forEach(finish => finish());
+        assert.deepEqual((await replies).map(({ text }) => text), ["a", "b", "c", "d"]);
+        assert.equal(new Set(gateway.served.map(({ requestId }) => requestId)).size, 4);
+    });
+
+    it("tell a defect from a refusal", async () => {
+        const { gateway, send, log } = await openHttp();
+        gateway.serve = () => Promise.reject(new Error("defect"));
+        const reply = await send("POST", BRANCH_PATH, { body: "a" });
+        assert.deepEqual([reply.status, reply.json()["kind"], reply.json()["ran"]], [
+            500,
+            "internal",
+            "unknown",
+        ]);
+        assert.deepEqual(log.listCodes(), ["CR1403"]);
+    });
+
+    const cases = [
+        { method: "GET", path: "/nothing", status: 404 },
+        { method: "GET", path: "/v1/jobs/%zz", status: 404 },
+        { method: "POST", path: "/healthz", status: 405 },
+        { method: "GET", path: SERVICE, status: 405 },
+        { method: "DELETE", path: "/v1/jobs", status: 405 },
+    ];
+    for (const { method, path, status } of cases) {
+        it(`${method} ${path}: ${status}`, async () => {
+            const { send } = await openHttp();
+            const reply = await send(method, path);
+            assert.equal(reply.status, status);
+            assert.equal(status === 405, reply.headers.has("allow"));
+        });
+    }
+});
