--- a/src/process/home/home-role.ts
+++ b/src/process/home/home-role.ts
@@ -2,6 +2,7 @@
 import type { HomeReply, HomeRequest, UpdateNote } from "../../connection/messages.js";
 import type { HomeRole, HomeStatus, RoleContext } from "../roles.js";
 import { HomeSlice } from "./home-slice.js";
+import { CommitPacer } from "./log/index.js";
 import type { HomeOptions } from "./options.js";
 import { DEFAULT_HOME_OPTIONS } from "./options.js";
 import { buildNotOwner, refuseWith } from "./run/refusals.js";
@@ -13,8 +14,10 @@
 /** All home slices of one entry. */
 class Home implements HomeRole {
     private readonly slices = new Map<number, HomeSlice>();
+    private readonly pacer: CommitPacer;
 
     constructor(private readonly context: RoleContext, private readonly options: HomeOptions) {
+        this.pacer = new CommitPacer(context.clock, () => this.getWriteRate());
         context.ownership.subscribe(() => this.handleTable());
     }
 
@@ -24,9 +27,8 @@
             return;
         }
         before?.close();
-        const opened = new HomeSlice(this.context, this.options, slice, epoch, {
+        const opened = new HomeSlice(this.context, this.options, slice, epoch, this.pacer, {
             handleLost: (lost, lostEpoch) => this.dropSlice(lost, lostEpoch),
-            getWriteRate: () => this.getWriteRate(),
         });
         this.slices.set(slice, opened);
         void opened.takeOver();
@@ -98,7 +100,7 @@
         const { settings, ownership } = this.context;
         const all = settings.getCurrent()?.cell.storeWritesPerSecond ?? DEFAULT_WRITES_PER_SECOND;
         const members = Math.max(1, ownership.listMembers().length);
-        return Math.max(1, all * WRITE_SHARE / members / Math.max(1, this.slices.size));
+        return Math.max(1, all * WRITE_SHARE / members);
     }
 }
 
--- a/src/process/home/home-slice.ts
+++ b/src/process/home/home-slice.ts
@@ -2,8 +2,8 @@
 import type { Millis, Timer } from "../../common/clock.js";
 import type { HomeReply, HomeRequest, UpdateNote } from "../../connection/messages.js";
 import type { RoleContext } from "../roles.js";
-import { CommitPacer, openSlice, SliceLog } from "./log/index.js";
-import type { RecordFault } from "./log/index.js";
+import { openSlice, SliceLog } from "./log/index.js";
+import type { CommitPacer, RecordFault } from "./log/index.js";
 import type { HomeOptions } from "./options.js";
 import { OpenSlice } from "./run/open-slice.js";
 import { buildNotOwner, refuseWith } from "./run/refusals.js";
@@ -15,8 +15,6 @@
 export interface HomeSliceListener {
     /** Another entry owns the slice now. */
     handleLost(slice: number, epoch: number): void;
-    /** Writes a second that one slice may use now. */
-    getWriteRate(): number;
 }
 
 /** A slice that this entry owns or is taking over. */
@@ -32,6 +30,7 @@
         private readonly options: HomeOptions,
         readonly slice: number,
         readonly epoch: number,
+        private readonly pacer: CommitPacer,
         private readonly listener: HomeSliceListener,
     ) {}
 
@@ -42,8 +41,7 @@
         const result = await openSlice(scope, writer, this.options.slots);
         switch (result.kind) {
             case "open": {
-                const pacer = new CommitPacer(this.context.clock, () => this.listener.getWriteRate());
-                const log = new SliceLog(scope, writer, result.opened, pacer, {
+                const log = new SliceLog(scope, writer, result.opened, this.pacer, {
                     handleFenced: () => this.handleFenced(),
                 });
                 this.fault = undefined;
@@ -123,8 +121,8 @@
     /** The slice stays closed and says so, and is read again now and then: an operator may have mended it. */
     private reportFault(fault: RecordFault): void {
         this.fault = fault;
-        const code = fault.code === "newerFormat" ? "CR2402" : "CR2401";
-        this.context.log.error(code, "home slice cannot be read back", {
+        const code = fault.code === "newerFormat" ? "CR1702" : "CR1701";
+        this.context.log.error(code, "homeSliceUnreadable", {
             slice: this.slice,
             key: fault.key,
             found: fault.message,
--- a/src/process/home/run/core.ts
+++ b/src/process/home/run/core.ts
@@ -51,6 +51,18 @@
             this.context.ownership.mayAct();
     }
 
+    /** Logs the choice of a placer. */
+    logRoute(subject: string, branch: string, chosen: string, reason: string): void {
+        this.context.log.decide({
+            decision: "route",
+            subject,
+            branch,
+            treeVersion: this.context.settings.getCurrent()?.version ?? 0,
+            chosen,
+            reason,
+        });
+    }
+
     getBranch(path: string): HomeBranchSettings {
         return this.context.settings.getCurrent()?.branches.get(path) ?? DEFAULT_BRANCH;
     }
--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -90,7 +90,9 @@
             const { resources, branch, urgent } = run.record.spec;
             const chosen = this.engine.choice.chooseForTask(candidates, resources, branch, urgent);
             if (chosen !== undefined) {
-                return this.engine.registerAttempt(run, index, chosen.memberId);
+                const live = this.engine.registerAttempt(run, index, chosen.memberId);
+                this.engine.core.logRoute(live.attempt, branch, chosen.memberId, "shorterQueueOfTwo");
+                return live;
             }
             run.reason = describeFit(candidates, resources) ?? run.reason;
         }
--- a/src/process/home/run/gang-desk.ts
+++ b/src/process/home/run/gang-desk.ts
@@ -112,6 +112,7 @@
         for (const { index, attempt, placer } of held) {
             const live = this.engine.registerAttempt(run, index, placer, attempt);
             live.gangId = gangId;
+            this.engine.core.logRoute(attempt, run.record.spec.branch, placer, "gangHeld");
             this.engine.sendOrder(live);
         }
     }
--- a/src/process/home/run/request-sender.ts
+++ b/src/process/home/run/request-sender.ts
@@ -46,6 +46,8 @@
                 return buildNotOwner("this entry cannot rule out that another has taken over: ask again");
             }
             tried.add(chosen.memberId);
+            const { requestId, branch } = request;
+            this.core.logRoute(requestId, branch, chosen.memberId, "moreFreeSlotsOfTwo");
             const result = await this.tryPlacer(chosen.memberId, request, left);
             if (result.kind === "final") {
                 return result.outcome;
