--- a/src/process/home/home-role.ts
+++ b/src/process/home/home-role.ts
@@ -59,9 +59,7 @@
     }
 
     listReady(): readonly number[] {
-        return [...this.slices.values()].filter(slice => slice.getOpen() !== undefined).map(slice =>
-            slice.slice
-        );
+        return [...this.slices.values()].filter(slice => slice.isServing()).map(slice => slice.slice);
     }
 
     getStatus(): HomeStatus {
@@ -79,7 +77,7 @@
             slices: slices.map(slice => ({
                 slice: slice.slice,
                 epoch: slice.epoch,
-                ready: slice.getOpen() !== undefined,
+                ready: slice.isServing(),
             })),
         };
     }
--- a/src/process/home/home-slice.ts
+++ b/src/process/home/home-slice.ts
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Whether it takes new requests; one that is being handed over does not. */
+    isServing(): boolean {
+        return this.getOpen() !== undefined && !this.isDraining;
+    }
+
     getOpen(): OpenSlice | undefined {
         return this.isClosed ? undefined : this.open;
     }
--- a/src/process/home/run/gang-desk.ts
+++ b/src/process/home/run/gang-desk.ts
@@ -25,6 +25,12 @@
     readonly placer: string;
 }
 
+/** Ids of a gang's next start; used up once its orders are sent. */
+interface GangPlan {
+    readonly gangId: string;
+    readonly attempts: Map<number, string>;
+}
+
 interface Backoff {
     readonly until: Millis;
     readonly rounds: number;
@@ -34,6 +40,8 @@
 export class GangDesk {
     private isReserving = false;
     private gangs = 0;
+    /** Ids kept over tries to reserve, so that a placer knows the gang again and keeps room for it. */
+    private readonly plans = new Map<string, GangPlan>();
     private readonly backoffs = new Map<string, Backoff>();
 
     constructor(private readonly engine: TaskEngine, private readonly isStopped: () => boolean) {}
@@ -41,6 +49,7 @@
     /** Looks after gangs that broke, and starts the next that is due. */
     stepGangs(now: Millis): void {
         let next: JobRun | undefined;
+        this.dropEnded();
         for (const run of this.engine.runs.values()) {
             if (run.record.spec.kind !== "gang" || run.found !== undefined) {
                 continue;
@@ -62,6 +71,15 @@
         }
     }
 
+    private dropEnded(): void {
+        for (const jobId of [...this.backoffs.keys(), ...this.plans.keys()]) {
+            if (!this.engine.runs.has(jobId)) {
+                this.backoffs.delete(jobId);
+                this.plans.delete(jobId);
+            }
+        }
+    }
+
     /** A task of the gang has to start again: the others are stopped, and then all start together. */
     private stopBroken(run: JobRun): void {
         if (!run.isGangBroken) {
@@ -78,10 +96,10 @@
         run.isGangBroken = false;
         const { core, choice } = this.engine;
         const startedAt = core.context.clock.now();
-        this.gangs++;
-        const gangId = `${run.record.jobId}.${core.epoch}.${this.gangs}`;
+        const plan = this.ensurePlan(run);
+        const { gangId } = plan;
         const candidates = choice.listCandidates();
-        const { held, missing, moreAfterMs } = await this.reserveAll(run, gangId, candidates);
+        const { held, missing, moreAfterMs } = await this.reserveAll(run, plan, candidates);
         if (missing > 0) {
             const fit = describeFit(candidates, run.record.spec.resources);
             run.reason = fit?.startsWith("every") === false ?
@@ -104,10 +122,29 @@
             this.releaseAll(run, held, undefined);
             return;
         }
-        this.backoffs.delete(run.record.jobId);
+        // Should it break at once, it does not start again at once.
+        this.pauseGang(run, FIRST_BACKOFF_MS);
+        this.plans.delete(run.record.jobId);
         this.commitAll(run, held, gangId);
     }
 
+    private ensurePlan(run: JobRun): GangPlan {
+        const { jobId } = run.record;
+        let plan = this.plans.get(jobId);
+        if (plan === undefined) {
+            this.gangs++;
+            plan = { gangId: `${jobId}.${this.engine.core.epoch}.${this.gangs}`, attempts: new Map() };
+            this.plans.set(jobId, plan);
+        }
+        return plan;
+    }
+
+    private ensureAttempt(run: JobRun, plan: GangPlan, index: number): string {
+        const attempt = plan.attempts.get(index) ?? this.engine.makeAttemptId(run, index);
+        plan.attempts.set(index, attempt);
+        return attempt;
+    }
+
     private commitAll(run: JobRun, held: readonly HeldTask[], gangId: string): void {
         for (const { index, attempt, placer } of held) {
             const live = this.engine.registerAttempt(run, index, placer, attempt);
@@ -120,7 +157,7 @@
     /** Asks placer after placer for room, until all tasks are held or nobody is left. */
     private async reserveAll(
         run: JobRun,
-        gangId: string,
+        plan: GangPlan,
         candidates: readonly PlacerCandidate[],
     ): Promise<{
         readonly held: readonly HeldTask[];
@@ -129,7 +166,7 @@
     }> {
         let waiting = run.listFree().map(index => ({
             index,
-            attempt: this.engine.makeAttemptId(run, index),
+            attempt: this.ensureAttempt(run, plan, index),
         }));
         const held: HeldTask[] = [];
         let moreAfterMs: Millis | undefined;
@@ -137,7 +174,7 @@
             if (waiting.length === 0 || !this.engine.core.mayOrder()) {
                 break;
             }
-            const answer = await this.reserveAt(run, gangId, memberId, waiting);
+            const answer = await this.reserveAt(run, plan.gangId, memberId, waiting);
             const taken = waiting.slice(0, answer.held);
             held.push(...taken.map(task => ({ ...task, placer: memberId })));
             waiting = waiting.slice(answer.held);
@@ -191,11 +228,16 @@
         for (const { attempt, placer } of held) {
             this.engine.outbox.addWithdrawal(placer, attempt);
         }
+        this.pauseGang(run, moreAfterMs);
+    }
+
+    /** Holds a gang back for longer each time, or for about as long as the placers ask. */
+    private pauseGang(run: JobRun, askedMs: Millis | undefined): void {
         const { clock, random } = this.engine.core.context;
         const rounds = (this.backoffs.get(run.record.jobId)?.rounds ?? 0) + 1;
         const grown = Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS * 2 ** Math.min(rounds, MAX_DOUBLINGS));
-        const wished = Math.min(MAX_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, moreAfterMs ?? grown));
-        const pause = Math.min(grown, wished) * (1 + random.pickFraction());
+        const asked = Math.max(FIRST_BACKOFF_MS, askedMs ?? grown);
+        const pause = Math.min(grown, asked) * (1 + random.pickFraction());
         this.backoffs.set(run.record.jobId, { until: clock.now() + pause, rounds });
     }
 }
--- a/src/process/placer/task-orders.ts
+++ b/src/process/placer/task-orders.ts
@@ -35,8 +35,6 @@
 /** Takes what homes send and answers it. */
 export class TaskOrders {
     readonly fences: HomeFences;
-    /** Gang of each attempt that is held and not placed yet, so that a withdrawal gives the hold back at once. */
-    private readonly held = new Map<string, string>();
 
     constructor(private readonly options: TaskOrdersOptions) {
         this.fences = new HomeFences(options.context.ownership);
@@ -72,11 +70,6 @@
         const now = this.options.context.clock.now();
         const items = call.orders.map(order => buildItem(order, now));
         const hold = this.options.core.reserve(call.gangId, items, now + call.holdMs, now);
-        const attempts = call.orders.slice(0, hold.held).map(order => order.attempt);
-        attempts.forEach(attempt => this.held.set(attempt, call.gangId));
-        this.options.context.clock.schedule(call.holdMs, () => {
-            attempts.forEach(attempt => this.held.delete(attempt));
-        });
         return { kind: "reserved", held: hold.held, moreAfterMs: hold.moreAfterMs };
     }
 
@@ -175,19 +168,11 @@
         }
     }
 
-    /** A gang that did not get all its places gives back those that it got. */
-    private releaseHeld(attemptId: string): void {
-        const gangId = this.held.get(attemptId);
-        this.held.delete(attemptId);
-        if (gangId !== undefined) {
-            this.options.core.releaseHold(gangId);
-        }
-    }
-
     private withdraw(attemptId: string, stop: boolean): void {
         const attempt = this.options.ledger.book.find(attemptId);
         if (attempt === undefined) {
-            this.releaseHeld(attemptId);
+            // A gang that did not get all its places gives back those that it got. What is reserved for it stays.
+            this.options.core.release(attemptId, this.options.context.clock.now());
             return;
         }
         if (attempt.order.gangId !== undefined && attempt.state === AttemptState.queued) {
