--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -94,7 +94,8 @@
                 this.engine.core.logRoute(live.attempt, branch, chosen.memberId, "shorterQueueOfTwo");
                 return live;
             }
-            run.reason = describeFit(candidates, resources) ?? run.reason;
+            run.reason = describeMisfit(candidates, resources) ??
+                "every placer that could hold it has enough waiting";
         }
         return undefined;
     }
@@ -200,11 +201,12 @@
 }
 
 /**
- * Says why a task that finds no placer waits.
+ * Says why no placer can take a task as things stand.
  * @param candidates - Placers that take work now.
  * @param need - What the task needs.
+ * @returns Undefined if some placer could.
  */
-export function describeFit(
+export function describeMisfit(
     candidates: readonly PlacerCandidate[],
     need: Resources,
 ): string | undefined {
@@ -212,7 +214,7 @@
         return "no placer is ready: entries are taking over workers, or none can be reached";
     }
     if (candidates.some(({ load }) => isWithin(need, load.largestWorker))) {
-        return "every placer that could hold it has enough waiting";
+        return undefined;
     }
     const largest = candidates
         .map(({ load }) => load.largestWorker)
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -17,10 +17,11 @@
 
 const updateHandlers: { readonly [State in TaskUpdateState]: UpdateHandler; } = {
     queued: (engine, live, update, from) => {
-        engine.movePlacer(live, from);
-        if (live.phase === AttemptPhase.sent) {
-            engine.setPhase(live, AttemptPhase.queued);
+        if (live.phase === AttemptPhase.running) {
+            return;
         }
+        engine.movePlacer(live, from);
+        engine.setPhase(live, AttemptPhase.queued);
         live.run.reason = update.reason ?? `it waits at placer ${from}`;
     },
     running: (engine, live, update, from) => {
@@ -131,7 +132,9 @@
         // The store is away for long: the placer repeats the end, so it need not be kept here meanwhile.
         return;
     }
-    live.workerId = update.workerId ?? live.workerId;
+    if (isFinalState(update)) {
+        live.workerId = update.workerId ?? live.workerId;
+    }
     updateHandlers[update.state](engine, live, update, from);
 }
 
