--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -93,6 +93,7 @@
             this.setPhase(live, AttemptPhase.sent);
         }
         this.outbox.addOrder(live.placer, order);
+        this.wake();
     }
 
     buildOrder(run: JobRun, index: number, attempt: string, gangId: string | undefined): PlaceOrder {
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -31,6 +31,7 @@
         }
         engine.movePlacer(live, from);
         engine.setPhase(live, AttemptPhase.running);
+        observeWait(engine, live);
         live.sliceEpoch = sliceEpoch;
         live.workerId = update.workerId;
         live.run.started.add(live.index);
@@ -138,6 +139,15 @@
     updateHandlers[update.state](engine, live, update, from);
 }
 
+/** Waiting time: from acceptance to the first start of each task. */
+function observeWait(engine: TaskEngine, live: LiveAttempt): void {
+    const { record } = live.run;
+    if (!engine.mayHaveStarted(live.run, live.index)) {
+        const waitedMs = engine.core.log.getLogTime() - record.acceptedAt;
+        engine.core.context.metrics.time("home.waitTime", waitedMs, { branch: record.spec.branch });
+    }
+}
+
 function replyToStale(engine: TaskEngine, from: string, update: TaskUpdate): void {
     if (isFinalState(update)) {
         engine.outbox.addAcknowledgement(from, update.attempt);
