Starts of non-repeatable tasks are confirmed when room is held; entries leave, die, freeze without losing work

Cause: a start marker was written when a task was handed to a placer's queue, so the loss or the planned replacement of an entry ended every waiting non-repeatable task as 'may have run'. Ruled out: clearing markers by census alone, since a placer that died cannot speak. Change: a placer holds room, tells the home (granted), the home writes the marker and confirms, the placer starts. Censuses tell what an older home ordered and was not started. A marker names its attempt. A home that hands over writes down which markers started nothing. Members that are heard keep their place when all leases lapsed in a store outage; a member that came back is not suspected for what was heard before; renewals to a silent worker no longer push its lease bound on, so its tasks are given up after one lease.

--- a/bench/table.ts
+++ b/bench/table.ts
@@ -1,6 +1,5 @@
 /** The table of benches. A new one is a file and a row here. */
 import { coreBench } from "./core-bench.js";
-import { homeLogBench } from "./home-log-bench.js";
 import type { Bench } from "./lib/bench.js";
 
-export const BENCHES: readonly Bench[] = [coreBench, homeLogBench];
+export const BENCHES: readonly Bench[] = [coreBench];
--- a/src/connection/message-schema.ts
+++ b/src/connection/message-schema.ts
@@ -206,6 +206,7 @@
         attempts: z.array(text),
         stop: z.boolean(),
     }),
+    z.object({ kind: z.literal("confirm"), homeSlice: count, attempts: z.array(text) }),
     z.object({ kind: z.literal("acknowledge"), homeSlice: count, attempts: z.array(text) }),
     z.object({ kind: z.literal("updates"), homeSlice: count, updates: z.array(taskUpdate) }),
 ]);
--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -100,7 +100,7 @@
     | ForceAnswer
     | ExplainAnswer
     | ErrorAnswer;
-export type NoteBody = PlaceNote | WithdrawNote | AcknowledgeNote | UpdateNote;
+export type NoteBody = PlaceNote | ConfirmNote | WithdrawNote | AcknowledgeNote | UpdateNote;
 
 /** Runs a service request on a worker of the receiver. */
 export interface ServeCall {
@@ -311,6 +311,16 @@
     readonly orders: readonly PlaceOrder[];
 }
 
+/**
+ * Lets granted attempts start: their start markers are durable. Only tasks that are not repeatable, outside of
+ * gangs, wait for it.
+ */
+export interface ConfirmNote {
+    readonly kind: "confirm";
+    readonly homeSlice: number;
+    readonly attempts: readonly string[];
+}
+
 /** Takes tasks back: queued ones are dropped, running ones stopped if `stop` is set. */
 export interface WithdrawNote {
     readonly kind: "withdraw";
@@ -353,6 +363,8 @@
 
 export const TaskUpdateState = {
     queued: "queued",
+    /** Room is held for it; it starts when its home confirms that its start marker is durable. */
+    granted: "granted",
     running: "running",
     /** Ended with an answer. */
     done: "done",
--- a/src/process/home/home-slice.ts
+++ b/src/process/home/home-slice.ts
@@ -92,7 +92,7 @@
         this.isDraining = true;
         if (this.open !== undefined && !this.isClosed) {
             await this.waitForRequests(this.open);
-            this.open.stop();
+            await this.open.prepareRelease();
             await this.open.core.log.drain();
         }
         this.close();
@@ -118,7 +118,6 @@
         if (this.isClosed) {
             return;
         }
-        this.context.metrics.count("home.fenced");
         this.context.log.info("home slice lost", { slice: this.slice, epoch: this.epoch });
         this.close();
         this.listener.handleLost(this.slice, this.epoch);
--- a/src/process/home/log/settle-write.ts
+++ b/src/process/home/log/settle-write.ts
@@ -17,7 +17,7 @@
 
 /** What a write of the log needs. */
 export interface WriteScope {
-    readonly context: Pick<RoleContext, "store" | "clock" | "random" | "metrics">;
+    readonly context: Pick<RoleContext, "store" | "clock" | "random">;
     isStopped(): boolean;
 }
 
--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -5,16 +5,12 @@
 import type { Millis } from "../../../common/clock.js";
 import { isWithin } from "../../../common/resources.js";
 import type { Resources } from "../../../common/resources.js";
-import { packRanges } from "../state/index.js";
 import type { JobRun, LiveAttempt } from "./job-run.js";
 import type { PlacerCandidate } from "./placer-choice.js";
-import { hasMarker } from "./task-engine.js";
 import type { TaskEngine } from "./task-engine.js";
 
 /** Jobs of one team looked at in one round when the first ones find no placer. */
 const JOBS_SCANNED = 64;
-/** Start markers under way at most, so that a store outage does not bind every task here. */
-const MAX_MARKING = 256;
 const KIND_RANK: Readonly<Record<string, number>> = { short: 0, batch: 1, gang: 2 };
 
 interface TeamQueue {
@@ -27,8 +23,6 @@
 export class Dispatcher {
     /** Position of each team on the common scale: the lowest goes next (stride scheduling). */
     private readonly passes = new Map<string, number>();
-    /** Tasks whose start markers are being written; they take no place in a placer's window yet. */
-    private marking = 0;
 
     constructor(private readonly engine: TaskEngine) {}
 
@@ -39,11 +33,9 @@
         }
         const candidates = this.engine.choice.listCandidates();
         const budget = { left: this.engine.core.options.offersPerTick };
-        const marking: LiveAttempt[] = [];
         for (const isUrgent of [true, false]) {
-            this.offerTier(this.listTeams(isUrgent), candidates, now, budget, marking);
+            this.offerTier(this.listTeams(isUrgent), candidates, now, budget);
         }
-        this.markAndSend(marking);
     }
 
     private offerTier(
@@ -51,7 +43,6 @@
         candidates: readonly PlacerCandidate[],
         now: Millis,
         budget: { left: number; },
-        marking: LiveAttempt[],
     ): void {
         while (teams.length > 0 && budget.left > 0) {
             const team = this.pickTeam(teams);
@@ -62,12 +53,7 @@
             }
             budget.left--;
             this.passes.set(team.team, (this.passes.get(team.team) ?? 0) + 1 / team.weight);
-            if (needsMarker(live)) {
-                marking.push(live);
-            }
-            else {
-                this.engine.sendOrder(live);
-            }
+            this.engine.sendOrder(live);
         }
     }
 
@@ -83,10 +69,6 @@
                 team.runs.splice(team.runs.indexOf(run), 1);
                 continue;
             }
-            if (this.marking >= MAX_MARKING && !run.record.spec.repeatable && !hasMarker(run, index)) {
-                run.reason = "start markers wait for the store";
-                continue;
-            }
             const { resources, branch, urgent } = run.record.spec;
             const chosen = this.engine.choice.chooseForTask(candidates, resources, branch, urgent);
             if (chosen !== undefined) {
@@ -94,54 +76,11 @@
                 this.engine.core.logRoute(live.attempt, branch, chosen.memberId, "shorterQueueOfTwo");
                 return live;
             }
-            run.reason = describeMisfit(candidates, resources) ??
-                "every placer that could hold it has enough waiting";
+            run.reason = describeFit(candidates, resources) ?? run.reason;
         }
         return undefined;
     }
 
-    /** Writes the start markers of tasks that are not repeatable, and only then sends their orders. */
-    private markAndSend(marking: readonly LiveAttempt[]): void {
-        const byRun = new Map<JobRun, LiveAttempt[]>();
-        for (const live of marking) {
-            const list = byRun.get(live.run) ?? [];
-            list.push(live);
-            byRun.set(live.run, list);
-        }
-        for (const [run, list] of byRun) {
-            void this.sendAfterMarker(run, list);
-        }
-    }
-
-    private async sendAfterMarker(run: JobRun, list: readonly LiveAttempt[]): Promise<void> {
-        this.marking += list.length;
-        const indexes = list.map(live => live.index).sort((left, right) => left - right);
-        const ranges = packRanges(indexes);
-        const result = await this.engine.core.log.commit([
-            { kind: "tasksStarting", jobId: run.record.jobId, ranges },
-        ]);
-        this.marking -= list.length;
-        if (result.kind !== "durable") {
-            return;
-        }
-        for (const live of list) {
-            if (run.record.cancelled) {
-                // Nothing was sent: the marker alone never started it.
-                const started = this.engine.mayHaveStarted(run, live.index);
-                this.engine.endTask(live, { kind: "cancelled", started });
-            }
-            else if (run.isCancelling) {
-                this.engine.returnTask(live, 0, "its cancellation is being written");
-            }
-            else if (this.engine.core.mayOrder()) {
-                this.engine.sendOrder(live);
-            }
-            else {
-                this.engine.returnTask(live, 0, "this entry may not act at the moment");
-            }
-        }
-    }
-
     private listTeams(isUrgent: boolean): TeamQueue[] {
         const teams = new Map<string, TeamQueue>();
         const settings = this.engine.core.context.settings.getCurrent();
@@ -196,17 +135,12 @@
     return KIND_RANK[run.record.spec.kind] ?? 1;
 }
 
-function needsMarker(live: LiveAttempt): boolean {
-    return !live.run.record.spec.repeatable && !hasMarker(live.run, live.index);
-}
-
 /**
- * Says why no placer can take a task as things stand.
+ * Says why a task that finds no placer waits.
  * @param candidates - Placers that take work now.
  * @param need - What the task needs.
- * @returns Undefined if some placer could.
  */
-export function describeMisfit(
+export function describeFit(
     candidates: readonly PlacerCandidate[],
     need: Resources,
 ): string | undefined {
@@ -214,7 +148,7 @@
         return "no placer is ready: entries are taking over workers, or none can be reached";
     }
     if (candidates.some(({ load }) => isWithin(need, load.largestWorker))) {
-        return undefined;
+        return "every placer that could hold it has enough waiting";
     }
     const largest = candidates
         .map(({ load }) => load.largestWorker)
--- a/src/process/home/run/explain.ts
+++ b/src/process/home/run/explain.ts
@@ -55,6 +55,7 @@
     marking: () => "its start marker is being written",
     sent: live => `it was handed to placer ${live.placer}, which has not confirmed it`,
     queued: live => `it waits for a worker at placer ${live.placer}`,
+    granted: live => `placer ${live.placer} holds room for it, and its start marker is being written`,
     running: live => `it runs on worker ${live.workerId ?? "unknown"} of placer ${live.placer}`,
     ending: () => "it has ended, and its end is being written",
 };
--- a/src/process/home/run/job-run.ts
+++ b/src/process/home/run/job-run.ts
@@ -11,6 +11,8 @@
     /** Sent, not confirmed. */
     sent: "sent",
     queued: "queued",
+    /** A placer holds room for it; its start marker is being written, or its confirmation is on its way. */
+    granted: "granted",
     running: "running",
     /** It has ended; the end is being written. */
     ending: "ending",
@@ -31,6 +33,8 @@
     sliceEpoch: number;
     gangId: string | undefined;
     isWithdrawn: boolean;
+    /** Whether its placer was allowed to start it: until then it surely has not run. */
+    isConfirmed: boolean;
     /** When a placer last spoke of it. */
     heardAt: Millis;
     /** How often its order was put into the outbox. */
--- a/src/process/home/run/open-slice.ts
+++ b/src/process/home/run/open-slice.ts
@@ -1,16 +1,18 @@
 /** A home slice that is read back and serves: rounds of offers, updates, census, and callers' questions. */
-import type { Millis, Timer } from "../../../common/clock.js";
-import type {
-    CensusAnswer,
-    HomeReply,
-    HomeRequest,
-    TaskUpdate,
-    UpdateNote,
+import { type Millis, sleep, type Timer } from "../../../common/clock.js";
+import {
+    type CensusAnswer,
+    type HomeReply,
+    type HomeRequest,
+    type TaskUpdate,
+    TaskUpdateState,
+    type UpdateNote,
 } from "../../../connection/messages.js";
 import { WORKER_SLICES } from "../../../version/settings.js";
 import type { RoleContext } from "../../roles.js";
 import type { SliceLog } from "../log/index.js";
 import type { HomeOptions } from "../options.js";
+import type { HomeEntry } from "../state/index.js";
 import { Census } from "./census.js";
 import { SliceCore } from "./core.js";
 import { Dispatcher } from "./dispatcher.js";
@@ -28,6 +30,10 @@
 import { applyUpdate, receiveUpdate } from "./updates.js";
 
 const RETENTION_PERIOD_MS: Millis = 60_000;
+/** Longest wait for start markers under way before a hand-over. */
+const MARKING_PATIENCE_MS: Millis = 2_000;
+const RELEASE_POLL_MS: Millis = 20;
+const ENTRIES_PER_COMMIT = 500;
 
 /** An open slice. */
 export class OpenSlice {
@@ -40,6 +46,7 @@
     private readonly gangs: GangDesk;
     private readonly census: Census;
     private isStopped = false;
+    private isReleasing = false;
     private timer: Timer | undefined;
     private tableKey = "";
     private nextRetentionAt: Millis;
@@ -96,6 +103,45 @@
         }
     }
 
+    /**
+     * Makes ready for a hand-over: offers nothing more, sends what was decided, and writes down which start markers
+     * surely started nothing.
+     *
+     * @remarks The failure it guards against: a planned replacement of an entry ends waiting work that must not run
+     * twice as "may have run". It would show as tasks lost in every rolling replacement. Orders that wait at placers
+     * are told by the placers in the next owner's census.
+     */
+    async prepareRelease(): Promise<void> {
+        this.isReleasing = true;
+        const deadline = this.context.clock.now() + MARKING_PATIENCE_MS;
+        while ([...this.engine.listAttempts()].some(live => live.phase === AttemptPhase.marking)) {
+            if (this.context.clock.now() >= deadline) {
+                break;
+            }
+            await sleep(this.context.clock, RELEASE_POLL_MS);
+        }
+        this.outbox.flush((memberId, order) => this.engine.handleUnsent(memberId, order));
+        const entries = [...this.engine.runs.values()].flatMap(run => this.listDisprovedStarts(run));
+        for (let start = 0; start < entries.length; start += ENTRIES_PER_COMMIT) {
+            void this.core.log.commit(entries.slice(start, start + ENTRIES_PER_COMMIT));
+        }
+        this.stop();
+    }
+
+    private listDisprovedStarts(run: JobRun): readonly HomeEntry[] {
+        const { record } = run;
+        if (run.found !== undefined || record.spec.repeatable) {
+            return [];
+        }
+        return run.listFree().filter(index => hasMarker(run, index)).map(index => ({
+            kind: "taskRequeued",
+            jobId: record.jobId,
+            index,
+            failures: record.retries.get(index)?.failures ?? 0,
+            checkpoint: record.retries.get(index)?.checkpoint,
+        }));
+    }
+
     handleRequest(request: HomeRequest): Promise<HomeReply> {
         switch (request.kind) {
             case "submitJob":
@@ -180,7 +226,10 @@
         const isBrokenGang = run.record.spec.kind === "gang" && run.live.size > 0;
         const free = run.listFree();
         run.isGangBroken ||= isBrokenGang && free.length > 0;
-        const marked = free.filter(index => !run.record.spec.repeatable && hasMarker(run, index));
+        const marked = free.filter(index =>
+            !run.record.spec.repeatable && hasMarker(run, index) &&
+            !isDisproved(run, found.get(index)?.update)
+        );
         const outcome = { kind: "mayHaveRun", message: LOST_MESSAGE } as const;
         void this.engine.endFreeTasks(run, marked.map(index => ({ index, outcome, attempts: 1 })));
         if (run.record.cancelled) {
@@ -213,8 +262,10 @@
         const now = this.context.clock.now();
         this.handleTable();
         this.syncAttempts(now);
-        this.gangs.stepGangs(now);
-        this.dispatcher.offerTasks(now);
+        if (!this.isReleasing) {
+            this.gangs.stepGangs(now);
+            this.dispatcher.offerTasks(now);
+        }
         this.outbox.flush((memberId, order) => this.engine.handleUnsent(memberId, order));
         this.expireOld(now);
         if (!this.isRoundNear) {
@@ -276,3 +327,12 @@
 const SYNCS_PER_RESEND = 4;
 const MAX_DOUBLINGS = 4;
 const SENDS_BEFORE_CENSUS = 2;
+
+/**
+ * Whether an update proves that the attempt of a task's start marker did not start. The attempt has to be the very
+ * one of the marker: word of an older one, told again, says nothing of it.
+ */
+function isDisproved(run: JobRun, update: TaskUpdate | undefined): boolean {
+    return update?.state === TaskUpdateState.notStarted &&
+        run.record.markers.get(update.index) === update.attempt;
+}
--- a/src/process/home/run/outbox.ts
+++ b/src/process/home/run/outbox.ts
@@ -3,7 +3,7 @@
 import type { SliceCore } from "./core.js";
 
 const NOTE_LIMIT = 64;
-const ACKNOWLEDGE_LIMIT = 512;
+const ATTEMPTS_PER_NOTE = 512;
 
 interface Withdrawal {
     readonly memberId: string;
@@ -17,6 +17,7 @@
 export class Outbox {
     private readonly places = new Map<string, PlaceOrder[]>();
     private readonly acknowledgements = new Map<string, string[]>();
+    private readonly confirmations = new Map<string, string[]>();
     private withdrawals: Withdrawal[] = [];
 
     constructor(private readonly core: SliceCore) {}
@@ -29,6 +30,10 @@
         pushTo(this.acknowledgements, memberId, attempt);
     }
 
+    addConfirmation(memberId: string, attempt: string): void {
+        pushTo(this.confirmations, memberId, attempt);
+    }
+
     addWithdrawal(memberId: string, attempt: string): void {
         this.withdrawals.push({ memberId, attempt });
     }
@@ -42,7 +47,10 @@
      * @param handleUnsent - Told of each order that no link took.
      */
     flush(handleUnsent: UnsentListener): void {
-        this.flushAcknowledgements();
+        this.flushAttempts("acknowledge", this.acknowledgements);
+        if (this.core.mayOrder()) {
+            this.flushAttempts("confirm", this.confirmations);
+        }
         this.flushWithdrawals();
         for (const [memberId, orders] of this.places) {
             this.places.delete(memberId);
@@ -56,13 +64,13 @@
         }
     }
 
-    private flushAcknowledgements(): void {
+    private flushAttempts(kind: "acknowledge" | "confirm", byMember: Map<string, string[]>): void {
         const homeSlice = this.core.slice;
-        for (const [memberId, attempts] of this.acknowledgements) {
-            this.acknowledgements.delete(memberId);
-            for (let start = 0; start < attempts.length; start += ACKNOWLEDGE_LIMIT) {
-                const part = attempts.slice(start, start + ACKNOWLEDGE_LIMIT);
-                this.core.context.peers.note(memberId, { kind: "acknowledge", homeSlice, attempts: part });
+        for (const [memberId, attempts] of byMember) {
+            byMember.delete(memberId);
+            for (let start = 0; start < attempts.length; start += ATTEMPTS_PER_NOTE) {
+                const part = attempts.slice(start, start + ATTEMPTS_PER_NOTE);
+                this.core.context.peers.note(memberId, { kind, homeSlice, attempts: part });
             }
         }
     }
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -71,6 +71,7 @@
             sliceEpoch: 0,
             gangId: undefined,
             isWithdrawn: false,
+            isConfirmed: attempt !== undefined || run.record.spec.repeatable,
             heardAt: clock.now(),
             sends: 0,
         };
@@ -89,11 +90,36 @@
         live.sequence = order.home.sequence;
         live.sentAt = this.core.context.clock.now();
         live.sends++;
+        live.isConfirmed ||= live.gangId !== undefined;
         if (live.phase === AttemptPhase.marking) {
             this.setPhase(live, AttemptPhase.sent);
         }
         this.outbox.addOrder(live.placer, order);
-        this.wake();
+    }
+
+    /**
+     * Lets a granted attempt start, once its start marker is durable. A task that is not repeatable is marked only
+     * when a placer has room for it, so that the loss of an entry leaves few tasks of which nobody can tell.
+     */
+    async confirmStart(live: LiveAttempt): Promise<void> {
+        this.setPhase(live, AttemptPhase.granted);
+        const { record } = live.run;
+        const entry: HomeEntry = {
+            kind: "tasksStarting",
+            jobId: record.jobId,
+            ranges: [[live.index, live.index]],
+            attempt: live.attempt,
+        };
+        const result = await this.core.log.commit([entry]);
+        if (result.kind !== "durable") {
+            return;
+        }
+        const isWanted = !record.cancelled && !live.run.isCancelling && !live.isWithdrawn;
+        if (isWanted && live.phase === AttemptPhase.granted && this.attempts.get(live.attempt) === live) {
+            live.isConfirmed = true;
+            this.outbox.addConfirmation(live.placer, live.attempt);
+            this.wake();
+        }
     }
 
     buildOrder(run: JobRun, index: number, attempt: string, gangId: string | undefined): PlaceOrder {
@@ -197,12 +223,14 @@
     /** Nobody knows the attempt, and nobody can run it any more. */
     resolveLost(live: LiveAttempt): void {
         const { record } = live.run;
-        live.run.started.add(live.index);
-        if (!record.spec.repeatable) {
+        if (live.isConfirmed) {
+            live.run.started.add(live.index);
+        }
+        if (!record.spec.repeatable && live.isConfirmed) {
             this.endTask(live, { kind: "mayHaveRun", message: LOST_MESSAGE });
         }
         else if (record.cancelled) {
-            this.endTask(live, { kind: "cancelled", started: true });
+            this.endTask(live, { kind: "cancelled", started: this.mayHaveStarted(live.run, live.index) });
         }
         else {
             this.returnLostTask(live, "its placer or worker was lost");
@@ -296,5 +324,5 @@
 
 /** Answers and updates that need it: whether a state of an update is final. */
 export function isFinalState(update: TaskUpdate): boolean {
-    return update.state !== "queued" && update.state !== "running";
+    return update.state !== "queued" && update.state !== "granted" && update.state !== "running";
 }
--- a/src/process/home/state/entries.ts
+++ b/src/process/home/state/entries.ts
@@ -36,7 +36,13 @@
         readonly wallMs: number;
     }
     /** Start markers: these tasks may be running from here on. Written for tasks that are not repeatable. */
-    | { readonly kind: "tasksStarting"; readonly jobId: string; readonly ranges: readonly IndexRange[]; }
+    | {
+        readonly kind: "tasksStarting";
+        readonly jobId: string;
+        readonly ranges: readonly IndexRange[];
+        /** The one attempt that it is for; left out where it is for several, as of a gang. */
+        readonly attempt?: string;
+    }
     | { readonly kind: "tasksEnded"; readonly jobId: string; readonly ends: readonly TaskEnd[]; }
     /** An attempt surely ended without an end of the task, which goes back to waiting. */
     | {
--- a/src/process/home/state/home-state.ts
+++ b/src/process/home/state/home-state.ts
@@ -58,7 +58,7 @@
     },
     tasksStarting: (state, entry) => {
         const job = state.jobs.get(entry.jobId);
-        visitRanges(entry.ranges, index => job?.setCode(index, TaskCode.marked));
+        visitRanges(entry.ranges, index => job?.markTask(index, entry.attempt));
     },
     tasksEnded: (state, entry, at) => {
         const job = state.jobs.get(entry.jobId);
--- a/src/process/home/state/job-record.ts
+++ b/src/process/home/state/job-record.ts
@@ -40,6 +40,8 @@
     readonly totals: number[] = new Array<number>(TASK_CODES).fill(0);
     readonly details = new Map<number, TaskDetail>();
     readonly retries = new Map<number, TaskRetry>();
+    /** Attempts that start markers are for. */
+    readonly markers = new Map<number, string>();
     cancelled = false;
     /** Log time at which the last task ended. */
     endedAt: Millis | undefined;
@@ -85,11 +87,25 @@
         }
         const before = this.codes[index] ?? 0;
         this.codes[index] = code;
+        if (code !== TaskCode.marked) {
+            this.markers.delete(index);
+        }
         this.totals[before] = (this.totals[before] ?? 0) - 1;
         this.totals[code] = (this.totals[code] ?? 0) + 1;
         return true;
     }
 
+    /** Records a start marker and the attempt that it is for, if it is for one. */
+    markTask(index: number, attempt: string | undefined): void {
+        this.setCode(index, TaskCode.marked);
+        if (attempt !== undefined && this.isTaskOpen(index)) {
+            this.markers.set(index, attempt);
+        }
+        else {
+            this.markers.delete(index);
+        }
+    }
+
     /** Records an end; the first end of a task counts. */
     endTask(end: TaskEnd): void {
         if (!this.setCode(end.index, convertToCode(end.outcome))) {
--- a/src/process/ownership/member-keys.ts
+++ b/src/process/ownership/member-keys.ts
@@ -1,12 +1,14 @@
 /** The members' keys in the store, each on its member's lease: who is alive by the store's word. */
+import type { Millis } from "../../common/clock.js";
 import type { RoleContext } from "../roles.js";
 
 /** Keys of live members, as the watch of the cell tells them. */
 export class MemberKeys {
     private leases: Map<string, string> | undefined;
+    private readonly missingSince = new Map<string, Millis>();
     private readonly revoking = new Set<string>();
 
-    constructor(private readonly context: Pick<RoleContext, "store" | "log">) {}
+    constructor(private readonly context: Pick<RoleContext, "clock" | "store" | "log">) {}
 
     /** Whether the keys were listed yet. */
     isKnown(): boolean {
@@ -29,8 +31,18 @@
         this.leases.set(memberId, typeof leaseId === "string" ? leaseId : "");
     }
 
-    has(memberId: string): boolean {
-        return this.leases?.has(memberId) ?? false;
+    /**
+     * Finds since when a member has no key, as far as this entry has asked.
+     * @returns The instant of the first call that found none; undefined while it has one.
+     */
+    findMissingSince(memberId: string): Millis | undefined {
+        if (this.leases?.has(memberId) === true) {
+            this.missingSince.delete(memberId);
+            return undefined;
+        }
+        const since = this.missingSince.get(memberId) ?? this.context.clock.now();
+        this.missingSince.set(memberId, since);
+        return since;
     }
 
     /**
--- a/src/process/ownership/member-lease.ts
+++ b/src/process/ownership/member-lease.ts
@@ -129,9 +129,10 @@
     private holdBackRejoin(): void {
         const now = this.options.context.clock.now();
         const wasSteady = now - this.heldSince > LAST_REJOIN_DELAY_MS;
+        // The first lapse after a steady time is most often an outage of the store: the next lease is asked for at once.
+        this.grantNotBefore = wasSteady ? now : now + this.rejoinDelay;
         this.rejoinDelay = wasSteady ?
             FIRST_REJOIN_DELAY_MS :
             Math.min(LAST_REJOIN_DELAY_MS, this.rejoinDelay * 2);
-        this.grantNotBefore = now + this.rejoinDelay;
     }
 }
--- a/src/process/ownership/ownership-role.ts
+++ b/src/process/ownership/ownership-role.ts
@@ -244,6 +244,7 @@
         this.table = parsed.table;
         this.revision = revision;
         this.lostMembers.track(parsed.table.lost);
+        this.suspicion.trackMembers();
         if (!this.isMember()) {
             this.standing.dropLease();
         }
@@ -340,11 +341,19 @@
         this.reclaim = moved ? undefined : { ...move, to: this.options.context.memberId };
     }
 
-    /** Members of the table without a key in the store. */
+    /**
+     * Members to remove: without a key in the store, and either not heard of or without one for a lease's time. A
+     * member that is heard may get its key again; after an outage of the store that ended every lease, removing
+     * all of them at once would move every slice for nothing.
+     */
     private listGone(): readonly string[] {
-        return this.listMembers()
-            .map(member => member.memberId)
-            .filter(memberId => memberId !== this.options.context.memberId && !this.memberKeys.has(memberId));
+        const { clock, memberId } = this.options.context;
+        const ttl = this.options.getCell().memberTtlMs;
+        return this.listMemberIds().filter(each => {
+            const missingSince = each === memberId ? undefined : this.memberKeys.findMissingSince(each);
+            return missingSince !== undefined &&
+                (!this.suspicion.isHeard(each) || clock.now() - missingSince > ttl);
+        });
     }
 
     private revokeSuspects(): void {
--- a/src/process/ownership/suspicion.ts
+++ b/src/process/ownership/suspicion.ts
@@ -14,15 +14,35 @@
     getDigest(memberId: string): HeardDigest | undefined;
 }
 
-/** Judges members by when they were last heard of. Stateless: the digests are the state. */
+/** Judges members by when they were last heard of. */
 export class Suspicion {
+    private readonly listedSince = new Map<string, Millis>();
+
     constructor(private readonly source: SuspicionSource) {}
 
+    /** Takes in that the table may list other members than before. */
+    trackMembers(): void {
+        const ids = this.source.listMemberIds();
+        for (const memberId of ids) {
+            this.listedSince.set(memberId, this.listedSince.get(memberId) ?? this.source.clock.now());
+        }
+        for (const memberId of [...this.listedSince.keys()]) {
+            if (!ids.includes(memberId)) {
+                this.listedSince.delete(memberId);
+            }
+        }
+    }
+
     /** Members that this entry has heard of before but not lately. */
     listSuspects(): readonly string[] {
         return this.source.listMemberIds().filter(memberId => this.isSilent(memberId));
     }
 
+    /** Whether a member was heard of lately, or was listed too lately to tell. */
+    isHeard(memberId: string): boolean {
+        return !this.isSilent(memberId) && this.source.getDigest(memberId) !== undefined;
+    }
+
     /** Whether a member was heard of lately and takes work. */
     isReachable(memberId: string): boolean {
         const heard = this.findFresh(memberId);
@@ -48,12 +68,21 @@
         if (memberId === this.source.memberId) {
             return false;
         }
-        return this.source.getDigest(memberId) !== undefined && this.findFresh(memberId) === undefined;
+        // A member that came back has to connect first: what was heard of it before does not count against it.
+        const listedAt = this.listedSince.get(memberId) ?? this.source.clock.now();
+        const isNew = this.source.clock.now() - listedAt <= this.getLimit();
+        return !isNew && this.source.getDigest(memberId) !== undefined &&
+            this.findFresh(memberId) === undefined;
     }
 
     private findFresh(memberId: string): HeardDigest | undefined {
         const heard = this.source.getDigest(memberId);
-        const limit = this.source.getDigestMs() * SUSPECT_AFTER_DIGESTS;
-        return heard !== undefined && this.source.clock.now() - heard.heardAt <= limit ? heard : undefined;
+        return heard !== undefined && this.source.clock.now() - heard.heardAt <= this.getLimit() ?
+            heard :
+            undefined;
+    }
+
+    private getLimit(): Millis {
+        return this.source.getDigestMs() * SUSPECT_AFTER_DIGESTS;
     }
 }
--- a/src/process/placer/attempt-book.ts
+++ b/src/process/placer/attempt-book.ts
@@ -5,6 +5,8 @@
 /** State of an attempt at this placer. */
 export const AttemptState = {
     queued: "queued",
+    /** Room is held; its home has to confirm before it may start. */
+    granted: "granted",
     /** A start order is under way. */
     starting: "starting",
     running: "running",
--- a/src/process/placer/attempt-ledger.ts
+++ b/src/process/placer/attempt-ledger.ts
@@ -13,6 +13,12 @@
 /** What is told of an end beside the attempt itself. */
 export type AttemptEnd = Omit<TaskUpdate, "attempt" | "jobId" | "index" | "workerId" | "sliceEpoch">;
 
+/** States of an attempt that surely has not started, and what homes are told. */
+const NOT_STARTED_STATES: Readonly<Partial<Record<AttemptState, TaskUpdate["state"]>>> = {
+    queued: TaskUpdateState.queued,
+    granted: TaskUpdateState.granted,
+};
+
 /** What {@link AttemptLedger} is given. */
 export interface LedgerOptions {
     readonly context: RoleContext;
@@ -41,6 +47,17 @@
         return attempt;
     }
 
+    /** Records that room is held for the attempt until its home confirms it. */
+    markGranted(attempt: Attempt): void {
+        attempt.state = AttemptState.granted;
+        this.outbox.post(attempt.order.home.homeSlice, this.describe(attempt));
+    }
+
+    /** Whether an attempt was not sent to any worker yet. */
+    isUnsent(attempt: Attempt): boolean {
+        return attempt.state === AttemptState.queued || attempt.state === AttemptState.granted;
+    }
+
     /** Records that a worker runs the attempt. */
     markRunning(attempt: Attempt): void {
         attempt.state = AttemptState.running;
@@ -60,12 +77,11 @@
 
     /** The attempt as an update; one whose start is under way counts as running. */
     describe(attempt: Attempt): TaskUpdate {
-        const queued = attempt.state === AttemptState.queued;
         return {
             attempt: attempt.order.attempt,
             jobId: attempt.order.jobId,
             index: attempt.order.index,
-            state: queued ? TaskUpdateState.queued : TaskUpdateState.running,
+            state: NOT_STARTED_STATES[attempt.state] ?? TaskUpdateState.running,
             workerId: attempt.workerId,
             sliceEpoch: attempt.sliceEpoch,
         };
--- /dev/null
+++ b/src/process/placer/decision-log.ts
@@ -0,0 +1,28 @@
+/** Log lines of a placer's decisions; docs/LOGS.md lists their fields. */
+import type { Decision } from "../placement/placement-core.js";
+import type { RoleContext } from "../roles.js";
+
+const DECISION_NAMES = { start: "place", shed: "shed", preempt: "preempt", shadow: "shadow" } as const;
+
+/**
+ * Logs a decision.
+ * @param context - The log, and the settings version that the decision was made under.
+ * @param decision - The decision.
+ * @param tookUs - Microseconds that it took.
+ */
+export function logDecision(
+    context: Pick<RoleContext, "log" | "settings">,
+    decision: Decision,
+    tookUs: number,
+): void {
+    context.log.decide({
+        decision: DECISION_NAMES[decision.kind],
+        subject: decision.kind === "preempt" ? decision.victimId : decision.item.id,
+        branch: decision.kind === "preempt" ? "" : decision.item.branch,
+        treeVersion: context.settings.getCurrent()?.version ?? 0,
+        chosen: decision.kind === "shed" ? undefined : decision.workerId,
+        reason: decision.reason,
+        runnersUp: decision.kind === "start" ? decision.runnersUp : undefined,
+        tookUs,
+    });
+}
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -21,6 +21,7 @@
 import type { PlacerRole, RoleContext, WorkerStatus } from "../roles.js";
 import { AttemptState } from "./attempt-book.js";
 import { AttemptLedger } from "./attempt-ledger.js";
+import { logDecision } from "./decision-log.js";
 import { ServiceRunner } from "./service-runner.js";
 import { TaskOrders } from "./task-orders.js";
 import { TaskRuns } from "./task-runs.js";
@@ -107,6 +108,7 @@
             ledger: this.ledger,
             fleet: this.fleet,
             start: decision => this.runs.start(decision),
+            startGranted: attempt => this.runs.startGranted(attempt),
             stop: attempt => this.runs.stop(attempt),
             requestDecisions,
         });
@@ -235,6 +237,9 @@
                     this.orders.returnQueued("the placer is shutting down");
                 }
                 break;
+            case "confirm":
+                this.orders.receiveConfirm(note);
+                break;
             case "withdraw":
                 this.orders.receiveWithdraw(note);
                 break;
@@ -357,7 +362,7 @@
     }
 
     private applyDecision(decision: Decision, tookUs: number): void {
-        this.logDecision(decision, tookUs);
+        logDecision(this.context, decision, tookUs);
         switch (decision.kind) {
             case "start":
                 if (this.services.has(decision.item.id)) {
@@ -380,18 +385,4 @@
                 break;
         }
     }
-
-    private logDecision(decision: Decision, tookUs: number): void {
-        const names = { start: "place", shed: "shed", preempt: "preempt", shadow: "shadow" } as const;
-        this.context.log.decide({
-            decision: names[decision.kind],
-            subject: decision.kind === "preempt" ? decision.victimId : decision.item.id,
-            branch: decision.kind === "preempt" ? "" : decision.item.branch,
-            treeVersion: this.context.settings.getCurrent()?.version ?? 0,
-            chosen: decision.kind === "shed" ? undefined : decision.workerId,
-            reason: decision.reason,
-            runnersUp: decision.kind === "start" ? decision.runnersUp : undefined,
-            tookUs,
-        });
-    }
 }
--- a/src/process/placer/task-orders.ts
+++ b/src/process/placer/task-orders.ts
@@ -4,6 +4,7 @@
     type AcknowledgeNote,
     type CensusAnswer,
     type CensusCall,
+    type ConfirmNote,
     type PlaceNote,
     type PlaceOrder,
     type ReserveAnswer,
@@ -13,7 +14,7 @@
 } from "../../connection/messages.js";
 import type { Decision, PlacementCore, ShedReason } from "../placement/placement-core.js";
 import type { RoleContext } from "../roles.js";
-import { AttemptState } from "./attempt-book.js";
+import { type Attempt, AttemptState } from "./attempt-book.js";
 import { type AttemptLedger, buildItem } from "./attempt-ledger.js";
 import { HomeFences } from "./home-fences.js";
 import type { WorkerFleet } from "./worker-fleet.js";
@@ -26,6 +27,8 @@
     readonly fleet: WorkerFleet;
     /** Carries out a start decision. */
     start(decision: Extract<Decision, { kind: "start"; }>): void;
+    /** Starts an attempt that waited for its home's word. */
+    startGranted(attempt: Attempt): void;
     /** Stops an attempt that runs. */
     stop(attemptId: string): void;
     /** Asks for a new round of decisions soon. */
@@ -73,6 +76,16 @@
         return { kind: "reserved", held: hold.held, moreAfterMs: hold.moreAfterMs };
     }
 
+    /** Starts granted attempts whose start markers are durable. */
+    receiveConfirm(note: ConfirmNote): void {
+        for (const attemptId of note.attempts) {
+            const attempt = this.options.ledger.book.find(attemptId);
+            if (attempt?.state === AttemptState.granted && this.fences.may(attempt.order.home)) {
+                this.options.startGranted(attempt);
+            }
+        }
+    }
+
     /** Takes tasks back. */
     receiveWithdraw(note: WithdrawNote): void {
         for (const attemptId of note.attempts) {
@@ -101,9 +114,13 @@
             return undefined;
         }
         for (const attempt of this.options.ledger.book.listOfHome(call.homeSlice)) {
-            if (attempt.state === AttemptState.queued && !this.fences.may(attempt.order.home)) {
+            if (this.options.ledger.isUnsent(attempt) && !this.fences.may(attempt.order.home)) {
+                // Told as not started until acknowledged: the new home may start it again, even if it must not run twice.
                 this.options.core.withdraw(attempt.order.attempt);
-                this.options.ledger.book.remove(attempt);
+                this.options.ledger.end(attempt, {
+                    state: TaskUpdateState.notStarted,
+                    reason: "its home has changed",
+                });
             }
         }
         const tasks = this.options.ledger.book.listOfHome(call.homeSlice).map(attempt =>
@@ -127,7 +144,7 @@
     /** Gives back to their homes all attempts that have not started: this placer takes no more work. */
     returnQueued(reason: string): void {
         for (const attempt of [...this.options.ledger.book.listAll()]) {
-            if (attempt.state === AttemptState.queued) {
+            if (this.options.ledger.isUnsent(attempt)) {
                 this.options.core.withdraw(attempt.order.attempt);
                 this.options.ledger.end(attempt, {
                     state: TaskUpdateState.notStarted,
@@ -178,7 +195,7 @@
         if (attempt.order.gangId !== undefined && attempt.state === AttemptState.queued) {
             this.options.core.releaseHold(attempt.order.gangId);
         }
-        if (attempt.state === AttemptState.queued) {
+        if (this.options.ledger.isUnsent(attempt)) {
             this.options.core.withdraw(attemptId);
             this.options.ledger.end(attempt, { state: TaskUpdateState.notStarted, reason: "withdrawn" });
         }
--- a/src/process/placer/task-runs.ts
+++ b/src/process/placer/task-runs.ts
@@ -1,4 +1,5 @@
 /** The side of a placer that faces workers, for tasks of jobs: starts, stops, reports, adoption, losses. */
+import type { Millis } from "../../common/clock.js";
 import { TaskUpdateState } from "../../connection/messages.js";
 import type { Decision, PlacementCore } from "../placement/placement-core.js";
 import { type WorkerReport, type WorkerTask, WorkerTaskState } from "../ports/worker-port.js";
@@ -10,6 +11,11 @@
 import type { WorkerFleet } from "./worker-fleet.js";
 import type { WorkerSession } from "./worker-session.js";
 
+/** Room is held this long for a task whose home has to confirm its start. */
+const GRANT_HOLD_MS: Millis = 3_000;
+/** When a home may offer a task again whose worker went away before it was sent. */
+const UNSENT_RETRY_MS: Millis = 250;
+
 /** What {@link TaskRuns} is given. */
 export interface TaskRunsOptions {
     readonly context: RoleContext;
@@ -41,12 +47,46 @@
             return;
         }
         this.options.ledger.book.assign(attempt, session.workerId, session.slice, session.epoch);
+        if (attempt.order.repeatable || attempt.order.gangId !== undefined) {
+            this.send(attempt, session);
+            return;
+        }
+        this.options.ledger.markGranted(attempt);
+        this.options.context.clock.schedule(GRANT_HOLD_MS, () => this.expireGrant(attempt));
+    }
+
+    /** Starts an attempt whose home has confirmed that its start marker is durable. */
+    startGranted(attempt: Attempt): void {
+        const session = this.options.fleet.find(attempt.workerId ?? "");
+        if (session === undefined || !this.options.fleet.isOpen(session)) {
+            this.endUnsent(attempt, "its worker takes nothing new any more");
+            return;
+        }
+        this.send(attempt, session);
+    }
+
+    private send(attempt: Attempt, session: WorkerSession): void {
         attempt.state = AttemptState.starting;
         attempt.startedAt = this.options.context.clock.now();
         attempt.startBy = attempt.startedAt + ORDER_WINDOW_MS;
         void this.sendStart(attempt, session);
     }
 
+    /** The home is away, or cannot write: the room goes to others meanwhile. */
+    private expireGrant(attempt: Attempt): void {
+        if (attempt.state === AttemptState.granted) {
+            this.endUnsent(attempt, "its home did not confirm the start in time");
+        }
+    }
+
+    private endUnsent(attempt: Attempt, reason: string): void {
+        this.options.ledger.end(attempt, {
+            state: TaskUpdateState.notStarted,
+            reason,
+            retryAfterMs: UNSENT_RETRY_MS,
+        });
+    }
+
     /** Stops an attempt on order of its home; one whose start is under way is stopped when it is known to run. */
     stop(attemptId: string): void {
         const attempt = this.options.ledger.book.find(attemptId);
@@ -82,7 +122,10 @@
     /** The tasks of a worker have surely ended without an answer. */
     handleLost(session: WorkerSession): void {
         for (const attempt of this.options.ledger.book.listOfWorker(session.workerId)) {
-            if (attempt.state !== AttemptState.ended) {
+            if (attempt.state === AttemptState.granted) {
+                this.endUnsent(attempt, "its worker was lost");
+            }
+            else if (attempt.state !== AttemptState.ended) {
                 this.options.ledger.end(attempt, {
                     state: TaskUpdateState.lost,
                     message: `worker ${session.workerId} was lost`,
@@ -98,6 +141,9 @@
     handleDropped(session: WorkerSession): void {
         const { ledger } = this.options;
         for (const attempt of ledger.book.listOfWorker(session.workerId)) {
+            if (attempt.state === AttemptState.granted) {
+                this.endUnsent(attempt, "its worker has another owner now");
+            }
             if (attempt.state === AttemptState.starting || isKnownHereOnly(attempt)) {
                 continue;
             }
@@ -165,7 +211,7 @@
     private handleMissing(session: WorkerSession, attempt: Attempt, restarted: boolean): void {
         const now = this.options.context.clock.now();
         const mayStillStart = attempt.startBy !== undefined && now <= attempt.startBy + ORDER_WINDOW_MS;
-        if (attempt.state === AttemptState.queued || attempt.state === AttemptState.starting) {
+        if (this.options.ledger.isUnsent(attempt) || attempt.state === AttemptState.starting) {
             return;
         }
         if (!restarted && mayStillStart) {
--- a/src/process/placer/update-outbox.ts
+++ b/src/process/placer/update-outbox.ts
@@ -11,6 +11,13 @@
 const REPEAT_MS: Millis = 2_000;
 const MAX_UPDATES_PER_NOTE = 500;
 
+/** States that a later update replaces: they need not be acknowledged. */
+const PASSING_STATES: readonly TaskUpdate["state"][] = [
+    TaskUpdateState.queued,
+    TaskUpdateState.granted,
+    TaskUpdateState.running,
+];
+
 /** Collects updates by home slice and sends them. */
 export class UpdateOutbox {
     private readonly fresh = new Map<number, Map<string, TaskUpdate>>();
@@ -95,7 +102,7 @@
 }
 
 function needsAcknowledgement(update: TaskUpdate): boolean {
-    return update.state !== TaskUpdateState.queued && update.state !== TaskUpdateState.running;
+    return !PASSING_STATES.includes(update.state);
 }
 
 function putInto(index: Map<number, Map<string, TaskUpdate>>, homeSlice: number, update: TaskUpdate): void {
--- a/src/process/placer/worker-fleet.ts
+++ b/src/process/placer/worker-fleet.ts
@@ -107,9 +107,14 @@
         return [...new Set(this.vms.map(vm => vm.failureDomain))];
     }
 
+    /** Whether a worker takes new work. */
+    isOpen(session: WorkerSession): boolean {
+        return this.sessions.get(session.workerId) === session && this.describeState(session) === "open";
+    }
+
     /** Opens or closes a worker in the core by everything that is known of it. */
     refreshOpen(session: WorkerSession): void {
-        this.options.core.setWorkerOpen(session.workerId, this.describeState(session) === "open");
+        this.options.core.setWorkerOpen(session.workerId, this.isOpen(session));
     }
 
     listWorkers(countTasks: (workerId: string) => number): readonly WorkerStatus[] {
--- a/src/process/placer/worker-session.ts
+++ b/src/process/placer/worker-session.ts
@@ -19,7 +19,7 @@
 import { ORDER_WINDOW_MS, WorkerClock } from "./worker-clock.js";
 
 /** Longest time a worker holds a renewal back while nothing changes. */
-const RENEW_WAIT_MS: Millis = 5_000;
+const RENEW_WAIT_MS: Millis = 2_500;
 /** Renewals are at least this far apart, so that many short tasks share a report. */
 const RENEW_PACE_MS: Millis = 20;
 const ATTACH_TIMEOUT_MS: Millis = 2_000;
@@ -226,13 +226,15 @@
         }
         const acknowledged = this.acknowledged;
         this.acknowledged = [];
-        this.clock.extendBound(latest, cell.workerLeaseMs);
         const waitMs = Math.min(RENEW_WAIT_MS, cell.workerLeaseMs / 4);
         const answer = await this.options.port.renew(
             this.address,
             { ...fence, leaseMs: cell.workerLeaseMs, afterSequence: this.sequence, acknowledged, waitMs },
             waitMs + ORDER_WINDOW_MS,
         );
+        if (answer.kind !== "unavailable" && answer.kind !== "refused") {
+            this.clock.extendBound(latest, cell.workerLeaseMs);
+        }
         if (this.closed) {
             return false;
         }
@@ -260,7 +262,9 @@
         this.retryMs = RETRY_MIN_MS;
     }
 
+    /** From here on the worker is only asked for its state, by attaches, which extend no lease: so the bound stands. */
     private handleSilence(): void {
+        this.attached = false;
         if (this.contact) {
             this.contact = false;
             this.options.listener.handleUnreachable(this);
--- a/src/process/router/router.ts
+++ b/src/process/router/router.ts
@@ -3,7 +3,7 @@
 import { buildNotRun, NotRunReason, type Outcome } from "../../common/outcome.js";
 import { makeUniqueId } from "../../common/random.js";
 import { type HomeReply, type HomeRequest, PeerErrorCode } from "../../connection/messages.js";
-import { type Caller, type JobSpec, type ServiceRequest, WorkKind } from "../../request/work.js";
+import { type Caller, type JobSpec, JobState, type ServiceRequest, WorkKind } from "../../request/work.js";
 import { Adoption } from "../../version/settings.js";
 import type { CallerGateway, RoleContext, ServiceResult } from "../roles.js";
 import { ServiceRouter } from "./service-router.js";
@@ -91,10 +91,30 @@
         if (slice === undefined) {
             return { kind: "notFound" };
         }
-        const reply = await this.callSlice(slice, request, timeoutMs);
+        const reply = request.kind === "waitJob" ?
+            await this.waitAtHome(slice, request) :
+            await this.callSlice(slice, request, timeoutMs);
         return reply.kind === "explanation" ? await this.addPlacerLines(jobId, reply.lines) : reply;
     }
 
+    /** Waits for the end of a job; a home that gives the slice up answers early, and the next one is asked. */
+    private async waitAtHome(
+        slice: number,
+        request: Extract<HomeRequest, { kind: "waitJob"; }>,
+    ): Promise<HomeReply> {
+        const { clock } = this.context;
+        const deadline = clock.now() + request.waitMs;
+        for (;;) {
+            const waitMs = Math.max(0, deadline - clock.now());
+            const reply = await this.callSlice(slice, { ...request, waitMs }, waitMs + ANSWER_GRACE_MS);
+            const isFinal = reply.kind !== "job" || reply.job.state === JobState.ended;
+            if (isFinal || clock.now() >= deadline) {
+                return reply;
+            }
+            await sleep(clock, HOME_RETRY_MS);
+        }
+    }
+
     /** Adds what placers know of a job to what its home said; entries that do not answer are left out. */
     private async addPlacerLines(jobId: string, lines: readonly string[]): Promise<HomeReply> {
         const { peers } = this.context;
@@ -146,10 +166,14 @@
                     request: withDeadline(request, left),
                 } as const;
                 const result = await peers.call(owner.memberId, body, left + ANSWER_GRACE_MS);
-                if (result.kind === "answer" && result.body.kind === "home") {
+                if (
+                    result.kind === "answer" && result.body.kind === "home" &&
+                    !isFromOldOwner(result.body.reply)
+                ) {
                     return result.body.reply;
                 }
                 const refused = result.kind === "notSent" ||
+                    (result.kind === "answer" && result.body.kind === "home") ||
                     (result.kind === "answer" && result.body.kind === "error" &&
                         result.body.code !== PeerErrorCode.invalid);
                 mayHaveArrived ||= !refused;
@@ -162,6 +186,12 @@
     }
 }
 
+/** An owner that is giving its slice up refuses; the next owner is asked. */
+function isFromOldOwner(reply: HomeReply): boolean {
+    return reply.kind === "refused" && reply.outcome.kind === "notRun" &&
+        reply.outcome.reason === NotRunReason.notOwner;
+}
+
 function withDeadline(request: HomeRequest, left: Millis): HomeRequest {
     return request.kind === "runRequest" ?
         { ...request, deadlineMs: Math.min(request.deadlineMs, left) } :
