--- a/src/process/home/run/request-desk.ts
+++ b/src/process/home/run/request-desk.ts
@@ -53,8 +53,19 @@
         }
     }
 
+    /** Forgets which tries may still be running, once they no longer can. */
+    expireUnsettled(): void {
+        const now = this.core.context.clock.now();
+        for (const [requestKey, until] of this.unsettledUntil) {
+            if (until <= now) {
+                this.unsettledUntil.delete(requestKey);
+            }
+        }
+    }
+
     /** Runs a request, or returns what came of it before. */
     async runRequest(request: KeyedRequest): Promise<HomeReply> {
+        this.expireUnsettled();
         const fingerprint = makeFingerprint(request);
         const record = this.core.state.requests.get(request.requestKey);
         const pending = this.pending.get(request.requestKey);
--- a/src/process/home/run/retention.ts
+++ b/src/process/home/run/retention.ts
@@ -24,7 +24,9 @@
     const requestKeys: string[] = [];
     for (const request of core.state.requests.values()) {
         const { retentionMs } = core.getBranch(request.branch);
-        const isOver = request.endedAt !== undefined && now - request.endedAt > retentionMs;
+        // A repeatable request whose answer was lost has no end: it is forgotten by its start.
+        const endedAt = request.endedAt ?? (request.repeatable ? request.startedAt : undefined);
+        const isOver = endedAt !== undefined && now - endedAt > retentionMs;
         if (isOver && requestKeys.length < EXPIRED_PER_ENTRY) {
             requestKeys.push(request.requestKey);
         }
--- a/src/test/process/home/log/log-owner.ts
+++ b/src/test/process/home/log/log-owner.ts
@@ -3,6 +3,7 @@
 import { CommitPacer, openSlice, SliceLog } from "../../../../process/home/log/index.js";
 import type { AppendEnd, OpenResult } from "../../../../process/home/log/index.js";
 import type { HomeEntry } from "../../../../process/home/state/index.js";
+import type { StoreClient } from "../../../../process/store-client.js";
 import type { StoreModel } from "../../../../stand-ins/store-model.js";
 import type { FakeClock } from "../../../fakes/fake-clock.js";
 import { createFakeLog } from "../../../fakes/fake-telemetry.js";
@@ -21,7 +22,9 @@
 /** One owner in its life. */
 export class LogOwner {
     readonly clock: PausableClock;
+    /** The store, unless another client was given. */
     readonly store: StoreForHome;
+    private readonly client: StoreClient;
     log: SliceLog | undefined;
     result: OpenResult | undefined;
     isFenced = false;
@@ -31,15 +34,17 @@
         model: StoreModel,
         readonly epoch: number,
         private readonly slots: number,
+        makeClient?: (clock: PausableClock) => StoreClient,
     ) {
         this.clock = new PausableClock(base);
         this.store = new StoreForHome(model, this.clock);
+        this.client = makeClient?.(this.clock) ?? this.store;
     }
 
     /** Opens the slice; the log is there when this resolves and nothing went wrong. */
     async open(): Promise<void> {
         const context = {
-            store: this.store,
+            store: this.client,
             clock: this.clock,
             random: createRandom(this.epoch),
             log: createFakeLog(),
@@ -58,9 +63,9 @@
     }
 
     /** Commits one entry and follows what becomes of it. */
-    commitKey(key: string, size = 0): CommitFate {
+    commitKey(key: string, size = 0, patienceMs?: number): CommitFate {
         const fate: CommitFate = { key, fate: "open" };
-        void this.log?.commit([makeEntry(key, size)]).then(async result => {
+        void this.log?.commit([makeEntry(key, size)], patienceMs).then(async result => {
             fate.fate = result.kind === "uncertain" ? (await result.settled).kind : result.kind;
         });
         return fate;
