--- a/bench/table.ts
+++ b/bench/table.ts
@@ -1,5 +1,6 @@
 /** The table of benches. A new one is a file and a row here. */
 import { coreBench } from "./core-bench.js";
+import { frontLoadBench } from "./front-load.js";
 import type { Bench } from "./lib/bench.js";
 
-export const BENCHES: readonly Bench[] = [coreBench];
+export const BENCHES: readonly Bench[] = [coreBench, frontLoadBench];
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -17,7 +17,7 @@
 import { createPlacementCore } from "./placement/index.js";
 import { createPlacerRole, type OwnedPlacerRole } from "./placer/index.js";
 import type { PeerPort, StoreListing, StorePort, VmListPort, WorkerPort } from "./ports/index.js";
-import type { CallerGateway, HeardDigest, HomeRole, Member, RoleContext } from "./roles.js";
+import type { CallerGateway, HeardDigest, HomeRole, Member, RoleContext, SettingsSource } from "./roles.js";
 import { createRouter } from "./router/index.js";
 import { SliceKeeper } from "./slice-keeper.js";
 import type { StoreClient, WatchHandle } from "./store-client.js";
@@ -52,6 +52,7 @@
 export interface Entry {
     readonly callers: CallerGateway;
     readonly operators: OperatorGateway;
+    readonly settings: SettingsSource;
     start(): void;
     /** Whether the balancer should send callers here. */
     isReady(): boolean;
@@ -74,6 +75,7 @@
 class EntryProcess implements Entry, HubListener {
     readonly callers: CallerGateway;
     readonly operators: OperatorGateway;
+    readonly settings: SettingsSource;
     private readonly store: StoreClient;
     private readonly hub: OwnedPeerHub;
     private readonly tree: TreeRole;
@@ -129,6 +131,7 @@
         });
         this.callers = createRouter(context, { isDraining: () => this.draining });
         this.operators = this.buildOperators();
+        this.settings = this.tree;
         this.ownership.subscribe(() => this.applyMembers());
     }
 
