--- a/src/process/home/home-slice.ts
+++ b/src/process/home/home-slice.ts
@@ -118,6 +118,7 @@
         if (this.isClosed) {
             return;
         }
+        this.context.metrics.count("home.fenced");
         this.context.log.info("home slice lost", { slice: this.slice, epoch: this.epoch });
         this.close();
         this.listener.handleLost(this.slice, this.epoch);
--- a/src/process/home/log/index.ts
+++ b/src/process/home/log/index.ts
@@ -1,5 +1,5 @@
 /** The durable log of a home slice. */
-export { DEFAULT_SLOTS, openSlice } from "./open-log.js";
+export { openSlice } from "./open-log.js";
 export type { OpenedSlice, OpenResult } from "./open-log.js";
 export { CommitPacer } from "./pacer.js";
 export { buildImage } from "./read-back.js";
--- a/src/process/home/log/open-log.ts
+++ b/src/process/home/log/open-log.ts
@@ -13,8 +13,6 @@
 import { settleWrite } from "./settle-write.js";
 import { SnapshotWriter } from "./snapshot-writer.js";
 
-/** Keys of the ring of a new slice. */
-export const DEFAULT_SLOTS = 64;
 const LIST_PATIENCE_MS: Millis = 5_000;
 const PAUSE_WHEN_AWAY_MS: Millis = 500;
 
--- a/src/process/home/log/settle-write.ts
+++ b/src/process/home/log/settle-write.ts
@@ -17,7 +17,7 @@
 
 /** What a write of the log needs. */
 export interface WriteScope {
-    readonly context: Pick<RoleContext, "store" | "clock" | "random">;
+    readonly context: Pick<RoleContext, "store" | "clock" | "random" | "metrics">;
     isStopped(): boolean;
 }
 
--- a/src/process/home/log/slice-log.ts
+++ b/src/process/home/log/slice-log.ts
@@ -27,6 +27,8 @@
 /** Most bytes of all waiting appends. */
 export const MAX_WAITING_BYTES = 32_000_000;
 const UNCOVERED_BYTES = 2_000_000;
+/** Part of the ring that is filled before a snapshot begins; the rest takes what is written meanwhile. */
+const SNAPSHOT_SHARE = 0.5;
 const PAUSE_WHEN_AWAY_MS: Millis = 500;
 
 /** What a log tells its slice. */
@@ -115,12 +117,17 @@
         if (patienceMs !== undefined && (this.isAway() || !this.hasRoom())) {
             return Promise.resolve({ kind: "notWritten", reason: "unavailable" });
         }
+        const begin = this.scope.context.clock.now();
         this.queue.push(ticket);
         this.queuedBytes += ticket.bytes;
         if (patienceMs !== undefined) {
             const timer = this.scope.context.clock.schedule(patienceMs, () => this.expireTicket(ticket));
             ticket.subscribe(() => timer.cancel());
         }
+        ticket.subscribe(() => {
+            const { clock, metrics } = this.scope.context;
+            metrics.time("home.commitTime", clock.now() - begin);
+        });
         void this.flushQueue();
         return ticket.result;
     }
@@ -213,6 +220,8 @@
             case "done":
                 this.sequence = sequence;
                 this.records++;
+                this.scope.context.metrics.count("home.records");
+                this.scope.context.metrics.count("home.entries", entries.length);
                 this.awayUntil = -Infinity;
                 this.slotRevisions.set(key, result.revision);
                 this.uncoveredBytes += value.length;
@@ -307,7 +316,7 @@
 
     private startSnapshotIfDue(): void {
         const uncovered = this.sequence - this.opened.snapshots.getCovers();
-        const isDue = uncovered >= this.slots / 2 || this.uncoveredBytes >= UNCOVERED_BYTES;
+        const isDue = uncovered >= this.slots * SNAPSHOT_SHARE || this.uncoveredBytes >= UNCOVERED_BYTES;
         if (isDue && this.snapshotting === undefined && !this.fenced) {
             this.snapshotting = this.writeSnapshot().finally(() => {
                 this.snapshotting = undefined;
@@ -321,6 +330,7 @@
         const bytes = this.uncoveredBytes;
         const result = await this.opened.snapshots.writeSnapshot({ covers, at: this.state.logTime, items });
         if (result === "done") {
+            this.scope.context.metrics.count("home.snapshots");
             this.uncoveredBytes -= bytes;
         }
         if (result === "fenced") {
--- a/src/process/home/options.ts
+++ b/src/process/home/options.ts
@@ -31,7 +31,7 @@
 
 /** Limits that hold unless a test or bench changes them. */
 export const DEFAULT_HOME_OPTIONS: HomeOptions = {
-    slots: 64,
+    slots: 256,
     placerWindow: 32,
     tickMs: 50,
     offersPerTick: 256,
--- a/src/process/home/run/census.ts
+++ b/src/process/home/run/census.ts
@@ -83,6 +83,8 @@
         while (!this.isStopped()) {
             await Promise.all(this.listDue(round).map(member => this.queryMember(round, member)));
             if (this.isComplete(round)) {
+                const tookMs = this.core.context.clock.now() - round.startedAt;
+                this.core.context.metrics.time("home.censusTime", tookMs);
                 this.listener.handleComplete(round.startedAt, round.floor);
                 return;
             }
--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -76,7 +76,8 @@
                 this.engine.core.logRoute(live.attempt, branch, chosen.memberId, "shorterQueueOfTwo");
                 return live;
             }
-            run.reason = describeFit(candidates, resources) ?? run.reason;
+            run.reason = describeMisfit(candidates, resources) ??
+                "every placer that could hold it has enough waiting";
         }
         return undefined;
     }
@@ -136,11 +137,12 @@
 }
 
 /**
- * Says why a task that finds no placer waits.
+ * Says why no placer can take a task as things stand.
  * @param candidates - Placers that take work now.
  * @param need - What the task needs.
+ * @returns Undefined if some placer could.
  */
-export function describeFit(
+export function describeMisfit(
     candidates: readonly PlacerCandidate[],
     need: Resources,
 ): string | undefined {
@@ -148,7 +150,7 @@
         return "no placer is ready: entries are taking over workers, or none can be reached";
     }
     if (candidates.some(({ load }) => isWithin(need, load.largestWorker))) {
-        return "every placer that could hold it has enough waiting";
+        return undefined;
     }
     const largest = candidates
         .map(({ load }) => load.largestWorker)
--- a/src/process/home/run/gang-desk.ts
+++ b/src/process/home/run/gang-desk.ts
@@ -7,7 +7,7 @@
  */
 import type { Millis } from "../../../common/clock.js";
 import { packRanges } from "../state/index.js";
-import { describeFit } from "./dispatcher.js";
+import { describeMisfit } from "./dispatcher.js";
 import type { JobRun } from "./job-run.js";
 import type { PlacerCandidate } from "./placer-choice.js";
 import { hasMarker } from "./task-engine.js";
@@ -101,9 +101,7 @@
         const candidates = choice.listCandidates();
         const { held, missing, moreAfterMs } = await this.reserveAll(run, plan, candidates);
         if (missing > 0) {
-            const fit = describeFit(candidates, run.record.spec.resources);
-            run.reason = fit?.startsWith("every") === false ?
-                fit :
+            run.reason = describeMisfit(candidates, run.record.spec.resources) ??
                 `all ${
                     held.length + missing
                 } tasks must start together; there is room for ${held.length} now`;
--- a/src/process/home/run/job-desk.ts
+++ b/src/process/home/run/job-desk.ts
@@ -3,6 +3,7 @@
 import type { JobSpec } from "../../../request/work.js";
 import type { HomeEntry, JobRecord, TaskEnd } from "../state/index.js";
 import { packRanges } from "../state/index.js";
+import { describeMisfit } from "./dispatcher.js";
 import type { JobRun } from "./job-run.js";
 import { buildOverloaded, convertNotWritten, refuseWith } from "./refusals.js";
 import type { TaskEngine } from "./task-engine.js";
@@ -135,6 +136,8 @@
             return { kind: "notFound" };
         }
         const run = this.engine.openRun(record, false);
+        // Work that can never fit is told with the very answer that accepts it.
+        run.reason = describeMisfit(this.engine.choice.listCandidates(), record.spec.resources) ?? "";
         return buildJobReply(record, run, true);
     }
 
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -95,6 +95,7 @@
             this.setPhase(live, AttemptPhase.sent);
         }
         this.outbox.addOrder(live.placer, order);
+        this.wake();
     }
 
     /**
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -17,10 +17,11 @@
 
 const updateHandlers: { readonly [State in TaskUpdateState]: UpdateHandler; } = {
     queued: (engine, live, update, from) => {
-        engine.movePlacer(live, from);
-        if (live.phase === AttemptPhase.sent) {
-            engine.setPhase(live, AttemptPhase.queued);
+        if (live.phase === AttemptPhase.running) {
+            return;
         }
+        engine.movePlacer(live, from);
+        engine.setPhase(live, AttemptPhase.queued);
         live.run.reason = update.reason ?? `it waits at placer ${from}`;
     },
     granted: (engine, live, update, from) => {
@@ -37,6 +38,7 @@
         }
         engine.movePlacer(live, from);
         engine.setPhase(live, AttemptPhase.running);
+        observeWait(engine, live);
         live.sliceEpoch = sliceEpoch;
         live.workerId = update.workerId;
         live.run.started.add(live.index);
@@ -138,10 +140,21 @@
         // The store is away for long: the placer repeats the end, so it need not be kept here meanwhile.
         return;
     }
-    live.workerId = update.workerId ?? live.workerId;
+    if (isFinalState(update)) {
+        live.workerId = update.workerId ?? live.workerId;
+    }
     updateHandlers[update.state](engine, live, update, from);
 }
 
+/** Waiting time: from acceptance to the first start of each task. */
+function observeWait(engine: TaskEngine, live: LiveAttempt): void {
+    const { record } = live.run;
+    if (!engine.mayHaveStarted(live.run, live.index)) {
+        const waitedMs = engine.core.log.getLogTime() - record.acceptedAt;
+        engine.core.context.metrics.time("home.waitTime", waitedMs, { branch: record.spec.branch });
+    }
+}
+
 function replyToStale(engine: TaskEngine, from: string, update: TaskUpdate): void {
     if (isFinalState(update)) {
         engine.outbox.addAcknowledgement(from, update.attempt);
--- a/src/process/home/state/snapshot-items.ts
+++ b/src/process/home/state/snapshot-items.ts
@@ -1,8 +1,9 @@
 /** A home state as a list of small texts, so that a snapshot can be split under the store's value limit. */
 import type { Millis } from "../../../common/clock.js";
 import type { Caller, JobSpec } from "../../../request/work.js";
+import type { StoredOutcome } from "./entries.js";
 import type { HomeState, RequestRecord } from "./home-state.js";
-import type { TaskDetail, TaskRetry } from "./job-record.js";
+import type { TaskRetry } from "./job-record.js";
 import { JobRecord } from "./job-record.js";
 
 /** One item of a snapshot. */
@@ -20,15 +21,25 @@
         readonly codes: readonly number[];
     }
     | {
-        readonly kind: "detail";
+        readonly kind: "details";
         readonly jobId: string;
-        readonly index: number;
-        readonly detail: TaskDetail;
+        /** The different outcomes, without the worker where it is the task's own. */
+        readonly outcomes: readonly StoredOutcome[];
+        readonly tasks: readonly PackedDetail[];
     }
     | { readonly kind: "retry"; readonly jobId: string; readonly index: number; readonly retry: TaskRetry; }
     | { readonly kind: "marker"; readonly jobId: string; readonly index: number; readonly attempt: string; }
     | { readonly kind: "request"; readonly request: RequestRecord; };
 
+/** A task's place in the list of outcomes, and the rest of its detail. */
+type PackedDetail = readonly [index: number, outcome: number, workerId: string, attempts: number];
+
+/** Characters of outcomes in one item before the next is begun. */
+const ITEM_CHARACTERS = 100_000;
+
+/** Texts of ended jobs, which no entry changes any more. */
+const endedItems = new WeakMap<JobRecord, readonly string[]>();
+
 /**
  * Lists the items of a state, as texts.
  * @param state - The state at one sequence of the log.
@@ -36,7 +47,7 @@
 export function listSnapshotItems(state: HomeState): string[] {
     const items: string[] = [];
     for (const job of state.jobs.values()) {
-        collectJobItems(job, item => items.push(JSON.stringify(item)));
+        items.push(...listJobItems(job));
     }
     for (const request of state.requests.values()) {
         items.push(JSON.stringify({ kind: "request", request }));
@@ -54,8 +65,8 @@
         case "job":
             state.jobs.set(item.jobId, restoreJob(item));
             break;
-        case "detail":
-            state.jobs.get(item.jobId)?.details.set(item.index, item.detail);
+        case "details":
+            restoreDetails(state.jobs.get(item.jobId), item);
             break;
         case "retry":
             state.jobs.get(item.jobId)?.retries.set(item.index, item.retry);
@@ -69,13 +80,24 @@
     }
 }
 
+function listJobItems(job: JobRecord): readonly string[] {
+    const kept = endedItems.get(job);
+    if (kept !== undefined) {
+        return kept;
+    }
+    const items: string[] = [];
+    collectJobItems(job, item => items.push(JSON.stringify(item)));
+    if (job.isEnded()) {
+        endedItems.set(job, items);
+    }
+    return items;
+}
+
 function collectJobItems(job: JobRecord, add: (item: SnapshotItem) => void): void {
     const { jobId, caller, spec, submittedWallMs, acceptedAt, cancelled, endedAt } = job;
     const codes = packCodes(job.codes);
     add({ kind: "job", jobId, caller, spec, submittedWallMs, acceptedAt, cancelled, endedAt, codes });
-    for (const [index, detail] of job.details) {
-        add({ kind: "detail", jobId, index, detail });
-    }
+    packDetails(job, add);
     for (const [index, retry] of job.retries) {
         add({ kind: "retry", jobId, index, retry });
     }
@@ -84,6 +106,63 @@
     }
 }
 
+/** Tasks of a job mostly end alike: each different outcome is written once. */
+function packDetails(job: JobRecord, add: (item: SnapshotItem) => void): void {
+    const { jobId } = job;
+    let places = new Map<string, number>();
+    let outcomes: StoredOutcome[] = [];
+    let tasks: PackedDetail[] = [];
+    let characters = 0;
+    const finish = () => {
+        if (tasks.length > 0) {
+            add({ kind: "details", jobId, outcomes, tasks });
+        }
+        [places, outcomes, tasks, characters] = [new Map(), [], [], 0];
+    };
+    for (const [index, { outcome, workerId = "", attempts }] of job.details) {
+        const key = makeOutcomeKey(outcome, workerId);
+        let place = places.get(key);
+        if (place === undefined) {
+            place = outcomes.push(removeWorker(outcome, workerId)) - 1;
+            places.set(key, place);
+            characters += key.length;
+        }
+        tasks.push([index, place, workerId, attempts]);
+        if (characters > ITEM_CHARACTERS) {
+            finish();
+        }
+    }
+    finish();
+}
+
+function restoreDetails(
+    job: JobRecord | undefined,
+    item: Extract<SnapshotItem, { readonly kind: "details"; }>,
+): void {
+    for (const [index, place, packedWorker, attempts] of item.tasks) {
+        const shared = item.outcomes[place];
+        if (shared !== undefined) {
+            const workerId = packedWorker === "" ? undefined : packedWorker;
+            job?.details.set(index, { outcome: addWorker(shared, packedWorker), workerId, attempts });
+        }
+    }
+}
+
+/** Equal for outcomes that are equal but for the task's own worker. */
+function makeOutcomeKey(outcome: StoredOutcome, workerId: string): string {
+    return outcome.kind === "done" && outcome.workerId === workerId ?
+        `done ${outcome.contentType} ${outcome.answer}` :
+        JSON.stringify(removeWorker(outcome, workerId));
+}
+
+function removeWorker(outcome: StoredOutcome, workerId: string): StoredOutcome {
+    return "workerId" in outcome && outcome.workerId === workerId ? { ...outcome, workerId: "" } : outcome;
+}
+
+function addWorker(outcome: StoredOutcome, workerId: string): StoredOutcome {
+    return "workerId" in outcome && outcome.workerId === "" ? { ...outcome, workerId } : outcome;
+}
+
 function restoreJob(item: Extract<SnapshotItem, { readonly kind: "job"; }>): JobRecord {
     const job = new JobRecord(item.jobId, item.caller, item.spec, item.submittedWallMs, item.acceptedAt);
     job.cancelled = item.cancelled;
--- a/src/test/process/home/log/log-owner.ts
+++ b/src/test/process/home/log/log-owner.ts
@@ -6,7 +6,7 @@
 import type { StoreClient } from "../../../../process/store-client.js";
 import type { StoreModel } from "../../../../stand-ins/store-model.js";
 import type { FakeClock } from "../../../fakes/fake-clock.js";
-import { createFakeLog } from "../../../fakes/fake-telemetry.js";
+import { createFakeLog, createFakeMetrics } from "../../../fakes/fake-telemetry.js";
 import { PausableClock } from "../../../fakes/pausable-clock.js";
 import { StoreForHome } from "../store-for-home.js";
 
@@ -48,6 +48,7 @@
             clock: this.clock,
             random: createRandom(this.epoch),
             log: createFakeLog(),
+            metrics: createFakeMetrics(),
         };
         const scope = { context, isStopped: () => this.isFenced };
         const writer = { slice: SLICE, epoch: this.epoch, writer: `m${this.epoch}` };
