Home: start markers do not pile up in a store outage; a newer waiting attempt disproves an older marker

Cause: each grant during an outage queued a marker without a bound; a paid run whose second attempt waited when its home died was given up, though the first was proved not to have started. Change: a granted attempt's marker has less time than the room is held; a newer attempt's existence counts as proof. Conclusion: both stories are tests.

--- a/src/process/home/run/open-slice.ts
+++ b/src/process/home/run/open-slice.ts
@@ -27,7 +27,7 @@
 import { RequestSender } from "./request-sender.js";
 import { collectExpired } from "./retention.js";
 import { hasMarker, LOST_MESSAGE, TaskEngine } from "./task-engine.js";
-import { applyUpdate, receiveUpdate } from "./updates.js";
+import { applyUpdate, compareAttempts, receiveUpdate } from "./updates.js";
 
 const RETENTION_PERIOD_MS: Millis = 60_000;
 /** Longest wait for start markers under way before a hand-over. */
@@ -329,10 +329,12 @@
 const SENDS_BEFORE_CENSUS = 2;
 
 /**
- * Whether an update proves that the attempt of a task's start marker did not start. The attempt has to be the very
- * one of the marker: word of an older one, told again, says nothing of it.
+ * Whether an update proves that the attempt of a task's start marker did not start. Word of an older attempt, told
+ * again, says nothing of it; a newer one exists only because the marker's was proved not to have started, and would
+ * have a marker of its own had it been allowed to start.
  */
 function isDisproved(run: JobRun, update: TaskUpdate | undefined): boolean {
-    return update?.state === TaskUpdateState.notStarted &&
-        run.record.markers.get(update.index) === update.attempt;
+    const marked = update === undefined ? undefined : run.record.markers.get(update.index);
+    return update?.state === TaskUpdateState.notStarted && marked !== undefined &&
+        compareAttempts(update.attempt, marked) >= 0;
 }
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -19,6 +19,11 @@
 const RETRY_BASE_MS: Millis = 500;
 const SECOND_MS: Millis = 1_000;
 const ENDS_PER_ENTRY = 500;
+/**
+ * Time for the start marker of a granted attempt: less than a placer holds the room. Markers are not queued longer,
+ * or a store outage would pile up markers of attempts that are long over.
+ */
+const GRANT_PATIENCE_MS: Millis = 2_000;
 const DEFAULT_STARTS_PER_SECOND = 50;
 
 /** Why a task that is not repeatable ends when its attempt is lost. */
@@ -111,8 +116,9 @@
             ranges: [[live.index, live.index]],
             attempt: live.attempt,
         };
-        const result = await this.core.log.commit([entry]);
+        const result = await this.core.log.commit([entry], GRANT_PATIENCE_MS);
         if (result.kind !== "durable") {
+            // The placer gives the room to others and says so; the task is offered again.
             return;
         }
         const isWanted = !record.cancelled && !live.run.isCancelling && !live.isWithdrawn;
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -27,7 +27,8 @@
     granted: (engine, live, update, from) => {
         engine.movePlacer(live, from);
         live.workerId = update.workerId;
-        if (live.phase === AttemptPhase.sent || live.phase === AttemptPhase.queued) {
+        const isWaiting = live.phase === AttemptPhase.sent || live.phase === AttemptPhase.queued;
+        if (isWaiting && !live.isWithdrawn) {
             void engine.confirmStart(live);
         }
     },
@@ -188,8 +189,8 @@
         (update.sliceEpoch ?? 0) > (before.sliceEpoch ?? 0);
 }
 
-/** Orders attempts of one task by the owner's epoch and the try, the last two fields of the id. */
-function compareAttempts(left: string, right: string): number {
+/** Compares attempts of one task by the owner's epoch and the try, the last two fields of the id. */
+export function compareAttempts(left: string, right: string): number {
     const [leftTry = 0, leftEpoch = 0] = left.split(".").reverse().map(Number);
     const [rightTry = 0, rightEpoch = 0] = right.split(".").reverse().map(Number);
     return leftEpoch - rightEpoch || leftTry - rightTry;
--- a/src/test/process/home/home-cell.ts
+++ b/src/test/process/home/home-cell.ts
@@ -27,6 +27,7 @@
 export const SLICE = 3;
 const BIG = { cpuMillis: 64_000, memoryMib: 130_000, accelerators: 0 };
 const LATENCY_MS = 1;
+const GRANT_HOLD_MS = 3_000;
 
 /** A placer that does what the test says, and remembers every order. */
 export class ScriptedPlacer {
@@ -46,6 +47,8 @@
     isSilent = false;
     dropsNotes = false;
     dropsConfirmations = false;
+    /** Whether it has room for tasks that must not run twice; if not, they wait. */
+    grants = true;
     largestWorker = BIG;
     room = 1_000;
     serve: (requestId: string) => Promise<AnswerBody> | "never" = () => Promise.resolve(makeServed());
@@ -152,8 +155,15 @@
         if (order.repeatable || order.gangId !== undefined) {
             this.cell.handleOrder(this, order);
         }
-        else {
+        else if (this.grants) {
             this.report(order, { state: "granted", workerId: "w1" });
+            this.cell.clock.schedule(GRANT_HOLD_MS, () => this.expireGrant(order));
+        }
+    }
+
+    private expireGrant(order: PlaceOrder): void {
+        if (this.known.get(order.attempt)?.state === "granted") {
+            this.report(order, { state: "notStarted", reason: "not confirmed in time", retryAfterMs: 250 });
         }
     }
 
--- a/src/test/process/home/home-recovery_test.ts
+++ b/src/test/process/home/home-recovery_test.ts
@@ -78,6 +78,26 @@
         assert.deepEqual(listAttempts(placer.confirmed), attempts);
     });
 
+    // The first attempt had a marker and did not start; the second waits for room when the home dies. That there is
+    // a second proves that the first never ran: the paid run starts at the new home, instead of being given up.
+    it("with a marker, and a newer attempt that waits: the new home starts it", async () => {
+        const { cell, first, second } = await makeCell();
+        const placer = cell.getPlacer();
+        cell.handleOrder = (at, order) => {
+            if (order.home.epoch === 1) {
+                at.grants = false;
+                at.report(order, { state: "notStarted", retryAfterMs: 0 });
+            }
+        };
+        await cell.query(first, makeSubmit("j", { repeatable: false }));
+        await cell.clock.step(1_000);
+        assert.deepEqual(listAttempts(placer.orders), ["j.0.1.1", "j.0.1.2"]);
+        placer.grants = true;
+        await killAndTakeOver(cell, first, second);
+        assert.equal((await show(cell, second, "j")).counts.mayHaveRun, 0);
+        assert.deepEqual(listAttempts(placer.confirmed), ["j.0.1.1", "j.0.2.1"]);
+    });
+
     // As above, but the task may be run again, and nobody knows of it: it is started once by the new home.
     it("before a repeatable task started: the new home starts it", async () => {
         const { cell, first, second } = await makeCell();
--- a/src/test/process/home/home-updates_test.ts
+++ b/src/test/process/home/home-updates_test.ts
@@ -191,6 +191,30 @@
     });
 });
 
+describe("paid runs while the store is down", () => {
+    // Start markers cannot be written, so none of the paid runs may start; placers give the room to others and offer
+    // it again later. When the store is back each starts once, and none is given up as "may have run".
+    it("wait, and start once afterwards", async () => {
+        const { cell, entry, placer } = await makeCell();
+        cell.handleOrder = (at, order) => {
+            at.startTask(order);
+            at.report(order, { state: "done" });
+        };
+        placer.isReady = false;
+        await cell.query(entry, makeSubmit("j", { tasks: 40, repeatable: false }));
+        entry.store.isAway = true;
+        placer.isReady = true;
+        await cell.clock.step(120_000);
+        assert.deepEqual(placer.confirmed, []);
+        entry.store.isAway = false;
+        await cell.clock.step(20_000);
+        const job = requireJob(await cell.query(entry, show));
+        assert.deepEqual([job.counts.done, job.counts.mayHaveRun], [40, 0]);
+        assert.equal(new Set(placer.started.map(order => order.index)).size, 40);
+        assert.equal(placer.started.length, 40);
+    });
+});
+
 describe("a slice that cannot be read back", () => {
     // A record was altered by hand. The slice must not start with what is left of it; it says which key is wrong,
     // and serves by itself once the record is put right.
