--- a/src/process/home/run/core.ts
+++ b/src/process/home/run/core.ts
@@ -10,7 +10,7 @@
 /** Settings of a branch that decide here; the defaults where the branch is gone from the tree. */
 export type HomeBranchSettings = Pick<
     BranchSettings,
-    "attemptTimeoutMs" | "maxAttempts" | "retentionMs" | "defaultEstimateMs"
+    "attemptTimeoutMs" | "maxAttempts" | "maxRunMs" | "retentionMs"
 >;
 
 /** One open slice. */
--- a/src/process/home/run/job-run.ts
+++ b/src/process/home/run/job-run.ts
@@ -37,6 +37,10 @@
     isConfirmed: boolean;
     /** When a placer last spoke of it. */
     heardAt: Millis;
+    /** When it was first heard to run; undefined until then. */
+    runningSince: Millis | undefined;
+    /** Whether it is being stopped because it ran longer than its branch allows. */
+    isOverdue: boolean;
     /** How often its order was put into the outbox. */
     sends: number;
 }
--- a/src/process/home/run/open-slice.ts
+++ b/src/process/home/run/open-slice.ts
@@ -19,7 +19,7 @@
 import { explainJob } from "./explain.js";
 import { GangDesk } from "./gang-desk.js";
 import { endFreeAsCancelled, JobDesk } from "./job-desk.js";
-import type { JobRun } from "./job-run.js";
+import type { JobRun, LiveAttempt } from "./job-run.js";
 import { AttemptPhase } from "./job-run.js";
 import { Outbox } from "./outbox.js";
 import { PlacerChoice } from "./placer-choice.js";
@@ -285,6 +285,7 @@
         this.nextSyncAt = now + resendMs / SYNCS_PER_RESEND;
         let isSilent = false;
         for (const live of this.engine.listAttempts()) {
+            this.stopOverdue(live, now);
             const pause = resendMs * 2 ** Math.min(live.sends, MAX_DOUBLINGS);
             if (now - live.sentAt < pause) {
                 continue;
@@ -302,6 +303,17 @@
         }
     }
 
+    /** A task that runs longer than its branch allows is stopped; it ends as failed once that is known. */
+    private stopOverdue(live: LiveAttempt, now: Millis): void {
+        const { maxRunMs } = this.core.getBranch(live.run.record.spec.branch);
+        const isOver = live.phase === AttemptPhase.running && live.runningSince !== undefined &&
+            maxRunMs > 0 && now - live.runningSince > maxRunMs;
+        if (isOver && !live.isWithdrawn) {
+            live.isOverdue = true;
+            this.engine.withdrawAttempt(live);
+        }
+    }
+
     private expireOld(now: Millis): void {
         if (now < this.nextRetentionAt) {
             return;
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -78,6 +78,8 @@
             isWithdrawn: false,
             isConfirmed: attempt !== undefined || run.record.spec.repeatable,
             heardAt: clock.now(),
+            runningSince: undefined,
+            isOverdue: false,
             sends: 0,
         };
         run.live.set(index, live);
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -40,6 +40,7 @@
         engine.movePlacer(live, from);
         engine.setPhase(live, AttemptPhase.running);
         observeWait(engine, live);
+        live.runningSince ??= engine.core.context.clock.now();
         live.sliceEpoch = sliceEpoch;
         live.workerId = update.workerId;
         live.run.started.add(live.index);
@@ -79,6 +80,10 @@
         if (record.cancelled) {
             engine.endTask(live, { kind: "cancelled", started: true });
         }
+        else if (live.isOverdue) {
+            const message = "it was stopped, since it ran longer than the maxRunMs of its branch";
+            engine.endTask(live, { kind: "failed", message, workerId: live.workerId ?? "" });
+        }
         else if (record.spec.repeatable || update.checkpoint !== undefined) {
             const before = record.retries.get(live.index);
             const checkpoint = update.checkpoint ?? before?.checkpoint;
--- a/src/test/process/home/home-cell.ts
+++ b/src/test/process/home/home-cell.ts
@@ -17,7 +17,8 @@
 import type { CallResult, HeardDigest, HomeRole, Member, SliceOwner } from "../../../process/roles.js";
 import type { JobSpec } from "../../../request/work.js";
 import { StoreModel } from "../../../stand-ins/store-model.js";
-import { WORKER_SLICES } from "../../../version/settings.js";
+import type { BranchSettings, SettingsVersion } from "../../../version/settings.js";
+import { DEFAULT_BRANCH, DEFAULT_CELL, WORKER_SLICES } from "../../../version/settings.js";
 import { FakeClock } from "../../fakes/fake-clock.js";
 import { createFakeLog, createFakeMetrics } from "../../fakes/fake-telemetry.js";
 import type { FakeLog } from "../../fakes/fake-telemetry.js";
@@ -219,6 +220,8 @@
     readonly entries = new Map<string, HomeEntry>();
     workerOwner: (slice: number) => SliceOwner | undefined = () => undefined;
     homeOwner: SliceOwner | undefined;
+    /** Settings in force; the defaults unless a test sets them. */
+    settings: SettingsVersion | undefined;
     /** What a placer does with a new order; nothing unless a test says so. */
     handleOrder: (placer: ScriptedPlacer, order: PlaceOrder) => void = () => undefined;
     private readonly listeners: (() => void)[] = [];
@@ -256,7 +259,11 @@
                 log,
                 metrics: createFakeMetrics(),
                 store,
-                settings: { getCurrent: () => undefined, isCurrent: () => true, subscribe: () => undefined },
+                settings: {
+                    getCurrent: () => this.settings,
+                    isCurrent: () => true,
+                    subscribe: () => undefined,
+                },
                 peers: this.makePeers(memberId, clock),
                 ownership: {
                     getRevision: () => 1,
@@ -401,6 +408,13 @@
     };
 }
 
+/** Settings whose one branch differs from the defaults. */
+export function makeSettings(change: Partial<BranchSettings>): SettingsVersion {
+    const path = makeSpec().branch;
+    const branch = { ...DEFAULT_BRANCH, path, kind: "batch" as const, policy: "batch", ...change };
+    return { version: 1, cell: DEFAULT_CELL, teams: new Map(), branches: new Map([[path, branch]]) };
+}
+
 export function makeSubmit(jobId: string, change: Partial<JobSpec> = {}): HomeRequest {
     return { kind: "submitJob", jobId, caller: CALLER, spec: makeSpec(change) };
 }
--- a/src/test/process/home/home-updates_test.ts
+++ b/src/test/process/home/home-updates_test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import type { TaskUpdate } from "../../../connection/messages.js";
 import type { JobSpec } from "../../../request/work.js";
-import { HomeCell, makeSubmit, requireJob, SLICE } from "./home-cell.js";
+import { HomeCell, makeSettings, makeSubmit, requireJob, SLICE } from "./home-cell.js";
 
 const show = { kind: "showJob", jobId: "j", team: undefined } as const;
 
@@ -116,6 +116,23 @@
     }
 });
 
+describe("a task that runs too long", () => {
+    // A sweep's task hangs. Its branch allows a minute: it is stopped and ends as failed, and is not tried again,
+    // since it would hang again.
+    it("is stopped and fails", async () => {
+        const { cell, entry, placer } = await makeCell();
+        cell.settings = makeSettings({ maxRunMs: 60_000 });
+        cell.handleOrder = (at, order) => at.startTask(order);
+        await cell.query(entry, makeSubmit("j"));
+        await cell.clock.step(59_000);
+        assert.equal(requireJob(await cell.query(entry, show)).counts.running, 1);
+        await cell.clock.step(3_000);
+        const job = requireJob(await cell.query(entry, show));
+        assert.equal(job.counts.failed, 1);
+        assert.equal(placer.orders.length, 1);
+    });
+});
+
 describe("updates that come late, doubled or for another attempt", () => {
     // A worker's slice moves: the old owner's word "running" arrives after the new owner's. The task's place must
     // stay the new one, or its withdrawal would go to the wrong placer.
