--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -16,6 +16,21 @@
 const BLOB = "dist/main.blob";
 const BINARY = "dist/cactusrack";
 
+/**
+ * Native add-ons stay out: cbor-x and hot-shots fall back to JavaScript when loading them throws. As `external`
+ * modules they would be asked for at the start of the binary, and Node would print a warning for each.
+ */
+const leaveOutNativeAddOns = {
+    name: "leave-out-native-add-ons",
+    setup({ onResolve, onLoad }) {
+        onResolve({ filter: /^(cbor-extract|unix-dgram)$/ }, ({ path }) => ({ path, namespace: "left-out" }));
+        onLoad({ filter: /./, namespace: "left-out" }, ({ path }) => ({
+            contents: `throw new Error("${path} is not part of the binary");`,
+            loader: "js",
+        }));
+    },
+};
+
 mkdirSync("dist", { recursive: true });
 await build({
     entryPoints: ["src/main.ts"],
@@ -25,8 +40,7 @@
     format: "cjs",
     outfile: BUNDLE,
     logLevel: "warning",
-    // Native add-ons stay out: cbor-x and hot-shots fall back to JavaScript without them.
-    external: ["cbor-extract", "unix-dgram"],
+    plugins: [leaveOutNativeAddOns],
     define: { "import.meta.url": "undefined" },
 });
 writeFileSync(
--- /dev/null
+++ b/src/command/job-command.ts
@@ -0,0 +1,64 @@
+/** What the commands of jobs share. */
+import { ClientCommand } from "./client-command.js";
+import { formatTable } from "./format.js";
+
+/** A job as the callers' interface shows it. */
+export interface ShownJob {
+    readonly jobId: string;
+    readonly state: string;
+    readonly team: string;
+    readonly submitted: string;
+    readonly spec: { readonly kind: string; readonly branch: string; readonly tasks: number; };
+    readonly counts: Readonly<Record<string, number>>;
+    readonly tasks: readonly ShownTask[];
+}
+
+interface ShownTask {
+    readonly index: number;
+    readonly state: string;
+    readonly workerId?: string;
+    readonly attempts: number;
+    readonly outcome?: {
+        readonly kind: string;
+        readonly workerId?: string;
+        readonly answer?: string;
+        readonly message?: string;
+        readonly remedy?: string;
+    };
+}
+
+const MAX_ANSWER_SHOWN = 60;
+
+/** A command about jobs. */
+export abstract class JobCommand extends ClientCommand {
+    /** Path of a job, safe for any id. */
+    protected getPath(jobId: string): string {
+        return `/v1/jobs/${encodeURIComponent(jobId)}`;
+    }
+}
+
+/**
+ * Formats a job for people.
+ * @param job - The job.
+ */
+export function formatJob(job: ShownJob): string {
+    const counts = Object.entries(job.counts).filter(([, count]) => count > 0);
+    const rows = job.tasks.map(task => [
+        String(task.index),
+        task.outcome?.kind ?? task.state,
+        task.outcome?.workerId ?? task.workerId ?? "",
+        String(task.attempts),
+        describeOutcome(task),
+    ]);
+    return [
+        `job ${job.jobId}: ${job.state}`,
+        `  ${job.spec.kind}, branch ${job.spec.branch}, team ${job.team}, handed in ${job.submitted}`,
+        `  tasks: ${counts.map(([state, count]) => `${count} ${state}`).join(", ")}`,
+        formatTable([["TASK", "STATE", "WORKER", "TRIES", "ANSWER"], ...rows]),
+    ].join("\n");
+}
+
+function describeOutcome({ outcome }: ShownTask): string {
+    const text = outcome?.answer ?? outcome?.message ?? outcome?.remedy ?? "";
+    return text.length <= MAX_ANSWER_SHOWN ? text : `${text.slice(0, MAX_ANSWER_SHOWN)}…`;
+}
--- a/src/process/entry-settings/entry-schema.ts
+++ b/src/process/entry-settings/entry-schema.ts
@@ -65,12 +65,12 @@
 });
 
 const DEFAULT_LIMITS = {
-    maxBodyBytes: 4 * MEBIBYTE,
+    maxBodyBytes: 8 * MEBIBYTE,
     maxHeaderBytes: 16_384,
-    maxConnections: 4_096,
-    maxInFlight: 4_096,
-    headersTimeoutMs: 5_000,
-    bodyTimeoutMs: 30_000,
+    maxConnections: 10_000,
+    maxInFlight: 4_000,
+    headersTimeoutMs: 10_000,
+    requestTimeoutMs: 60_000,
 };
 
 const limitsSchema = z.strictObject({
@@ -89,12 +89,12 @@
         .default(DEFAULT_LIMITS.maxInFlight),
     headersTimeoutMs: buildMillisSchema(100, 600_000, "Longest time that a client may take to send the head.")
         .default(DEFAULT_LIMITS.headersTimeoutMs),
-    bodyTimeoutMs: buildMillisSchema(
+    requestTimeoutMs: buildMillisSchema(
         100,
         600_000,
         "Longest time that a client may take to send the whole request.",
     )
-        .default(DEFAULT_LIMITS.bodyTimeoutMs),
+        .default(DEFAULT_LIMITS.requestTimeoutMs),
 });
 
 /** Schema of the file. */
@@ -139,11 +139,6 @@
     metrics: z.strictObject({
         host: buildIpSchema("IP number of the StatsD sink.", "127.0.0.1"),
         port: buildPortSchema(1, "UDP port of the sink."),
-        prefix: buildTextSchema(
-            /^[a-z0-9._-]{0,64}$/,
-            "at most 64 lower-case letters, digits, dots, hyphens and underscores",
-            "Put before each name.",
-        ).default("cactusrack."),
     }).meta({ description: "Where metrics go; left out, none are sent." }).optional(),
     logLevel: buildChoiceSchema(LOG_LEVELS, "Least serious lines that are logged. Decisions are `info`.")
         .default("info"),
--- a/src/process/entry-settings/index.ts
+++ b/src/process/entry-settings/index.ts
@@ -52,11 +52,11 @@
 }
 
 function checkTimes({ limits }: EntrySettings): readonly SettingsFault[] {
-    return limits.bodyTimeoutMs >= limits.headersTimeoutMs ? [] : [{
-        path: "limits.bodyTimeoutMs",
-        found: `bodyTimeoutMs ${limits.bodyTimeoutMs} with headersTimeoutMs ${limits.headersTimeoutMs}`,
-        allowed: "at least headersTimeoutMs, since the body follows the head",
-        remedy: `raise limits.bodyTimeoutMs to ${limits.headersTimeoutMs}`,
+    return limits.requestTimeoutMs >= limits.headersTimeoutMs ? [] : [{
+        path: "limits.requestTimeoutMs",
+        found: `requestTimeoutMs ${limits.requestTimeoutMs} with headersTimeoutMs ${limits.headersTimeoutMs}`,
+        allowed: "at least headersTimeoutMs, since the head is part of the request",
+        remedy: `raise limits.requestTimeoutMs to ${limits.headersTimeoutMs}`,
     }];
 }
 
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -52,6 +52,7 @@
 export interface Entry {
     readonly callers: CallerGateway;
     readonly operators: OperatorGateway;
+    /** The settings tree as this entry holds it. */
     readonly settings: SettingsSource;
     start(): void;
     /** Whether the balancer should send callers here. */
@@ -186,6 +187,9 @@
         this.digestTimer?.cancel();
         this.watch?.stop();
         this.ownership.close();
+        // A slice taken from an entry that leaves at the same time may still be opening: its timers would keep the
+        // process alive for ever.
+        this.home.getStatus().slices.forEach(({ slice }) => void this.home.closeSlice(slice, "lost"));
         this.placer.close();
         this.tree.close();
         this.store.close();
--- a/src/process/home/home-slice.ts
+++ b/src/process/home/home-slice.ts
@@ -39,6 +39,11 @@
         const writer = { slice: this.slice, epoch: this.epoch, writer: this.context.memberId };
         const scope = { context: this.context, isStopped: () => this.isClosed };
         const result = await openSlice(scope, writer, this.options.slots);
+        // Closed while the last answer was under way: opened now, it would take its census for ever with nobody to
+        // stop it, and keep the process from ending.
+        if (this.isClosed) {
+            return;
+        }
         switch (result.kind) {
             case "open": {
                 const log = new SliceLog(scope, writer, result.opened, this.pacer, {
--- a/src/test/process/entry-settings/entry-settings_test.ts
+++ b/src/test/process/entry-settings/entry-settings_test.ts
@@ -63,10 +63,10 @@
             remedy: /http\.advertise\.host/,
         },
         {
-            name: "a body limit below the head's",
-            change: { limits: { headersTimeoutMs: 9_000, bodyTimeoutMs: 8_000 } },
-            path: "limits.bodyTimeoutMs",
-            remedy: /raise limits\.bodyTimeoutMs to 9000/,
+            name: "a limit for the request below the head's",
+            change: { limits: { headersTimeoutMs: 9_000, requestTimeoutMs: 8_000 } },
+            path: "limits.requestTimeoutMs",
+            remedy: /raise limits\.requestTimeoutMs to 9000/,
         },
         {
             name: "two operators with one token",
--- a/src/version/index.ts
+++ b/src/version/index.ts
@@ -15,6 +15,7 @@
 export { checkTree, encodeTree, parseTree, parseTreeFile } from "./parse-tree.js";
 export { ALL_POLICY_NAMES, POLICY_NAMES } from "./policies.js";
 export * from "./settings.js";
+export { getField } from "./tree-fields.js";
 export {
     branchSettingsSchema,
     cellSettingsSchema,
