--- a/src/connection/frame-codec.ts
+++ b/src/connection/frame-codec.ts
@@ -6,8 +6,11 @@
 /** Bytes of the length before each frame. */
 export const FRAME_HEADER_BYTES = 4;
 
-/** Largest frame after the handshake: a caller's body of 8 MiB, or a worker's answer, with room to spare. */
-export const MAX_FRAME_BYTES = 20 * 1_048_576;
+/**
+ * Largest frame after the handshake: the largest body that settings allow, or a worker's largest answer, each of
+ * 64 MiB, with room for what goes with it.
+ */
+export const MAX_FRAME_BYTES = 72 * 1_048_576;
 
 /** Elements of one array or object in a frame; a forged header must not reserve memory for more. */
 const MAX_ELEMENTS = 1_000_000;
--- a/src/connection/http/http-server.ts
+++ b/src/connection/http/http-server.ts
@@ -113,7 +113,8 @@
             {
                 maxHeaderSize: limits.maxHeaderBytes,
                 headersTimeout: limits.headersTimeoutMs,
-                requestTimeout: limits.requestTimeoutMs,
+                // Node refuses a whole request's time that is shorter than that of its headers.
+                requestTimeout: Math.max(limits.requestTimeoutMs, limits.headersTimeoutMs),
                 keepAliveTimeout: limits.keepAliveMs,
                 // Node looks for slow requests only this often.
                 connectionsCheckingInterval: Math.max(MIN_CHECK_MS, shortest / 4),
--- a/src/test/fakes/fake-telemetry.ts
+++ b/src/test/fakes/fake-telemetry.ts
@@ -35,6 +35,11 @@
     };
 }
 
+/** Codes of the warnings and errors that a log was told, in order. */
+export function listCodes(log: FakeLog): string[] {
+    return log.lines.flatMap(line => line.code ?? []);
+}
+
 /** Metrics that sum up counters and keep the last value of gauges. */
 export interface FakeMetrics extends Metrics {
     readonly counters: ReadonlyMap<string, number>;
