--- a/src/process/tree/held-tree.ts
+++ b/src/process/tree/held-tree.ts
@@ -59,7 +59,7 @@
         const parsed = parseTree(text);
         if (parsed.kind === "faults") {
             const [fault] = parsed.faults;
-            this.log.error("CR2001", "settings tree refused, the version before stays in force", {
+            this.log.error("CR1201", "settings tree refused, the version before stays in force", {
                 source,
                 path: fault?.path,
                 found: fault?.found,
@@ -105,7 +105,7 @@
     }
 
     private logOlder(found: string): void {
-        this.log.error("CR2002", "the store's settings tree is older than the one in force, which stays", {
+        this.log.error("CR1202", "the store's settings tree is older than the one in force, which stays", {
             found,
             version: this.held?.document.version,
             remedy: "make an edit: it is written on top of the version in force",
--- a/src/process/tree/tree-writer.ts
+++ b/src/process/tree/tree-writer.ts
@@ -184,6 +184,6 @@
         found: "a tree in the store that this program cannot read",
         allowed: "a tree of this program's format",
         remedy:
-            "see the log line CR2001; replace this entry by a newer program, or restore the last valid tree",
+            "see the log line CR1201; replace this entry by a newer program, or restore the last valid tree",
     }],
 };
--- a/src/test/process/tree/tree-role_test.ts
+++ b/src/test/process/tree/tree-role_test.ts
@@ -237,10 +237,10 @@
     });
 
     const badRecords = [
-        { name: "damaged text", text: '{"format":1,', code: "CR2001" },
-        { name: "a newer format", text: '{"format":2}', code: "CR2001" },
-        { name: "an older version, restored from a backup", text: makeStoredTree(1), code: "CR2002" },
-        { name: "no record at all", text: undefined, code: "CR2002" },
+        { name: "damaged text", text: '{"format":1,', code: "CR1201" },
+        { name: "a newer format", text: '{"format":2}', code: "CR1201" },
+        { name: "an older version, restored from a backup", text: makeStoredTree(1), code: "CR1202" },
+        { name: "no record at all", text: undefined, code: "CR1202" },
     ];
     for (const { name, text, code } of badRecords) {
         it(`with ${name} leaves the version in force and says so`, async () => {
