--- a/bench/home-log-bench.ts
+++ b/bench/home-log-bench.ts
@@ -122,6 +122,7 @@
 interface RecoveryFigures {
     readonly bytes: number;
     readonly readBackMs: number;
+    readonly longestMs: number;
     readonly snapshotMs: number;
     readonly nextSnapshotMs: number;
     readonly overhead: number;
@@ -144,9 +145,17 @@
         throw new Error("the model always answers");
     }
     const bytes = listing.value.records.reduce((sum, record) => sum + record.value.length, 0);
+    let longestMs = 0;
+    let pieceBegin = performance.now();
+    const pause = (): Promise<void> => {
+        longestMs = Math.max(longestMs, performance.now() - pieceBegin);
+        pieceBegin = performance.now();
+        return Promise.resolve();
+    };
     const readBegin = performance.now();
-    const image = buildImage(SLICE, listing.value);
+    const image = await buildImage(SLICE, listing.value, pause);
     const readBackMs = performance.now() - readBegin;
+    await pause();
     if (image.kind !== "done") {
         throw new Error(image.fault.message);
     }
@@ -155,7 +164,14 @@
     const snapshotMs = performance.now() - writeBegin;
     const nextBegin = performance.now();
     listSnapshotItems(image.value.state);
-    return { bytes, readBackMs, snapshotMs, nextSnapshotMs: performance.now() - nextBegin, overhead };
+    return {
+        bytes,
+        readBackMs,
+        longestMs,
+        snapshotMs,
+        nextSnapshotMs: performance.now() - nextBegin,
+        overhead,
+    };
 }
 
 async function buildRecoveryTable(quick: boolean): Promise<FigureTable> {
@@ -164,6 +180,7 @@
         "slots",
         "bytes in the store",
         "read back ms",
+        "longest piece ms",
         "first snapshot text ms",
         "next ms",
         "store writes per record",
@@ -178,6 +195,7 @@
                 slots,
                 figures.bytes,
                 formatFigure(figures.readBackMs),
+                formatFigure(figures.longestMs),
                 formatFigure(figures.snapshotMs),
                 formatFigure(figures.nextSnapshotMs),
                 formatFigure(figures.overhead),
--- a/src/process/home/log/open-log.ts
+++ b/src/process/home/log/open-log.ts
@@ -53,7 +53,8 @@
             await sleep(scope.context.clock, PAUSE_WHEN_AWAY_MS);
             continue;
         }
-        const image = buildImage(writer.slice, listing.value);
+        const pause = (): Promise<void> => sleep(scope.context.clock, 0);
+        const image = await buildImage(writer.slice, listing.value, pause);
         if (image.kind === "fault") {
             return image;
         }
--- a/src/process/home/log/read-back.ts
+++ b/src/process/home/log/read-back.ts
@@ -1,11 +1,12 @@
 /** Builds the state of a home slice from a listing of its keys, or says why that cannot be done. */
 import type { StoreListing, StoreRecord } from "../../ports/index.js";
 import { HomeState, restoreSnapshotItem } from "../state/index.js";
-import type { SnapshotItem } from "../state/index.js";
 import { makeHeadKey, makePartKey, makeSlicePrefix, makeSlotKey } from "./keys.js";
 import type { DecodeResult, HeadRecord, LogRecord, RecordFault } from "./records.js";
 import { decodeRecord, SnapshotSet } from "./records.js";
 
+const RECORDS_BETWEEN_PAUSES = 8;
+
 /** A slice as it stands in the store. */
 export interface SliceImage {
     /** Undefined for a slice that nobody has opened yet. */
@@ -26,8 +27,13 @@
  * Reads a slice back.
  * @param slice - Number of the slice.
  * @param listing - All keys under the slice's prefix.
+ * @param pause - Lets other work of the entry go on; called between pieces of at most a few milliseconds.
  */
-export function buildImage(slice: number, listing: StoreListing): DecodeResult<SliceImage> {
+export async function buildImage(
+    slice: number,
+    listing: StoreListing,
+    pause: () => Promise<void>,
+): Promise<DecodeResult<SliceImage>> {
     const records = new Map(listing.records.map(record => [record.key, record]));
     const revisions = new Map(listing.records.map(record => [record.key, record.revision]));
     const headRecord = records.get(makeHeadKey(slice));
@@ -39,7 +45,7 @@
         return head;
     }
     const state = new HomeState();
-    const restored = restoreSnapshot(slice, head.value, records, state);
+    const restored = await restoreSnapshot(slice, head.value, records, state, pause);
     if (restored !== undefined) {
         return { kind: "fault", fault: restored };
     }
@@ -48,7 +54,10 @@
         return log;
     }
     let highestEpoch = head.value.epoch;
-    for (const record of log.value.records) {
+    for (const [index, record] of log.value.records.entries()) {
+        if (index % RECORDS_BETWEEN_PAUSES === 0) {
+            await pause();
+        }
         highestEpoch = Math.max(highestEpoch, record.epoch);
         for (const entry of record.entries) {
             state.apply(entry, record.at);
@@ -94,12 +103,13 @@
     };
 }
 
-function restoreSnapshot(
+async function restoreSnapshot(
     slice: number,
     head: HeadRecord,
     records: ReadonlyMap<string, StoreRecord>,
     state: HomeState,
-): RecordFault | undefined {
+    pause: () => Promise<void>,
+): Promise<RecordFault | undefined> {
     for (const [part, revision] of head.parts.entries()) {
         const key = makePartKey(slice, head.set, part);
         const record = records.get(key);
@@ -112,8 +122,9 @@
             return decoded.fault;
         }
         for (const item of decoded.value.items) {
-            restoreSnapshotItem(state, JSON.parse(item) as SnapshotItem);
+            restoreSnapshotItem(state, item);
         }
+        await pause();
     }
     state.logTime = head.at;
     return undefined;
--- a/src/process/home/state/home-state.ts
+++ b/src/process/home/state/home-state.ts
@@ -76,7 +76,7 @@
     },
     jobCancelled: (state, entry, at) => {
         const job = state.jobs.get(entry.jobId);
-        if (job === undefined) {
+        if (job === undefined || job.isEnded()) {
             return;
         }
         job.cancelled = true;
--- a/src/process/home/state/job-record.ts
+++ b/src/process/home/state/job-record.ts
@@ -90,6 +90,9 @@
         if (code !== TaskCode.marked) {
             this.markers.delete(index);
         }
+        if (!this.isTaskOpen(index)) {
+            this.retries.delete(index);
+        }
         this.totals[before] = (this.totals[before] ?? 0) - 1;
         this.totals[code] = (this.totals[code] ?? 0) + 1;
         return true;
@@ -111,7 +114,6 @@
         if (!this.setCode(end.index, convertToCode(end.outcome))) {
             return;
         }
-        this.retries.delete(end.index);
         if (end.index < MAX_TASKS_SHOWN) {
             const { outcome, workerId, attempts } = end;
             this.details.set(end.index, { outcome, workerId, attempts });
--- a/src/process/home/state/snapshot-items.ts
+++ b/src/process/home/state/snapshot-items.ts
@@ -38,7 +38,7 @@
 const ITEM_CHARACTERS = 100_000;
 
 /** Texts of ended jobs, which no entry changes any more. */
-const endedItems = new WeakMap<JobRecord, readonly string[]>();
+const endedItems = new WeakMap<JobRecord, string[]>();
 
 /**
  * Lists the items of a state, as texts.
@@ -58,9 +58,25 @@
 /**
  * Puts one item back into a state.
  * @param state - The state being restored.
- * @param item - An item; details follow their job.
+ * @param text - An item as it is written; details follow their job.
  */
-export function restoreSnapshotItem(state: HomeState, item: SnapshotItem): void {
+export function restoreSnapshotItem(state: HomeState, text: string): void {
+    const item = JSON.parse(text) as SnapshotItem;
+    restoreItem(state, item);
+    const job = item.kind === "request" ? undefined : state.jobs.get(item.jobId);
+    if (job?.endedAt === undefined) {
+        return;
+    }
+    const texts = endedItems.get(job);
+    if (texts === undefined) {
+        endedItems.set(job, [text]);
+    }
+    else {
+        texts.push(text);
+    }
+}
+
+function restoreItem(state: HomeState, item: SnapshotItem): void {
     switch (item.kind) {
         case "job":
             state.jobs.set(item.jobId, restoreJob(item));
--- a/src/test/process/home/home-cancel_test.ts
+++ b/src/test/process/home/home-cancel_test.ts
@@ -1,7 +1,7 @@
 /** Cancellation at each point of a task's life, and waves of it. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { HomeCell, makeSubmit, requireJob } from "./home-cell.js";
+import { HomeCell, makeSubmit, requireJob, SLICE } from "./home-cell.js";
 
 async function makeCell() {
     const cell = new HomeCell();
@@ -75,6 +75,26 @@
         assert.deepEqual(cell.getPlacer().confirmed, []);
     });
 
+    // The store is slow and the cancellation is being written; meanwhile places become free. Tasks offered now would
+    // be started only to be stopped.
+    it("while it is being written: nothing more is offered", async () => {
+        const { cell, entry } = await makeCell();
+        const placer = cell.getPlacer();
+        await cell.query(entry, makeSubmit("j", { tasks: 200 }));
+        await cell.clock.step(100);
+        const offered = placer.orders.length;
+        entry.store.latencyMs = 1_000;
+        const cancelled = entry.home.handleRequest(SLICE, cancel);
+        await cell.clock.step(10);
+        placer.orders.slice(0, 20).forEach(order => placer.startTask(order));
+        await cell.clock.step(500);
+        assert.equal(placer.orders.length, offered);
+        await cell.clock.wait(cancelled, 5_000);
+        await cell.clock.step(5_000);
+        const job = requireJob(await cell.query(entry, show));
+        assert.deepEqual([placer.orders.length, job.counts.cancelled], [offered, 200]);
+    });
+
     it("with the store down: changes nothing and says so at once", async () => {
         const { cell, entry } = await makeCell();
         await cell.query(entry, makeSubmit("j"));
@@ -93,7 +113,7 @@
         await cell.query(entry, makeSubmit("j"));
         await cell.clock.step(100);
         entry.store.plan("doneThenSilent");
-        void entry.home.handleRequest(3, cancel);
+        void entry.home.handleRequest(SLICE, cancel);
         await cell.clock.step(10);
         entry.clock.kill();
         await cell.openSliceAt(second);
--- a/src/test/process/home/home-recovery_test.ts
+++ b/src/test/process/home/home-recovery_test.ts
@@ -230,6 +230,45 @@
         assert.equal(countOrders(), 1);
     });
 
+    // The dead home's order waits at an entry that owns no workers at the moment, and may own some again. Its silence
+    // says nothing: if the task were started elsewhere now, it could start there later as well.
+    it("waits for entries that own no workers", async () => {
+        const { cell, first, second } = await makeCell(["p1", "p2"]);
+        cell.getPlacer("p1").isReady = false;
+        await cell.query(first, makeSubmit("j"));
+        await cell.clock.step(100);
+        const waiting = cell.getPlacer("p2");
+        assert.equal(waiting.orders.length, 1);
+        cell.getPlacer("p1").isReady = true;
+        cell.workerOwner = () => ({ memberId: "p1", epoch: 2 });
+        waiting.isSilent = true;
+        await killAndTakeOver(cell, first, second);
+        await cell.clock.step(10_000);
+        assert.deepEqual(cell.getPlacer("p1").orders, []);
+        waiting.isSilent = false;
+        await cell.clock.step(5_000);
+        assert.deepEqual(listAttempts(cell.getPlacer("p1").orders), ["j.0.2.1"]);
+    });
+
+    // A paid run only waits for room at a placer that dies. It was never allowed to start, so it is not given up.
+    it("after a placer is lost: a paid run that waited there starts elsewhere", async () => {
+        const { cell, first } = await makeCell(["p1", "p2"]);
+        cell.placers.forEach(placer => {
+            placer.grants = false;
+        });
+        await cell.query(first, makeSubmit("j", { repeatable: false }));
+        await cell.clock.step(100);
+        const lost = [...cell.placers.values()].find(placer => placer.orders.length > 0)?.memberId ?? "";
+        const left = lost === "p1" ? "p2" : "p1";
+        cell.placers.delete(lost);
+        cell.getPlacer(left).grants = true;
+        cell.workerOwner = () => ({ memberId: left, epoch: 2 });
+        cell.notifyTable();
+        await cell.clock.step(3_000);
+        assert.equal((await show(cell, first, "j")).counts.mayHaveRun, 0);
+        assert.equal(cell.getPlacer(left).confirmed.length, 1);
+    });
+
     // A placer dies with a task that its home believes running. Its slices go to another, which does not find the
     // task on any worker: it is started again, and the one that is not repeatable is never.
     for (const repeatable of [true, false]) {
--- a/src/test/process/home/home-requests_test.ts
+++ b/src/test/process/home/home-requests_test.ts
@@ -127,6 +127,24 @@
     });
 });
 
+describe("the answer of a placer is lost", () => {
+    // The correction reached a worker, and the placer's answer never came. Trying it at another placer could run it
+    // twice, and calling it "not run" at its deadline could be untrue.
+    it("tries nothing else, and says that it may have run", async () => {
+        const cell = new HomeCell(["p1", "p2"]);
+        const entry = cell.addEntry("h1");
+        await cell.openSliceAt(entry);
+        cell.placers.forEach(placer => {
+            placer.serve = () => "never";
+        });
+        const first = await cell.query(entry, makeRequest("k", { deadlineMs: 3_000 }));
+        const repeat = await cell.query(entry, makeRequest("k"));
+        assert.deepEqual([first, repeat].map(describeReply), ["mayHaveRun", "repeated mayHaveRun"]);
+        const served = [...cell.placers.values()].flatMap(placer => placer.served);
+        assert.equal(served.length, 1);
+    });
+});
+
 describe("a key is used again", () => {
     it("twice at once: runs once, and both get the outcome", async () => {
         const { cell, first } = await makeCell();
--- a/src/test/process/home/state/home-state_test.ts
+++ b/src/test/process/home/state/home-state_test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { HomeEntry, SnapshotItem, StoredOutcome } from "../../../../process/home/state/index.js";
+import type { HomeEntry, StoredOutcome } from "../../../../process/home/state/index.js";
 import { HomeState, listSnapshotItems, restoreSnapshotItem } from "../../../../process/home/state/index.js";
 import { CALLER, makeSpec } from "../home-cell.js";
 
@@ -74,7 +74,7 @@
     const copy = new HomeState();
     copy.logTime = state.logTime;
     for (const item of listSnapshotItems(state)) {
-        restoreSnapshotItem(copy, JSON.parse(item) as SnapshotItem);
+        restoreSnapshotItem(copy, item);
     }
     return copy;
 }
