--- a/bench/lib/driver.ts
+++ b/bench/lib/driver.ts
@@ -8,6 +8,8 @@
     readonly waits: number[] = [];
     arrived = 0;
     started = 0;
+    /** Starts after a preemption, a failure or the loss of a worker. */
+    restarted = 0;
     shed = 0;
     ended = 0;
     private inUse = 0;
@@ -44,10 +46,12 @@
     readonly records = new Map<string, ClassRecord>();
     /** Whether a run on this worker fails at once. */
     fails: (workerId: string) => boolean = () => false;
-    /** Called at each end that was no failure. */
-    afterEnd: (item: WorkItem) => void = () => undefined;
+    /** Called at each start. */
+    afterStart: (item: WorkItem) => void = () => undefined;
     private readonly running = new Map<string, Running>();
     private readonly trueRuns = new Map<string, number>();
+    /** Handed in and not started for the first time. */
+    private readonly waiting = new Map<string, WorkItem>();
     private runs = 0;
     private plannedAt = Infinity;
     private usedFrom = 0;
@@ -59,9 +63,10 @@
         const record = this.getRecord(this.classify(item));
         record.arrived += 1;
         this.trueRuns.set(item.id, trueRunMs);
+        this.waiting.set(item.id, item);
         if (!this.subject.enqueue(item, this.events.now)) {
             record.shed += 1;
-            this.trueRuns.delete(item.id);
+            this.dropItem(item.id);
         }
         this.step();
     }
@@ -70,6 +75,7 @@
         for (const item of items) {
             this.getRecord(this.classify(item)).arrived += 1;
             this.trueRuns.set(item.id, trueRunMs);
+            this.waiting.set(item.id, item);
         }
         this.subject.enqueueGang(gangId, items);
         this.step();
@@ -107,6 +113,13 @@
         return means;
     }
 
+    /** Counts what still waits as if it started now: its waits are lower bounds. */
+    endWaits(): void {
+        for (const item of this.waiting.values()) {
+            this.getRecord(this.classify(item)).waits.push(this.events.now - item.queuedAt);
+        }
+    }
+
     /** Lets the subject decide and carries the decisions out. */
     step(): void {
         const { now } = this.events;
@@ -116,7 +129,7 @@
         }
         for (const item of step.shed) {
             this.getRecord(this.classify(item)).shed += 1;
-            this.trueRuns.delete(item.id);
+            this.dropItem(item.id);
         }
         for (const id of step.stops) {
             this.stopSoon(id);
@@ -127,9 +140,15 @@
     private start(item: WorkItem, workerId: string): void {
         const { now } = this.events;
         const record = this.getRecord(this.classify(item));
-        record.started += 1;
-        record.waits.push(now - item.queuedAt);
+        if (this.waiting.delete(item.id)) {
+            record.started += 1;
+            record.waits.push(now - item.queuedAt);
+        }
+        else {
+            record.restarted += 1;
+        }
         this.count(item, 1);
+        this.afterStart(item);
         this.runs += 1;
         const run = this.runs;
         this.running.set(item.id, { item, startedAt: now, run });
@@ -156,7 +175,6 @@
         const record = this.getRecord(this.classify(item));
         record.ended += 1;
         this.trueRuns.delete(id);
-        this.afterEnd(item);
         this.step();
     }
 
@@ -185,6 +203,11 @@
         this.step();
     }
 
+    private dropItem(id: string): void {
+        this.trueRuns.delete(id);
+        this.waiting.delete(id);
+    }
+
     private planLook(): void {
         const { now } = this.events;
         const next = this.subject.getNextAt(now);
--- a/src/process/placement/books.ts
+++ b/src/process/placement/books.ts
@@ -36,6 +36,7 @@
     private readonly roomListeners: RoomListener[] = [];
     private readonly slotListeners: SlotListener[] = [];
     private readonly spread = new Map<string, number>();
+    private keepsRoom = false;
     /** Made again after workers came, went or changed their capacity. */
     private fleet: Fleet | undefined;
 
@@ -54,7 +55,9 @@
         const worker = this.workers.get(view.workerId);
         if (worker === undefined) {
             this.fleet = undefined;
-            this.workers.set(view.workerId, new WorkerRecord(view));
+            const added = new WorkerRecord(view);
+            added.keepsRoom = this.keepsRoom;
+            this.workers.set(view.workerId, added);
             this.teams.total = addResources(this.teams.total, view.capacity);
             return;
         }
@@ -89,6 +92,15 @@
         return lost;
     }
 
+    /** Begins or ends leaving room beside idle accelerators. */
+    setKeepsRoom(keepsRoom: boolean): void {
+        this.keepsRoom = keepsRoom;
+        for (const worker of this.getFleet().accelerated) {
+            worker.keepsRoom = keepsRoom;
+            this.refresh(worker);
+        }
+    }
+
     setOpen(worker: WorkerRecord, open: boolean): void {
         worker.open = open;
         if (!open) {
--- a/src/process/placement/gang-book.ts
+++ b/src/process/placement/gang-book.ts
@@ -13,7 +13,7 @@
 import type { Books } from "./books.js";
 import { type ItemRecord, ItemState } from "./item-record.js";
 import type { Decision, HoldResult, WorkItem } from "./placement-core.js";
-import type { Reservations } from "./reservations.js";
+import { countFits, type Reservations } from "./reservations.js";
 import type { WorkerRecord } from "./worker-record.js";
 
 /** Bounds of the time after which a home asks again. */
@@ -30,6 +30,12 @@
     readonly items: Map<string, ItemRecord>;
 }
 
+/** Workers with room reserved for a gang at once, as a share: the others go on serving short work at once. */
+const RESERVED_SHARE = 0.8;
+
+/** Room reserved for a gang, against what it still needs. */
+const OVERBOOKING = 4;
+
 /** The gang for which room is reserved. */
 interface PendingGang {
     readonly gangId: string;
@@ -171,7 +177,7 @@
         this.books.place(record, worker, "held", now);
         record.holdId = hold.gangId;
         hold.items.set(item.id, record);
-        this.useReservation(worker, hold.gangId, item.resources);
+        this.useReservation(worker, hold.gangId);
         return true;
     }
 
@@ -185,18 +191,13 @@
     }
 
     /** Lowers a reservation by what was now held on the worker. */
-    private useReservation(worker: WorkerRecord, gangId: string, used: Resources): void {
+    private useReservation(worker: WorkerRecord, gangId: string): void {
         const { reservation } = worker;
         if (reservation?.ownerId !== gangId) {
             return;
         }
-        const need = {
-            cpuMillis: Math.max(0, reservation.need.cpuMillis - used.cpuMillis),
-            memoryMib: Math.max(0, reservation.need.memoryMib - used.memoryMib),
-            accelerators: Math.max(0, reservation.need.accelerators - used.accelerators),
-        };
-        const isUsedUp = need.cpuMillis === 0 && need.memoryMib === 0 && need.accelerators === 0;
-        this.books.setReservation(worker, isUsedUp ? undefined : { ...reservation, need });
+        const count = reservation.count - 1;
+        this.books.setReservation(worker, count === 0 ? undefined : { ...reservation, count });
     }
 
     /** Drops the youngest hold that is younger than the given one; returns whether there was one. */
@@ -238,10 +239,16 @@
         }
         const expiresAt = hold.expiresAt + RESERVATION_GRACE_MS;
         this.pending = { gangId: hold.gangId, queuedAt: hold.queuedAt, expiresAt };
-        this.reservations.drop(hold.gangId);
-        return this.planRest(hold.gangId, rest, expiresAt, now, random);
+        const soonest = this.reservations.renew(hold.gangId, expiresAt, now);
+        const added = this.planRest(hold.gangId, rest, expiresAt, now, random);
+        return soonest === undefined ? added : Math.min(soonest, added ?? Infinity);
     }
 
+    /**
+     * Reserves room for more members than are left, whole workers where they are needed: the gang takes what
+     * comes free first, and what it does not need goes back when it is complete. Waiting for just as many
+     * places kept most of the room idle until the slowest of them was free.
+     */
     private planRest(
         gangId: string,
         rest: readonly WorkItem[],
@@ -249,21 +256,28 @@
         now: Millis,
         random: Random,
     ): Millis | undefined {
+        const item = rest[0];
+        if (item === undefined || !this.books.teams.get(item.team).mayUse(item.resources)) {
+            return undefined;
+        }
+        const unit = item.resources;
+        const mostWorkers = Math.max(1, Math.floor(RESERVED_SHARE * this.books.workers.size));
+        const wanted = OVERBOOKING * rest.length;
+        let reserved = 0;
+        for (const worker of this.reservations.list(gangId)) {
+            reserved += worker.reservation?.count ?? 0;
+        }
         let soonest: Millis | undefined;
-        for (let index = 0; index < rest.length;) {
-            const item = rest[index];
-            if (item === undefined || !this.books.teams.get(item.team).mayUse(item.resources)) {
-                break;
-            }
-            const same = countSameSize(rest, index);
-            const plan = this.reservations.plan(item.resources, same, now, random);
+        while (reserved < wanted && this.reservations.list(gangId).size < mostWorkers) {
+            const plan = this.reservations.plan(unit, now, random);
             if (plan === undefined) {
                 break;
             }
-            const need = computeMultiple(item.resources, plan.count);
-            this.reservations.add(plan.worker, gangId, need, plan.readyAt, expiresAt);
-            soonest = Math.min(soonest ?? Infinity, plan.readyAt);
-            index += plan.count;
+            const { worker, readyAt } = plan;
+            const count = Math.min(rest.length, countMost(worker, unit));
+            this.reservations.add(worker, { ownerId: gangId, unit, count, readyAt, expiresAt });
+            soonest = Math.min(soonest ?? Infinity, readyAt);
+            reserved += count;
         }
         return soonest;
     }
@@ -280,25 +294,8 @@
     return left.queuedAt < right.queuedAt || left.queuedAt === right.queuedAt && left.gangId < right.gangId;
 }
 
-function countSameSize(items: readonly WorkItem[], from: number): number {
-    const first = items[from]?.resources;
-    let count = 0;
-    for (let index = from; index < items.length; index++) {
-        const size = items[index]?.resources;
-        const isSame = size?.cpuMillis === first?.cpuMillis && size?.memoryMib === first?.memoryMib &&
-            size?.accelerators === first?.accelerators;
-        if (!isSame) {
-            break;
-        }
-        count += 1;
-    }
-    return count;
-}
-
-function computeMultiple(need: Resources, times: number): Resources {
-    return {
-        cpuMillis: need.cpuMillis * times,
-        memoryMib: need.memoryMib * times,
-        accelerators: need.accelerators * times,
-    };
+/** @returns How many members the empty worker would hold; at least 1. */
+function countMost(worker: WorkerRecord, unit: Resources): number {
+    const { cpuMillis, memoryMib, accelerators } = worker.view.capacity;
+    return Math.max(1, countFits(unit, { cpu: cpuMillis, memory: memoryMib, accelerators }));
 }
--- a/src/process/placement/preemption.ts
+++ b/src/process/placement/preemption.ts
@@ -73,7 +73,14 @@
             this.add(victim, best.worker, record.item.id, now);
         }
         const { id, resources } = record.item;
-        this.reservations.add(best.worker, id, resources, now, now + KEEP_MS);
+        const reservation = {
+            ownerId: id,
+            unit: resources,
+            count: 1,
+            readyAt: now,
+            expiresAt: now + KEEP_MS,
+        };
+        this.reservations.add(best.worker, reservation);
         return true;
     }
 
--- a/src/process/placement/reservations.ts
+++ b/src/process/placement/reservations.ts
@@ -1,9 +1,10 @@
 /**
  * Room kept back on workers for one waiting task or gang, and backfill in front of it.
  *
- * @remarks A reserved worker is out of the room index. Other work may start there only if it leaves the
- * reserved room free at the reserved instant, or ends before it by a long estimate and may be preempted if it
- * does not. So a wrong estimate never delays the reserved start by more than a preemption takes.
+ * @remarks A reserved worker is out of the room index. Other work may start there only if the reserved room is
+ * free beside it already, or if it ends before the reserved start by a long estimate and may be preempted if
+ * it does not. Ends of running tasks are not counted on for it: with run times off by ten, work that relied on
+ * them was started and preempted again and again. So a wrong estimate never delays the reserved start by more than a preemption takes.
  */
 import type { Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
@@ -11,7 +12,7 @@
 import type { Books } from "./books.js";
 import { type ItemRecord, ItemState } from "./item-record.js";
 import type { Learning } from "./learning.js";
-import type { WorkerRecord } from "./worker-record.js";
+import type { Reservation, WorkerRecord } from "./worker-record.js";
 
 /** Workers compared when room is to be reserved. */
 const SAMPLED_WORKERS = 24;
@@ -20,8 +21,6 @@
 export interface ReservationPlan {
     readonly worker: WorkerRecord;
     readonly readyAt: Millis;
-    /** How many times the need will fit then. */
-    readonly count: number;
 }
 
 /** All reservations of one placer. */
@@ -40,11 +39,25 @@
     }
 
     /** Keeps room back on an unreserved worker. */
-    add(worker: WorkerRecord, ownerId: string, need: Resources, readyAt: Millis, expiresAt: Millis): void {
-        this.books.setReservation(worker, { ownerId, need, readyAt, expiresAt });
-        const workers = this.byOwner.get(ownerId) ?? new Set();
+    add(worker: WorkerRecord, reservation: Reservation): void {
+        this.books.setReservation(worker, reservation);
+        const workers = this.byOwner.get(reservation.ownerId) ?? new Set();
         workers.add(worker);
-        this.byOwner.set(ownerId, workers);
+        this.byOwner.set(reservation.ownerId, workers);
+    }
+
+    /** Extends an owner's reservations and estimates again when they will be ready; returns the soonest. */
+    renew(ownerId: string, expiresAt: Millis, now: Millis): Millis | undefined {
+        let soonest: Millis | undefined;
+        for (const worker of this.list(ownerId)) {
+            const { reservation } = worker;
+            if (reservation?.ownerId === ownerId) {
+                const readyAt = this.planOn(worker, reservation.unit, now)?.readyAt ?? reservation.readyAt;
+                this.books.setReservation(worker, { ...reservation, readyAt, expiresAt });
+                soonest = Math.min(soonest ?? Infinity, readyAt);
+            }
+        }
+        return soonest;
     }
 
     /** Ends all reservations of an owner. */
@@ -67,11 +80,8 @@
         }
     }
 
-    /**
-     * Finds where a need will fit soonest, among some workers that are large enough.
-     * @param most - How many times the need is wanted at most.
-     */
-    plan(need: Resources, most: number, now: Millis, random: Random): ReservationPlan | undefined {
+    /** Finds where a need will fit soonest, among some workers that are large enough. */
+    plan(need: Resources, now: Millis, random: Random): ReservationPlan | undefined {
         let best: ReservationPlan | undefined;
         const candidates = this.books.listCandidates(need);
         for (let step = 0; step < Math.min(SAMPLED_WORKERS, candidates.length); step++) {
@@ -79,7 +89,7 @@
             if (worker === undefined || !worker.open || worker.reservation !== undefined) {
                 continue;
             }
-            const plan = this.planOn(worker, need, most, now);
+            const plan = this.planOn(worker, need, now);
             if (plan !== undefined && (best === undefined || plan.readyAt < best.readyAt)) {
                 best = plan;
             }
@@ -93,32 +103,21 @@
         if (reservation === undefined || !worker.hasRoom(record.item.resources)) {
             return false;
         }
-        const endsInTime = now + this.learning.estimateLongRun(record.item) <= reservation.readyAt;
-        if (endsInTime && record.branch?.preemptible === true && record.item.repeatable) {
+        const { resources, repeatable } = record.item;
+        const leavesRoom =
+            resources.cpuMillis + reservation.count * reservation.unit.cpuMillis <= worker.freeCpu &&
+            resources.memoryMib + reservation.count * reservation.unit.memoryMib <= worker.freeMemory &&
+            resources.accelerators + reservation.count * reservation.unit.accelerators <=
+                worker.freeAccelerators;
+        if (leavesRoom) {
             return true;
         }
-        const { resources } = record.item;
-        const free = {
-            cpu: worker.freeCpu,
-            memory: worker.freeMemory,
-            accelerators: worker.freeAccelerators,
-        };
-        for (const task of worker.tasks.values()) {
-            if (task.startedAt + task.expectedMs <= reservation.readyAt) {
-                addFree(free, task.item.resources);
-            }
-        }
-        return resources.cpuMillis + reservation.need.cpuMillis <= free.cpu &&
-            resources.memoryMib + reservation.need.memoryMib <= free.memory &&
-            resources.accelerators + reservation.need.accelerators <= free.accelerators;
+        const endsInTime = now + this.learning.estimateLongRun(record.item) <= reservation.readyAt;
+        return endsInTime && record.branch?.preemptible === true && repeatable;
     }
 
-    private planOn(
-        worker: WorkerRecord,
-        need: Resources,
-        most: number,
-        now: Millis,
-    ): ReservationPlan | undefined {
+    /** @returns When the need fits on one worker. */
+    private planOn(worker: WorkerRecord, need: Resources, now: Millis): ReservationPlan | undefined {
         if (!worker.canHold(need)) {
             return undefined;
         }
@@ -129,14 +128,18 @@
         };
         let readyAt = now;
         for (const task of sortByEnd(worker, now)) {
+            // What was backfilled gives way at the reserved start, so it must not move that start.
+            if (task.backfilledFor === worker.reservation?.ownerId && task.backfilledFor !== undefined) {
+                addFree(free, task.item.resources);
+                continue;
+            }
             if (countFits(need, free) > 0) {
                 break;
             }
             addFree(free, task.item.resources);
             readyAt = Math.max(now, task.startedAt + task.expectedMs);
         }
-        const count = Math.min(most, countFits(need, free));
-        return count > 0 ? { worker, readyAt, count } : undefined;
+        return countFits(need, free) > 0 ? { worker, readyAt } : undefined;
     }
 }
 
@@ -154,7 +157,8 @@
     free.accelerators += resources.accelerators;
 }
 
-function countFits(need: Resources, free: FreeRoom): number {
+/** @returns How many times a need fits. */
+export function countFits(need: Resources, free: FreeRoom): number {
     return Math.floor(Math.min(
         need.cpuMillis > 0 ? free.cpu / need.cpuMillis : Infinity,
         need.memoryMib > 0 ? free.memory / need.memoryMib : Infinity,
--- a/src/process/placement/room-scheduler.ts
+++ b/src/process/placement/room-scheduler.ts
@@ -13,7 +13,7 @@
 import type { SearchResult } from "./room-index.js";
 import { type QueueListener, RoomQueue } from "./room-queue.js";
 import type { Scheduler, SchedulerContext } from "./scheduler.js";
-import type { WorkerRecord } from "./worker-record.js";
+import type { Reservation, WorkerRecord } from "./worker-record.js";
 
 /** Waiting after which a task that fits nowhere gets room reserved, at aging 1. */
 const RESERVE_AFTER_MS = 60_000;
@@ -22,6 +22,8 @@
 /** Tasks with reserved room at once, as a share of the workers. */
 const RESERVED_SHARE = 0.05;
 const SWEEP_MS = 1_000;
+/** Time after the last task for accelerators for which room is left beside idle ones. */
+const KEEP_FOR_ACCELERATORS_MS = 1_800_000;
 /** Urgent tasks of one line that preempt at once. */
 const URGENT_LOOKAHEAD = 16;
 
@@ -34,6 +36,9 @@
     private readonly blocked = new Set<RoomQueue>();
     private readonly urgent = new Set<Line>();
     private sweptAt: Millis = -Infinity;
+    /** When a task for accelerators was last handed in, and whether room is left for more. */
+    private acceleratedAt: Millis = -Infinity;
+    private keepsRoom = false;
 
     constructor(
         private readonly context: SchedulerContext,
@@ -48,6 +53,9 @@
         if (branch === undefined) {
             return;
         }
+        if (item.resources.accelerators > 0) {
+            this.acceleratedAt = Math.max(this.acceleratedAt, item.queuedAt);
+        }
         const queue = this.getQueue(item.resources);
         const key = `${item.branch}|${item.urgent ? "urgent" : "usual"}|${policy.getLineKey(item)}`;
         let line = queue.lines.get(key);
@@ -103,6 +111,7 @@
         if (now >= this.sweptAt + SWEEP_MS) {
             this.sweptAt = now;
             this.reserveForOld(now, random);
+            this.updateKeepsRoom(now);
         }
     }
 
@@ -300,22 +309,30 @@
             if (reservation === undefined) {
                 continue;
             }
-            if (record?.line !== undefined && worker.hasRoom(reservation.need)) {
-                if (record.line.team.mayUse(reservation.need)) {
+            if (record?.line !== undefined && worker.hasRoom(reservation.unit)) {
+                if (record.line.team.mayUse(reservation.unit)) {
                     this.start(record, worker, "room was kept for it", [], now, decisions);
                 }
             }
             else if (now >= reservation.readyAt) {
-                this.preemptBackfill(worker, reservation.ownerId, now);
+                this.preemptBackfill(worker, reservation, now);
             }
         }
     }
 
-    private preemptBackfill(worker: WorkerRecord, ownerId: string, now: Millis): void {
-        for (const task of worker.tasks.values()) {
-            if (task.backfilledFor === ownerId && task.branch?.preemptible === true && task.item.repeatable) {
-                this.preemption.add(task, worker, ownerId, now);
-            }
+    /** Stops backfilled work only where that makes the reserved room free: otherwise it is not what delays. */
+    private preemptBackfill(worker: WorkerRecord, { ownerId, unit }: Reservation, now: Millis): void {
+        const late = [...worker.tasks.values()].filter(task =>
+            task.backfilledFor === ownerId && task.branch?.preemptible === true && task.item.repeatable
+        );
+        const cpu = late.reduce((sum, task) => sum + task.item.resources.cpuMillis, worker.freeCpu);
+        const memory = late.reduce((sum, task) => sum + task.item.resources.memoryMib, worker.freeMemory);
+        const accelerators = late.reduce(
+            (sum, task) => sum + task.item.resources.accelerators,
+            worker.freeAccelerators,
+        );
+        if (unit.cpuMillis <= cpu && unit.memoryMib <= memory && unit.accelerators <= accelerators) {
+            late.forEach(task => this.preemption.add(task, worker, ownerId, now));
         }
     }
 
@@ -331,6 +348,15 @@
         }
     }
 
+    /** Workers with accelerators are kept for accelerator work only while there is some. */
+    private updateKeepsRoom(now: Millis): void {
+        const keepsRoom = now - this.acceleratedAt < KEEP_FOR_ACCELERATORS_MS;
+        if (keepsRoom !== this.keepsRoom) {
+            this.keepsRoom = keepsRoom;
+            this.context.books.setKeepsRoom(keepsRoom);
+        }
+    }
+
     /** Keeps room for tasks that have waited long for a size that fits nowhere: small work would pass for ever. */
     private reserveForOld(now: Millis, random: Random): void {
         const most = Math.max(1, Math.floor(RESERVED_SHARE * this.context.books.workers.size));
@@ -345,10 +371,12 @@
             if (now - record.item.queuedAt < patience || this.reservations.has(record.item.id)) {
                 continue;
             }
-            const plan = this.reservations.plan(queue.need, 1, now, random);
+            const plan = this.reservations.plan(queue.need, now, random);
             if (plan !== undefined) {
-                const { id } = record.item;
-                this.reservations.add(plan.worker, id, queue.need, plan.readyAt, now + RESERVATION_MS);
+                const { worker, readyAt } = plan;
+                const expiresAt = now + RESERVATION_MS;
+                const ownerId = record.item.id;
+                this.reservations.add(worker, { ownerId, unit: queue.need, count: 1, readyAt, expiresAt });
             }
         }
     }
--- a/src/process/placement/worker-record.ts
+++ b/src/process/placement/worker-record.ts
@@ -8,8 +8,10 @@
 export interface Reservation {
     /** Item id or gang id. */
     readonly ownerId: string;
-    /** Sum of what the owner will take here. */
-    readonly need: Resources;
+    /** What one member of the owner takes; the whole need of a task. */
+    readonly unit: Resources;
+    /** Members that may start here at most; 1 for a task. */
+    readonly count: number;
     /** Instant at which, by the corrected estimates, the room will be free. */
     readonly readyAt: Millis;
     /** Instant after which the reservation lapses. */
@@ -35,6 +37,8 @@
     /** Service requests booked here. */
     readonly requests = new Map<string, ItemRecord>();
     reservation: Reservation | undefined;
+    /** Whether room is left beside idle accelerators, because work for them was seen lately. */
+    keepsRoom = false;
     /** Adaptive limit of service requests; at most the worker's own slots. */
     slotLimit: number;
     /** Mean ratio of the duration of service requests here to their branch's mean. */
@@ -96,7 +100,7 @@
             return false;
         }
         const { capacity } = this.view;
-        if (need.accelerators > 0 || capacity.accelerators === 0) {
+        if (!this.keepsRoom || need.accelerators > 0 || capacity.accelerators === 0) {
             return true;
         }
         const kept = KEPT_SHARE * Math.max(0, this.freeAccelerators) / capacity.accelerators;
