--- a/src/process/placement/index.ts
+++ b/src/process/placement/index.ts
@@ -3,3 +3,4 @@
 export * from "./placement-core.js";
 export { POLICIES, PolicyName } from "./policies/index.js";
 export { CapacityKind, type LineView, type PlaceView, type Policy, type SpreadCount } from "./policy.js";
+export { type ShareGrant, ShareHolder, ShareLender, type ShareReport } from "./quota-shares.js";
