--- a/src/stand-ins/worker-model.ts
+++ b/src/stand-ins/worker-model.ts
@@ -173,6 +173,7 @@
         this.leaseTimer?.cancel();
         this.slots.dropAll();
         this.tasks.dropAll();
+        this.waiters.wake();
     }
 
     /** Sets whether the worker takes nothing new. */
