--- a/src/test/process/home/home-cancel_test.ts
+++ b/src/test/process/home/home-cancel_test.ts
@@ -123,6 +123,30 @@
         assert.equal(cell.getPlacer().withdrawn.length > 0, true);
     });
 
+    // The owner of many waiting and running tasks dies, and its client cancels while the new owner does not know yet
+    // what runs. Nothing may start, what runs is stopped, and no task is called "not started" without proof.
+    it("of 5,000 tasks during a take-over", async () => {
+        const { cell, entry } = await makeCell();
+        const placer = cell.getPlacer();
+        const second = cell.addEntry("h2");
+        cell.handleOrder = (at, order) => order.index < 100 && at.startTask(order);
+        await cell.query(entry, makeSubmit("j", { tasks: 5_000 }));
+        await cell.clock.step(1_000);
+        const offered = placer.orders.length;
+        placer.isReady = false;
+        entry.clock.kill();
+        await cell.openSliceAt(second);
+        const early = requireJob(await cell.query(second, cancel));
+        assert.equal(early.counts.cancelled, 0);
+        placer.isReady = true;
+        await cell.clock.step(10_000);
+        const job = requireJob(await cell.query(second, show));
+        assert.deepEqual([job.state, job.counts.cancelled], ["ended", 5_000]);
+        assert.equal(placer.orders.length, offered);
+        assert.equal(placer.started.length, 100);
+        assert.ok(job.tasks.every(task => task.outcome?.kind === "cancelled" && task.outcome.started));
+    });
+
     // A client drops a tender: 50,000 tasks are cancelled at once, while another team's short run comes in. The
     // wave must not hold the short run up.
     it("of 50,000 tasks does not hold up a short run of another team", async () => {
