--- a/bench/front-load.ts
+++ b/bench/front-load.ts
@@ -2,6 +2,7 @@
  * Service requests through one entry process on loopback, against the same client calling stand-in workers
  * directly in the same run. Once with each decision logged and metrics sent, once without both.
  */
+import { cpus, loadavg } from "node:os";
 import { createRandom } from "../src/common/random.js";
 import type { Random } from "../src/common/random.js";
 import type { LoadClient, LoadResult } from "./front/load-client.js";
@@ -120,6 +121,7 @@
 
 async function measure(scene: FrontScene, { quick, seed }: BenchOptions): Promise<BenchReport> {
     const random = createRandom(seed);
+    const loadBefore = readLoad();
     const [rounds, durationMs] = quick ? [1, 1_000] : [ROUNDS, ROUND_MS];
     // Warms up the compilers of all processes.
     await runRounds(scene, 1, client => client.runClosed(CONCURRENCY, quick ? durationMs : WARM_UP_MS));
@@ -133,13 +135,19 @@
         await measureCost(scene, "off", WARM_UP_MS, random),
         await measureCost(scene, "on", WARM_UP_MS, random),
     ];
-    return buildReport(closed, open, costs);
+    return buildReport(closed, open, costs, [loadBefore, readLoad()]);
+}
+
+/** Processes that ran or waited to run, averaged over the last minute. */
+function readLoad(): number {
+    return loadavg()[0] ?? 0;
 }
 
 function buildReport(
     closed: ReadonlyMap<Name, LoadResult[]>,
     open: ReadonlyMap<Name, LoadResult[]>,
     costs: readonly Cost[],
+    loads: readonly number[],
 ): BenchReport {
     const pickOpen = (name: Name, pick: (result: LoadResult) => number) =>
         computeMedian(open.get(name) ?? [], pick);
@@ -184,6 +192,14 @@
                     [formatFigure(rateOn), formatFigure(rateOff), formatFigure(rateOn / rateOff)],
                 ],
             },
+            {
+                title:
+                    "Load of the machine, this bench included: figures of a run above its cores tell little",
+                rows: [
+                    ["cores", "load average before", "after"],
+                    [cpus().length, ...loads.map(formatFigure)],
+                ],
+            },
         ],
         plots: [],
         targets: [
