Stories of failures; an old settings version, an early retry and a forgotten task mended

Change: StoreClient.getLastWatchContact, used by the rule of currency; polls held 1 s; order window added to the waits in placer and router; a task that comes back to a cancelled job ends as cancelled. Wanted owners are computed once for each table. The checker no longer blames a shutdown for an entry killed while it left.

--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -173,9 +173,23 @@
         else {
             live.run.returnTask(live.index, this.core.context.clock.now() + delayMs);
         }
+        this.endIfCancelled(live);
         this.wake();
     }
 
+    /**
+     * Guards against a task of a cancelled job that waits for ever: the cancellation became durable while the end of
+     * the task's attempt was being written, and passed over it. Nothing offers it again and nothing else ends it.
+     */
+    private endIfCancelled({ run, index }: LiveAttempt): void {
+        if (!run.record.cancelled) {
+            return;
+        }
+        const outcome = { kind: "cancelled", started: this.mayHaveStarted(run, index) } as const;
+        const attempts = Math.max(1, run.countTries(index));
+        void this.endFreeTasks(run, [{ index, outcome: encodeOutcome(outcome), attempts }]);
+    }
+
     /** As {@link returnTask}, for a lost attempt: a correlated loss is started again at a pace. */
     returnLostTask(live: LiveAttempt, reason: string): void {
         const now = this.core.context.clock.now();
--- a/src/process/ownership/plan.ts
+++ b/src/process/ownership/plan.ts
@@ -167,17 +167,30 @@
     };
 }
 
+/**
+ * Owners wanted for each table: tables never change, and the same one is looked at several times a second, by as many
+ * hashes as there are slices times members.
+ */
+const wantedWorkerOwners = new WeakMap<OwnershipTable, readonly (string | undefined)[]>();
+const wantedHomeOwners = new WeakMap<OwnershipTable, readonly (string | undefined)[]>();
+
 function chooseWorkerOwners(table: OwnershipTable): readonly (string | undefined)[] {
-    return chooseOwners(
+    const known = wantedWorkerOwners.get(table);
+    const owners = known ?? chooseOwners(
         SliceKind.worker,
         WORKER_SLICES,
         table.members,
         slice => listDomainsOfSlice(table.workerDomains, slice),
     );
+    wantedWorkerOwners.set(table, owners);
+    return owners;
 }
 
 function chooseHomeOwners(table: OwnershipTable): readonly (string | undefined)[] {
-    return chooseOwners(SliceKind.home, HOME_SLICES, table.members, () => []);
+    const known = wantedHomeOwners.get(table);
+    const owners = known ?? chooseOwners(SliceKind.home, HOME_SLICES, table.members, () => []);
+    wantedHomeOwners.set(table, owners);
+    return owners;
 }
 
 function replaceAt<Value>(
--- a/src/process/placer/service-runner.ts
+++ b/src/process/placer/service-runner.ts
@@ -13,6 +13,7 @@
 import { type Decision, type PlacementCore, ShedReason, type WorkItem } from "../placement/placement-core.js";
 import type { ServeReply, WorkerAnswer } from "../ports/worker-port.js";
 import type { RoleContext } from "../roles.js";
+import { ORDER_WINDOW_MS } from "./worker-clock.js";
 import type { WorkerFleet } from "./worker-fleet.js";
 
 /** Statuses from here on are failures of the worker; lower ones are answers. */
@@ -153,7 +154,8 @@
     }
 
     /**
-     * The worker may still be running the request. It gives it up at its timeout, so the slot stays taken and a
+     * The worker may still be running the request. It may have taken it as late as the end of the order window and
+     * gives it up at its timeout from then, so the slot stays taken and a
      * repeatable request is offered for another try only from then on: never two at once.
      */
     private async finishUnknown(
@@ -170,7 +172,7 @@
             this.reply(call.attempt, buildServed(outcome, false));
         }
         const drift = this.options.context.settings.getCurrent()?.cell.clockDrift ?? 0;
-        const end = startedAt + timeoutMs * (1 + drift) + SHORT_RETRY_MS;
+        const end = startedAt + (ORDER_WINDOW_MS + timeoutMs) * (1 + drift) + SHORT_RETRY_MS;
         await sleep(clock, Math.max(0, end - clock.now()));
         this.finish(call, workerId, startedAt, true);
         this.reply(call.attempt, buildServed(outcome, true));
--- a/src/process/router/service-router.ts
+++ b/src/process/router/service-router.ts
@@ -4,6 +4,7 @@
 import type { ServeAnswer } from "../../connection/messages.js";
 import type { ServiceRequest } from "../../request/work.js";
 import type { BranchSettings, SettingsVersion } from "../../version/settings.js";
+import { ORDER_WINDOW_MS } from "../placer/index.js";
 import type { CallResult, RoleContext, ServiceResult } from "../roles.js";
 import { PlacerChoice } from "./placer-choice.js";
 import { RetryBudget } from "./retry-budget.js";
@@ -138,7 +139,8 @@
             avoid: avoidWorkers,
         }, left + ANSWER_GRACE_MS);
         // A placer that is only cut off may keep the request until its longest wait, and then run it.
-        const longest = (branch.maxWaitMs + branch.attemptTimeoutMs) * (1 + settings.cell.clockDrift);
+        const longest = (branch.maxWaitMs + ORDER_WINDOW_MS + branch.attemptTimeoutMs) *
+            (1 + settings.cell.clockDrift);
         return describeTry(result, chosen.memberId, startedAt + longest + ANSWER_GRACE_MS);
     }
 }
--- a/src/process/store-client.ts
+++ b/src/process/store-client.ts
@@ -60,6 +60,12 @@
     revokeLease(leaseId: string): Promise<void>;
     /** Instant of the last call that the store answered, counted from when that call was sent. */
     getLastContact(): Millis | undefined;
+    /**
+     * Instant up to which every running watch surely shows all changes: that of sending of its last poll or listing
+     * that was answered. Other calls say nothing of what the watches have missed.
+     * @returns The earliest over all watches; undefined while one of them, or none, has been answered.
+     */
+    getLastWatchContact(): Millis | undefined;
     /** Sets the share of the cell's budget that this entry may use: called when members change. */
     setBudget(writesPerSecond: number, readsPerSecond: number): void;
     /** Calls so far, by kind, for metrics and `status`. */
--- a/src/process/store/create-store-client.ts
+++ b/src/process/store/create-store-client.ts
@@ -45,6 +45,7 @@
     private readonly calls: StoreCalls;
     private readonly context: OperationContext;
     private readonly known = new KnownRevisions();
+    private readonly watches = new Set<WatchLoop>();
 
     constructor(private readonly options: StoreClientOptions) {
         this.calls = new StoreCalls(options.port, options.clock, options.metrics);
@@ -82,6 +83,7 @@
 
     watch(prefix: string, listener: WatchListener): WatchHandle {
         const loop = new WatchLoop(this.context, prefix, listener);
+        this.watches.add(loop);
         void loop.run();
         return loop;
     }
@@ -117,6 +119,22 @@
         return this.calls.getLastContact();
     }
 
+    getLastWatchContact(): Millis | undefined {
+        let earliest: Millis | undefined;
+        for (const watch of this.watches) {
+            const contact = watch.getLastContact();
+            if (watch.isOver()) {
+                this.watches.delete(watch);
+                continue;
+            }
+            if (contact === undefined) {
+                return undefined;
+            }
+            earliest = Math.min(earliest ?? contact, contact);
+        }
+        return earliest;
+    }
+
     setBudget(writesPerSecond: number, readsPerSecond: number): void {
         this.calls.setBudget(writesPerSecond, readsPerSecond);
     }
--- a/src/process/store/watch-loop.ts
+++ b/src/process/store/watch-loop.ts
@@ -17,7 +17,7 @@
  * How long the store may hold a poll. A waiting poll counts as one call, so longer is cheaper; but an answer, even an
  * empty one, is what tells an entry that its settings are current, so it must come well within `freshMs`.
  */
-const POLL_WAIT_MS = 2_000;
+const POLL_WAIT_MS = 1_000;
 /** Time for one listing with its retries. */
 const LIST_PATIENCE_MS = 30_000;
 /** Time that a poll may wait for the budget, in milliseconds. */
@@ -31,6 +31,8 @@
     private stopped = false;
     /** Revision up to which the listener knows everything; undefined before the listing. */
     private position: number | undefined;
+    /** Sending of the last poll or listing that was answered and passed on. */
+    private lastContact: Millis | undefined;
 
     /**
      * @param context - The store and its helpers.
@@ -64,22 +66,31 @@
         this.stopped = true;
     }
 
-    private isOver(): boolean {
+    /** Returns the instant up to which the listener surely knows all changes. */
+    getLastContact(): Millis | undefined {
+        return this.lastContact;
+    }
+
+    /** Tells whether it no longer runs. */
+    isOver(): boolean {
         return this.stopped || this.context.calls.isClosed();
     }
 
     private async list(): Promise<StepResult> {
+        const sentAt = this.context.calls.clock.now();
         const listing = await listRecords(this.context, this.prefix, this.getDeadline(LIST_PATIENCE_MS));
         if (this.isOver() || listing.kind !== "done") {
             return "failed";
         }
         this.position = listing.value.revision;
         this.listener.replaceAll(listing.value);
+        this.lastContact = sentAt;
         return "ok";
     }
 
     private async poll(position: number): Promise<StepResult> {
         const { calls } = this.context;
+        const sentAt = calls.clock.now();
         const wait = Math.max(POLL_WAIT_MS, calls.getTimeout());
         const answer = await calls.request(
             { kind: "polls", deadline: this.getDeadline(POLL_BUDGET_WAIT_MS), timeout: wait },
@@ -91,10 +102,10 @@
         if (answer.kind === "refused") {
             return answer.reason === "compacted" ? "gap" : "failed";
         }
-        return answer.kind === "done" ? this.applyChanges(position, answer.value) : "failed";
+        return answer.kind === "done" ? this.applyChanges(position, answer.value, sentAt) : "failed";
     }
 
-    private applyChanges(position: number, changes: StoreChanges): StepResult {
+    private applyChanges(position: number, changes: StoreChanges, sentAt: Millis): StepResult {
         if (changes.revision < position) {
             return "failed";
         }
@@ -105,6 +116,7 @@
             }
         }
         this.position = changes.revision;
+        this.lastContact = sentAt;
         return "ok";
     }
 
--- a/src/process/tree/currency.ts
+++ b/src/process/tree/currency.ts
@@ -20,7 +20,10 @@
      * for its word.
      */
     readonly isConfirmedMember: boolean;
-    /** Instant of the last answered call to the store, counted from its sending. */
+    /**
+     * Instant up to which the watch of the tree shows all changes. A lease that was renewed later proves nothing: the
+     * answers of the watch alone may be lost.
+     */
     readonly lastStoreContact: Millis | undefined;
     /** Members of the ownership table held. */
     readonly memberIds: readonly string[];
--- a/src/process/tree/tree-role.ts
+++ b/src/process/tree/tree-role.ts
@@ -118,7 +118,7 @@
             freshMs: this.getCell().freshMs,
             version: this.getVersion(),
             isConfirmedMember: this.membership === "confirmed",
-            lastStoreContact: store.getLastContact(),
+            lastStoreContact: store.getLastWatchContact(),
             memberIds: table.listMemberIds(),
             getDigest: each => peers.getDigest(each),
         });
--- a/src/test/faults/cell-member.ts
+++ b/src/test/faults/cell-member.ts
@@ -26,6 +26,8 @@
 /** Which entry a life belongs to. */
 export interface MemberPlace {
     readonly self: Member;
+    /** Number of the entry, the same over all its lives. */
+    readonly index: number;
     readonly seed: number;
     /** Whether the log keeps decisions and information, for a person who looks into a run. */
     readonly verbose: boolean;
--- a/src/test/faults/checker_test.ts
+++ b/src/test/faults/checker_test.ts
@@ -290,6 +290,23 @@
         },
         broken: [PromiseName.gracefulShutdown],
     },
+    {
+        name: "a request without an answer at an entry that has left",
+        evidence: {
+            requests: [makeRequest({ outcome: undefined, answeredAt: undefined, deadline: 99_000 })],
+            shutdowns: [{ memberId: "m1", at: 100, undisturbed: false }],
+        },
+        broken: [PromiseName.gracefulShutdown],
+    },
+    {
+        name: "a request without an answer at an entry that died while it left",
+        evidence: {
+            requests: [makeRequest({ outcome: undefined, answeredAt: undefined, deadline: 99_000 })],
+            shutdowns: [{ memberId: "m1", at: 100, undisturbed: false }],
+            outages: [{ memberId: "m1", at: 150 }],
+        },
+        broken: [],
+    },
     {
         name: "an entry that goes back",
         evidence: { samples: [sample, { ...sample, at: 9_500, version: 2 }] },
--- a/src/test/process/home/store-for-home.ts
+++ b/src/test/process/home/store-for-home.ts
@@ -73,6 +73,10 @@
         throw new Error("the home holds no lease");
     }
 
+    getLastWatchContact(): undefined {
+        return undefined;
+    }
+
     getLastContact(): undefined {
         return undefined;
     }
--- a/src/test/process/tree/tree-cell.ts
+++ b/src/test/process/tree/tree-cell.ts
@@ -52,6 +52,7 @@
     writes = 0;
     private listener: WatchListener | undefined;
     private lastContact: number | undefined;
+    private lastWatchContact: number | undefined;
 
     constructor(private readonly shared: SharedStore, private readonly clock: FakeClock) {
         shared.watches.add(this);
@@ -67,6 +68,7 @@
         this.clock.schedule(POLL_MS, () => {
             if (this.isReachable() && !this.watchBroken) {
                 this.lastContact = this.clock.now() - this.shared.slowMs;
+                this.lastWatchContact = this.lastContact;
             }
             this.poll();
         });
@@ -117,6 +119,7 @@
         const records = [...this.shared.records.values()].filter(record => record.key.startsWith(prefix));
         this.listener?.replaceAll({ records, revision: this.shared.revision });
         this.lastContact = this.clock.now();
+        this.lastWatchContact = this.lastContact;
     }
 
     send(key: string, value: string | undefined, revision: number): void {
@@ -124,10 +127,15 @@
             if (this.isReachable() && !this.watchBroken) {
                 this.listener?.applyEvent(key, value, revision);
                 this.lastContact = this.clock.now() - this.shared.slowMs;
+                this.lastWatchContact = this.lastContact;
             }
         });
     }
 
+    getLastWatchContact(): number | undefined {
+        return this.lastWatchContact;
+    }
+
     getLastContact(): number | undefined {
         return this.lastContact;
     }
