--- a/bench/core-faults-bench.ts
+++ b/bench/core-faults-bench.ts
@@ -14,6 +14,8 @@
 const SLOTS = 240;
 const RACK_SIZE = 6;
 const LOAD = 0.75;
+/** Load at which the loss of a rack leaves room. */
+const LIGHT_LOAD = 0.6;
 const MEAN_MS = 100;
 const FAILING = 2;
 const WAVE = 50_000;
@@ -50,7 +52,7 @@
     return new Driver(new CoreSubject("cactusrack", core, createRandom(1)), item => item.branch);
 }
 
-function addVisitors(driver: Driver, end: number, random: Random): void {
+function addVisitors(driver: Driver, load: number, end: number, random: Random): void {
     let counter = 0;
     const arrive = () => {
         counter += 1;
@@ -60,7 +62,7 @@
         driver.submit(buildRequest(`request-${counter}`, "visitor", caller, now, 5_000), run);
         if (now < end) {
             driver.events.schedule(
-                now + pickExponential(random.pickFraction(), MEAN_MS / (LOAD * SLOTS)),
+                now + pickExponential(random.pickFraction(), MEAN_MS / (load * SLOTS)),
                 arrive,
             );
         }
@@ -69,7 +71,12 @@
 }
 
 /** Runs visitors, brings the fault about at a third of the time, and reads the waits second by second. */
-function runFault(name: string, options: BenchOptions, bringAbout: (driver: Driver) => void): FaultResult {
+function runFault(
+    name: string,
+    load: number,
+    options: BenchOptions,
+    bringAbout: (driver: Driver) => void,
+): FaultResult {
     const end = (options.quick ? 30 : 120) * SECOND_MS;
     const at = end / 3;
     const driver = buildDriver();
@@ -80,7 +87,7 @@
         list.push(driver.events.now - item.queuedAt);
         waits.set(second, list);
     };
-    addVisitors(driver, end, createRandom(options.seed));
+    addVisitors(driver, load, end, createRandom(options.seed));
     driver.events.schedule(at, () => bringAbout(driver));
     driver.events.runUntil(end);
     const bySecond = [...waits].map(([second, list]) => [second, computePercentile(list, 0.99)] as const);
@@ -98,6 +105,12 @@
     };
 }
 
+function removeRack(driver: Driver): void {
+    for (let index = 0; index < RACK_SIZE; index++) {
+        driver.removeWorker(`worker-${index}`);
+    }
+}
+
 interface WaveResult {
     readonly withdrawMs: number;
     readonly withdrawP99Us: number;
@@ -164,13 +177,10 @@
 
 function runFaults(options: BenchOptions): BenchReport {
     const results = [
-        runFault("no fault", options, () => undefined),
-        runFault("a rack of 6 lost", options, driver => {
-            for (let index = 0; index < RACK_SIZE; index++) {
-                driver.removeWorker(`worker-${index}`);
-            }
-        }),
-        runFault("2 workers fail everything", options, driver => {
+        runFault("no fault, load 0.75", LOAD, options, () => undefined),
+        runFault("a rack of 6 lost, load 0.6", LIGHT_LOAD, options, removeRack),
+        runFault("a rack of 6 lost, load 0.75", LOAD, options, removeRack),
+        runFault("2 workers fail everything, load 0.75", LOAD, options, driver => {
             driver.fails = workerId => Number(workerId.split("-")[1]) < FAILING;
         }),
     ];
@@ -193,7 +203,7 @@
     ];
     return {
         tables: [
-            { title: "Visitors at 0.75 of capacity, p99 of each second", rows: [head, ...rows] },
+            { title: "Visitors, p99 of the waits of each second", rows: [head, ...rows] },
             {
                 title: "50,000 of 80,000 tasks cancelled while they wait",
                 rows: [
--- a/src/process/placement/policies/batch.ts
+++ b/src/process/placement/policies/batch.ts
@@ -40,6 +40,7 @@
 
 /** Packing first. */
 export const batchPolicy: Policy = {
+    kinds: ["batch", "short"],
     capacity: CapacityKind.room,
     getLineKey: item => item.team,
     computeRank: computeBatchRank,
--- a/src/process/placement/policies/gang.ts
+++ b/src/process/placement/policies/gang.ts
@@ -7,6 +7,7 @@
 
 /** All at once. */
 export const gangPolicy: Policy = {
+    kinds: ["gang"],
     capacity: CapacityKind.room,
     getLineKey: item => item.team,
     computeRank: computeBatchRank,
--- a/src/process/placement/policies/index.ts
+++ b/src/process/placement/policies/index.ts
@@ -5,19 +5,11 @@
 import { servicePolicy } from "./service.js";
 import { shortPolicy } from "./short.js";
 
-/** Names of the policies. */
-export const PolicyName = {
-    service: "service",
-    batch: "batch",
-    gang: "gang",
-    short: "short",
-} as const;
-export type PolicyName = (typeof PolicyName)[keyof typeof PolicyName];
-
-/** Handlers by name. */
-export const POLICIES: Readonly<Record<PolicyName, Policy>> = {
+/** Handlers by name. The settings tree takes the names that it allows from here. */
+export const POLICIES = {
     service: servicePolicy,
     batch: batchPolicy,
     gang: gangPolicy,
     short: shortPolicy,
-};
+} satisfies Readonly<Record<string, Policy>>;
+export type PolicyName = keyof typeof POLICIES;
--- a/src/process/placement/policies/service.ts
+++ b/src/process/placement/policies/service.ts
@@ -3,6 +3,7 @@
 
 /** Waiting first. */
 export const servicePolicy: Policy = {
+    kinds: ["service"],
     capacity: CapacityKind.slot,
     getLineKey: item => item.callerId,
     computeRank: line => line.startTag,
--- a/src/process/placement/policies/short.ts
+++ b/src/process/placement/policies/short.ts
@@ -7,6 +7,7 @@
 
 /** Waiting first. */
 export const shortPolicy: Policy = {
+    kinds: ["short", "batch"],
     capacity: CapacityKind.room,
     getLineKey: item => `${item.team}/${item.callerId}`,
     computeRank: line => line.urgent ? URGENT_RANK + line.getHeadQueuedAt() : SHORT_RANK + line.startTag,
--- a/src/process/placement/policy.ts
+++ b/src/process/placement/policy.ts
@@ -1,4 +1,5 @@
 /** What a policy decides: who is next and which of several fitting workers takes it. */
+import type { WorkKind } from "../../request/work.js";
 import type { Line } from "./line.js";
 import type { WorkItem } from "./placement-core.js";
 import type { WorkerRecord } from "./worker-record.js";
@@ -30,6 +31,8 @@
  * One policy. It holds no state of its own: all it needs is passed in, so equal calls give equal decisions.
  */
 export interface Policy {
+    /** Kinds of work whose branches may name it. */
+    readonly kinds: readonly WorkKind[];
     readonly capacity: CapacityKind;
     /** @returns Key of the waiting line that an item joins; the items of a line go in order of arrival. */
     getLineKey(item: WorkItem): string;
--- a/src/test/process/placement/first-come-policy.ts
+++ b/src/test/process/placement/first-come-policy.ts
@@ -3,6 +3,7 @@
 
 /** First come, first served. */
 export const firstComePolicy: Policy = {
+    kinds: ["batch"],
     capacity: CapacityKind.room,
     getLineKey: item => item.team,
     computeRank: line => line.getHeadQueuedAt(),
