--- a/src/test/golden/sessions_test.ts
+++ b/src/test/golden/sessions_test.ts
@@ -109,6 +109,12 @@
             session.write("A river-reach study: all tasks start together.");
             const location = await submitAndWait(session, body);
             await session.send({ method: "GET", path: `${location}/explain`, token: TEAM });
+            session.write(
+                "One whose tasks are larger than any worker: told at once, with what would have to change.",
+            );
+            const large = { ...body, resources: { cpuMillis: 999_000, memoryMib: 1, accelerators: 1 } };
+            const misfit = await session.send({ method: "POST", path: "/v1/jobs", token: TEAM, body: large });
+            await session.send({ method: "GET", path: `${misfit.location}/explain`, token: TEAM });
         },
     },
     {
