The demo says how long the first edit took to be in force

Cause: a reader of the demo could not see how soon an edit is in force. Change: the time from handing the edit in until it was accepted is printed.

--- a/src/command/demo/run-demo.ts
+++ b/src/command/demo/run-demo.ts
@@ -91,6 +91,7 @@
 
 async function editTree(cell: DemoCell): Promise<string> {
     const [first] = cell.entries;
+    const startedAt = systemClock.now();
     const reply = await first?.entry.operators.editTree({
         editId: "demo-first-tree",
         baseVersion: 0,
@@ -98,7 +99,8 @@
         changes: listTreeChanges(cell),
     });
     if (reply?.kind === "accepted" || reply?.kind === "written") {
-        return `version ${reply.version} ${reply.kind}, in force on ${reply.inForce.length} entries`;
+        const tookMs = Math.round(systemClock.now() - startedAt);
+        return `version ${reply.version} ${reply.kind} after ${tookMs} ms, in force on ${reply.inForce.length} entries`;
     }
     return JSON.stringify(reply);
 }
