--- /dev/null
+++ b/src/test/faults/random-runs-5_test.ts
@@ -0,0 +1,12 @@
+/** Random mixes of work and faults, part 5 of 8: files run side by side. */
+import { describe, it } from "node:test";
+import { checkRandomRuns } from "./random-runs.js";
+
+const SEED = 500;
+const RUNS = 25;
+
+describe("random faults, part 5", () => {
+    it(`keeps every promise in ${RUNS} runs`, async () => {
+        await checkRandomRuns(SEED, RUNS);
+    });
+});
--- /dev/null
+++ b/src/test/faults/random-runs-6_test.ts
@@ -0,0 +1,12 @@
+/** Random mixes of work and faults, part 6 of 8: files run side by side. */
+import { describe, it } from "node:test";
+import { checkRandomRuns } from "./random-runs.js";
+
+const SEED = 600;
+const RUNS = 25;
+
+describe("random faults, part 6", () => {
+    it(`keeps every promise in ${RUNS} runs`, async () => {
+        await checkRandomRuns(SEED, RUNS);
+    });
+});
