--- a/bench/table.ts
+++ b/bench/table.ts
@@ -2,6 +2,7 @@
 import { controlCostBench } from "./control-cost-bench.js";
 import { coreBench } from "./core-bench.js";
 import { coreFaultsBench } from "./core-faults-bench.js";
+import { faultsBench } from "./faults-bench.js";
 import { frontLoadBench } from "./front-load.js";
 import { homeLogBench } from "./home-log-bench.js";
 import { hooghlyBench } from "./hooghly-bench.js";
@@ -18,4 +19,5 @@
     controlCostBench,
     homeLogBench,
     frontLoadBench,
+    faultsBench,
 ];
