Hand-overs of several slices in one write; a joining entry may act at once

An entry that had never been a member dropped its fresh lease when it saw the table, and could not act until its next renewal, 3 s later.

--- a/bench/faults-bench.ts
+++ b/bench/faults-bench.ts
@@ -6,7 +6,7 @@
 import { createRandom, makeUniqueId } from "../src/common/random.js";
 import { BATCH_BRANCH, BenchCallers, pause, SERVICE_BRANCH, TASKS_PER_JOB } from "./faults/callers.js";
 import { type EntryChild, EntryProgram } from "./faults/entry-child.js";
-import { OperatorClient } from "./faults/operator-client.js";
+import { OperatorClient, type OwnedWorker } from "./faults/operator-client.js";
 import { countEnds, describePhase, measureGap, type PhaseFigures } from "./faults/phase-figures.js";
 import { type BenchPlatform, FAILURE_DOMAINS, startPlatform } from "./faults/platform.js";
 import { verifyRun } from "./faults/verdict.js";
@@ -17,6 +17,10 @@
 const EDIT_PERIOD_MS = 3_000;
 const JOB_PATIENCE_MS = 60_000;
 const RESUME_LIMIT_MS = 60_000;
+/** Time to watch after a fault is over. */
+const AFTERMATH_MS = 5_000;
+/** Time for slices to spread over new entries. */
+const SPREAD_MS = 8_000;
 
 export const faultsBench: Bench = {
     name: "faults",
@@ -55,6 +59,11 @@
     }
 }
 
+interface Victim {
+    readonly entry: EntryChild;
+    readonly owned: readonly OwnedWorker[];
+}
+
 class FaultsRun {
     private readonly random;
     private readonly token: string;
@@ -99,7 +108,7 @@
             { path: BATCH_BRANCH, field: "kind", value: "batch" },
         ]);
         await this.callers.open();
-        await pause(EDIT_PERIOD_MS);
+        await pause(SPREAD_MS);
     }
 
     async close(): Promise<void> {
@@ -139,21 +148,21 @@
     }
 
     async killOne(): Promise<void> {
-        await this.killAll([this.requireEntry()]);
+        await this.killAll([await this.takeBusiest()]);
     }
 
     async killTwo(): Promise<void> {
-        const first = this.requireEntry();
-        const second = this.requireEntry();
+        const first = await this.takeBusiest();
+        const second = await this.takeBusiest();
         await this.killAll([first, second]);
     }
 
     async pauseOne(): Promise<void> {
-        const entry = this.requireEntry();
-        const owned = await this.operator.listWorkersOf(entry.memberId);
+        const victim = await this.takeBusiest();
+        const { entry } = victim;
         const at = performance.now();
         entry.process.kill("SIGSTOP");
-        await this.measureResume(owned, at);
+        await this.measureResume(victim.owned, at);
         await pause(Math.max(0, 10_000 - (performance.now() - at)));
         entry.process.kill("SIGCONT");
         await pause(5_000);
@@ -162,25 +171,23 @@
 
     async replaceOne(): Promise<void> {
         await this.addEntry("entry-new", 0);
-        const entry = this.requireEntry();
+        const { entry } = await this.takeBusiest();
         this.leaver = { url: entry.httpUrl, from: performance.now() };
         entry.process.kill("SIGTERM");
         this.exitCodes.push(await entry.ended);
         await pause(3_000);
     }
 
-    private async killAll(victims: readonly EntryChild[]): Promise<void> {
-        const owned = (await Promise.all(victims.map(entry => this.operator.listWorkersOf(entry.memberId))))
-            .flat();
+    private async killAll(victims: readonly Victim[]): Promise<void> {
         const at = performance.now();
-        victims.forEach(entry => entry.process.kill("SIGKILL"));
-        await this.measureResume(owned, at);
-        await pause(2_000);
+        victims.forEach(({ entry }) => entry.process.kill("SIGKILL"));
+        await this.measureResume(victims.flatMap(({ owned }) => owned), at);
+        await pause(AFTERMATH_MS);
     }
 
     /** Time until each worker of a lost entry has begun something new under another owner. */
     private async measureResume(
-        workers: readonly { readonly workerId: string; readonly epoch: number; }[],
+        workers: readonly OwnedWorker[],
         at: number,
     ) {
         const waiting = new Map(workers.map(({ workerId, epoch }) => [workerId, epoch]));
@@ -205,13 +212,17 @@
         this.entries.push(await this.program.startEntry(name, domain));
     }
 
-    /** Takes the first entry off the balancer's list; the oldest have the most slices. */
-    private requireEntry(): EntryChild {
-        const entry = this.entries.shift();
-        if (entry === undefined) {
-            throw new Error("no entry is left");
-        }
-        return entry;
+    /** Takes the entry with the most workers off the list that callers and operators use. */
+    private async takeBusiest(): Promise<Victim> {
+        const all = await Promise.all(
+            this.entries.map(async entry => ({
+                entry,
+                owned: await this.operator.listWorkersOf(entry.memberId),
+            })),
+        );
+        const victim = all.reduce((best, each) => each.owned.length > best.owned.length ? each : best);
+        this.entries.splice(this.entries.indexOf(victim.entry), 1);
+        return victim;
     }
 
     /** Time from an edit until every entry that takes work has it in force. */
--- a/bench/faults/operator-client.ts
+++ b/bench/faults/operator-client.ts
@@ -26,6 +26,12 @@
     readonly value: unknown;
 }
 
+/** A worker and the epoch of its slice. */
+export interface OwnedWorker {
+    readonly workerId: string;
+    readonly epoch: number;
+}
+
 /** Calls of the operator to any entry. */
 export class OperatorClient {
     private readonly agent = new Agent({ connections: 16 });
@@ -55,7 +61,6 @@
         const edit = {
             editId: `bench-${this.nextEdit++}`,
             baseVersion: tree.version,
-            author: "bench",
             changes,
         };
         const reply = await this.call<{ readonly kind: string; readonly version?: number; }>(
@@ -69,24 +74,30 @@
         return reply.version;
     }
 
-    /** Time from the call of an edit until every entry that takes work has it in force. */
+    /**
+     * Time from the call of an edit until every entry that takes work has it in force; the edit's own answer, which
+     * waits for the entries' word, may come later.
+     */
     async measureEdit(path: string): Promise<number> {
+        const before = Math.max(...(await this.listStatus()).map(status => status.treeVersion));
         const begin = performance.now();
-        const version = await this.edit([{ path, field: "queueLimit", value: 1_000 + this.nextEdit }]);
+        const edited = this.edit([{ path, field: "queueLimit", value: 1_000 + this.nextEdit }]);
         while (performance.now() - begin < IN_FORCE_LIMIT_MS) {
             const all = await this.listStatus();
-            if (all.every(status => !status.accepting || status.treeVersion >= version)) {
+            if (all.every(status => !status.accepting || status.treeVersion > before)) {
                 break;
             }
             await pause(POLL_MS);
         }
-        return performance.now() - begin;
+        const elapsed = performance.now() - begin;
+        await edited;
+        return elapsed;
     }
 
     /** Workers that an entry owns, with the epochs of their slices. */
     async listWorkersOf(
         memberId: string,
-    ): Promise<readonly { readonly workerId: string; readonly epoch: number; }[]> {
+    ): Promise<readonly OwnedWorker[]> {
         const status = (await this.listStatus()).find(each => each.memberId === memberId);
         return (status?.workers ?? []).map(({ workerId, slice }) => ({
             workerId,
--- a/src/process/ownership/ownership-role.ts
+++ b/src/process/ownership/ownership-role.ts
@@ -6,17 +6,14 @@
 import type { CellSettings } from "../../version/settings.js";
 import type { StoreListing } from "../ports/store-port.js";
 import type { CallResult, HeardDigest, Member, OwnershipView, RoleContext, SliceOwner } from "../roles.js";
+import { HandOvers } from "./hand-overs.js";
 import { LostMembers } from "./lost-members.js";
 import { MemberKeys } from "./member-keys.js";
 import { MEMBER_PREFIX, MemberLease } from "./member-lease.js";
 import {
     addMember,
     addWorkerDomains,
-    isOwner,
     listOwnedSlices,
-    listPlannedMoves,
-    moveSlice,
-    type PlannedMove,
     removeLeavingMember,
     removeLostMembers,
     SliceKind,
@@ -34,8 +31,6 @@
 } from "./table.js";
 
 const TICK_MS: Millis = 250;
-/** Planned moves are at least this far apart, so that a joining member causes no burst of hand-overs. */
-const MOVE_PACE_MS: Millis = 1_000;
 /** Patience of a table write; the next tick tries anew from the table as it then is. */
 const WRITE_PATIENCE_MS: Millis = 5_000;
 
@@ -61,9 +56,7 @@
     private readonly memberKeys: MemberKeys;
     private readonly lostMembers: LostMembers;
     private busy = false;
-    /** A slice released for a hand-over that was not written. */
-    private reclaim: PlannedMove | undefined;
-    private lastMoveAt = Number.NEGATIVE_INFINITY;
+    private readonly handOvers: HandOvers;
     private timer: Timer | undefined;
     private closed = false;
 
@@ -71,6 +64,13 @@
         const { context } = options;
         this.lostMembers = new LostMembers(context.clock);
         this.memberKeys = new MemberKeys(context);
+        this.handOvers = new HandOvers({
+            context,
+            getTable: () => this.table,
+            isReachable: memberId => this.suspicion.isReachable(memberId),
+            releaseSlice: name => options.releaseSlice(name),
+            write: change => this.write(change),
+        });
         const source = {
             clock: context.clock,
             memberId: context.memberId,
@@ -241,11 +241,12 @@
             });
             return;
         }
+        const wasMember = this.isMember();
         this.table = parsed.table;
         this.revision = revision;
         this.lostMembers.track(parsed.table.lost);
         this.suspicion.trackMembers();
-        if (!this.isMember()) {
+        if (wasMember && !this.isMember()) {
             this.standing.dropLease();
         }
         this.listeners.forEach(listener => listener());
@@ -302,43 +303,7 @@
                     lost: current.lost.filter(memberId => !stopped.includes(memberId)),
                 }));
         }
-        return this.planMove(table);
-    }
-
-    private planMove(table: OwnershipTable): (() => Promise<unknown>) | undefined {
-        const { clock, memberId } = this.options.context;
-        const { reclaim } = this;
-        if (reclaim !== undefined) {
-            return () => this.takeBack(reclaim);
-        }
-        if (clock.now() - this.lastMoveAt < MOVE_PACE_MS) {
-            return undefined;
-        }
-        const move = listPlannedMoves(table, memberId)[0];
-        if (move === undefined || !this.suspicion.isReachable(move.to)) {
-            return undefined;
-        }
-        this.lastMoveAt = clock.now();
-        return () => this.releaseAndMove(move);
-    }
-
-    /**
-     * Takes a slice again whose hand-over did not come to pass, by raising its epoch. The write of the hand-over
-     * may still be on its way to the store; the raise makes its expected revision outdated, so that it can no
-     * longer take effect behind the back of an owner that went on acting.
-     */
-    private async takeBack(move: PlannedMove): Promise<void> {
-        const done = await this.write(table => isOwner(table, move) ? moveSlice(table, move, true) : table);
-        if (done) {
-            this.reclaim = undefined;
-        }
-    }
-
-    /** Stops acting on the slice first and writes the move after, so that two never act on it. */
-    private async releaseAndMove(move: PlannedMove): Promise<void> {
-        const ready = await this.options.releaseSlice(move);
-        const moved = await this.write(table => moveSlice(table, move, ready));
-        this.reclaim = moved ? undefined : { ...move, to: this.options.context.memberId };
+        return this.handOvers.plan(table);
     }
 
     /**
--- a/src/process/ownership/plan.ts
+++ b/src/process/ownership/plan.ts
@@ -76,12 +76,27 @@
 }
 
 /**
- * Gives one slice to another member.
+ * Gives slices to other members, as far as they still belong to their owner.
  * @param table - The table so far.
- * @param move - The slice and its new owner.
- * @param ready - Whether the owner so far had made the slice ready.
+ * @param owner - The member that gives them.
+ * @param moves - The slices and their new owners.
+ * @param ready - For each move, whether the owner so far had made the slice ready.
+ * @returns The table, the same object when none belongs to the owner.
  */
-export function moveSlice(table: OwnershipTable, move: PlannedMove, ready: boolean): OwnershipTable {
+export function moveOwned(
+    table: OwnershipTable,
+    owner: string,
+    moves: readonly PlannedMove[],
+    ready: readonly boolean[],
+): OwnershipTable {
+    return moves.reduce(
+        (moved, move, index) =>
+            isOwner(moved, owner, move) ? moveSlice(moved, move, ready[index] ?? false) : moved,
+        table,
+    );
+}
+
+function moveSlice(table: OwnershipTable, move: PlannedMove, ready: boolean): OwnershipTable {
     const change = (entry: SliceEntry): SliceEntry => ({
         owner: move.to,
         epoch: entry.epoch + 1,
@@ -144,11 +159,12 @@
 /**
  * Tells whether a slice belongs to a member.
  * @param table - The table.
- * @param move - The slice, and the member in `to`.
+ * @param memberId - The member.
+ * @param name - The slice.
  */
-export function isOwner(table: OwnershipTable, move: PlannedMove): boolean {
-    const entries = move.kind === SliceKind.worker ? table.workerSlices : table.homeSlices;
-    return entries[move.slice]?.owner === move.to;
+export function isOwner(table: OwnershipTable, memberId: string, name: SliceName): boolean {
+    const entries = name.kind === SliceKind.worker ? table.workerSlices : table.homeSlices;
+    return entries[name.slice]?.owner === memberId;
 }
 
 function assignUnowned(table: OwnershipTable): OwnershipTable {
