A leaving entry goes on taking requests until the balancer has noticed

Idle connections were closed at once while the balancer still sent on them. Change: after the readiness check begins to fail, requests are taken for up to 2 s (a quarter of the shutdown time).

--- a/src/process/start-entry.ts
+++ b/src/process/start-entry.ts
@@ -1,6 +1,6 @@
 /** Starts an entry with its real ports: the sockets of the running system around {@link createEntry}. */
 import { randomInt } from "node:crypto";
-import type { Clock } from "../common/clock.js";
+import { type Clock, type Millis, sleep } from "../common/clock.js";
 import { createRandom, makeUniqueId, type Random } from "../common/random.js";
 import { HttpServer, type HttpServerOptions } from "../connection/http/index.js";
 import { createPeerMesh } from "../connection/index.js";
@@ -31,7 +31,10 @@
 }
 
 /** Share of the shutdown time that the entry's roles get; the rest is for the last answers. */
-const LEAVE_SHARE = 0.9;
+const LEAVE_SHARE = 0.6;
+/** Time for the balancer to see that the readiness check fails, and its part of the shutdown time at most. */
+const BALANCER_NOTICE_MS: Millis = 2_000;
+const BALANCER_NOTICE_SHARE = 0.25;
 const SEED_BOUND = 2 ** 31;
 
 /** Creates a random source with a seed that nobody can foresee. */
@@ -126,13 +129,16 @@
 }
 
 async function leave(
-    { settings }: StartEntryOptions,
+    { settings, clock }: StartEntryOptions,
     entry: Entry,
     http: HttpServer,
     ports: ReturnType<typeof buildPlatformPorts>,
 ): Promise<void> {
     http.startDraining();
+    // The balancer notices the failed readiness check only at its next look. What it sends until then is still taken:
+    // closing at once shows as connections that break under requests that were never read.
+    await sleep(clock, Math.min(BALANCER_NOTICE_MS, settings.shutdownMs * BALANCER_NOTICE_SHARE));
     await entry.leave();
-    await http.close(settings.shutdownMs * (1 - LEAVE_SHARE));
+    await http.close(settings.shutdownMs * (1 - LEAVE_SHARE - BALANCER_NOTICE_SHARE));
     await Promise.all([ports.store.close(), ports.vmList.close(), ports.workers.close()]);
 }
