A start under way at a hand-over is settled first, or its home is told to ask again

A worker's slice was handed over while a start order to it was under way and lost. The census had told 'running', the placer then forgot the attempt without a word, and nobody asked again. Ruled out: the new owner (it listed the worker rightly), the census (it was right when it was taken). Change: a hand-over opens no worker of the slice to new work and waits for the starts under way; a start whose worker has gone meanwhile is told to its home as moved until acknowledged, and a census settles it.

--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -366,6 +366,11 @@
     /** Room is held for it; it starts when its home confirms that its start marker is durable. */
     granted: "granted",
     running: "running",
+    /**
+     * Its start was ordered, and its worker went to another owner before the result was in: this placer knows no
+     * more of it, and a census has to tell.
+     */
+    moved: "moved",
     /** Ended with an answer. */
     done: "done",
     /** Ended with an error of the task or worker. */
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -26,6 +26,9 @@
 const GRANT_PATIENCE_MS: Millis = 2_000;
 const DEFAULT_STARTS_PER_SECOND = 50;
 
+/** States that say nothing final of an attempt. */
+const PASSING_STATES: readonly TaskUpdate["state"][] = ["queued", "granted", "running", "moved"];
+
 /** Why a task that is not repeatable ends when its attempt is lost. */
 export const LOST_MESSAGE = "its entry, placer or worker was lost after it had been handed over; " +
     "it is not repeatable and is not started again";
@@ -347,5 +350,5 @@
 
 /** Answers and updates that need it: whether a state of an update is final. */
 export function isFinalState(update: TaskUpdate): boolean {
-    return update.state !== "queued" && update.state !== "granted" && update.state !== "running";
+    return !PASSING_STATES.includes(update.state);
 }
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -49,6 +49,14 @@
         }
         live.run.wakeWaiters();
     },
+    moved: (engine, live, update, from) => {
+        engine.outbox.addAcknowledgement(from, live.attempt);
+        if ((update.sliceEpoch ?? 0) >= live.sliceEpoch) {
+            // Taken as an order that nobody has confirmed: repeating it has no effect, and then a census asks.
+            engine.movePlacer(live, from);
+            engine.setPhase(live, AttemptPhase.sent);
+        }
+    },
     done: (engine, live, update, from) => {
         engine.movePlacer(live, from);
         const text = update.answer ?? "";
@@ -162,7 +170,7 @@
 }
 
 function replyToStale(engine: TaskEngine, from: string, update: TaskUpdate): void {
-    if (isFinalState(update)) {
+    if (isFinalState(update) || update.state === "moved") {
         engine.outbox.addAcknowledgement(from, update.attempt);
     }
     else {
--- a/src/process/placer/attempt-ledger.ts
+++ b/src/process/placer/attempt-ledger.ts
@@ -64,6 +64,15 @@
         this.outbox.post(attempt.order.home.homeSlice, this.describe(attempt));
     }
 
+    /** Forgets an attempt of which only the next owner of its worker can tell, and says so. */
+    reportMoved(attempt: Attempt): void {
+        this.book.remove(attempt);
+        this.outbox.post(attempt.order.home.homeSlice, {
+            ...this.describe(attempt),
+            state: TaskUpdateState.moved,
+        });
+    }
+
     /** Records the end, gives the room back and tells the home. */
     end(attempt: Attempt, end: AttemptEnd, task?: WorkerTask): void {
         attempt.end = { ...this.describe(attempt), ...end };
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -148,12 +148,19 @@
         this.fleet.openSlice(slice, epoch, predecessor);
     }
 
-    async closeSlice(slice: number): Promise<void> {
+    /**
+     * Ends the sessions of a slice. A hand-over first stops new starts there and waits for those under way: a worker
+     * that compares no epochs could still take one after the next owner has listed its tasks.
+     */
+    async closeSlice(slice: number, mode: "handOver" | "lost"): Promise<void> {
+        if (mode === "handOver") {
+            this.fleet.sealSlice(slice);
+            await this.runs.waitForStarts(slice);
+        }
         this.fleet.closeSlice(slice);
         if (this.fleet.listSlices().length === 0) {
             this.orders.returnQueued("this placer has no workers any more");
         }
-        await Promise.resolve();
     }
 
     listSlices(): readonly SliceStatus[] {
--- a/src/process/placer/task-runs.ts
+++ b/src/process/placer/task-runs.ts
@@ -1,5 +1,5 @@
 /** The side of a placer that faces workers, for tasks of jobs: starts, stops, reports, adoption, losses. */
-import type { Millis } from "../../common/clock.js";
+import { type Millis, sleep } from "../../common/clock.js";
 import { TaskUpdateState } from "../../connection/messages.js";
 import type { Decision, PlacementCore } from "../placement/placement-core.js";
 import { type WorkerReport, type WorkerTask, WorkerTaskState } from "../ports/worker-port.js";
@@ -13,6 +13,7 @@
 
 /** Room is held this long for a task whose home has to confirm its start. */
 const GRANT_HOLD_MS: Millis = 3_000;
+const START_POLL_MS: Millis = 10;
 /** When a home may offer a task again whose worker went away before it was sent. */
 const UNSENT_RETRY_MS: Millis = 250;
 
@@ -96,6 +97,22 @@
         }
     }
 
+    /** Waits until the result of every start under way on a slice is in; each has its own timeout. */
+    async waitForStarts(slice: number): Promise<void> {
+        while (this.isStarting(slice)) {
+            await sleep(this.options.context.clock, START_POLL_MS);
+        }
+    }
+
+    private isStarting(slice: number): boolean {
+        for (const attempt of this.options.ledger.book.listAll()) {
+            if (attempt.slice === slice && attempt.state === AttemptState.starting) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Makes a victim give way. */
     preempt(decision: Extract<Decision, { kind: "preempt"; }>): void {
         void this.options.fleet.find(decision.workerId)?.orderTask(decision.step, decision.victimId);
@@ -183,8 +200,9 @@
             });
         }
         else if (!isOwned) {
-            // The worker went to another owner meanwhile, which learns from the worker whether the task runs.
-            this.options.ledger.book.remove(attempt);
+            // The worker went to another owner meanwhile, which learns from the worker whether the task runs. The home
+            // may have been told by a census that it runs here: it has to ask again.
+            this.options.ledger.reportMoved(attempt);
         }
         else if (result.kind === "started") {
             this.markRunning(attempt);
--- a/src/process/placer/worker-fleet.ts
+++ b/src/process/placer/worker-fleet.ts
@@ -48,6 +48,8 @@
 export class WorkerFleet {
     private readonly slices = new Map<number, OpenSlice>();
     private readonly sessions = new Map<string, WorkerSession>();
+    /** Slices being handed over. */
+    private readonly sealed = new Set<number>();
     private vms: readonly VmRecord[] = [];
     private timer: Timer | undefined;
     private polling = false;
@@ -82,12 +84,17 @@
         void this.poll();
     }
 
-    /** Ends the sessions of a slice; returns whether it had been ready. */
-    closeSlice(slice: number): boolean {
-        const ready = this.slices.get(slice)?.ready ?? false;
+    /** Opens no worker of a slice to new work any more; what runs there goes on. */
+    sealSlice(slice: number): void {
+        this.sealed.add(slice);
+        this.sessions.forEach(session => this.refreshOpen(session));
+    }
+
+    /** Ends the sessions of a slice. */
+    closeSlice(slice: number): void {
         this.slices.delete(slice);
+        this.sealed.delete(slice);
         this.syncSessions();
-        return ready;
     }
 
     find(workerId: string): WorkerSession | undefined {
@@ -144,6 +151,9 @@
         if (!session.isReachable()) {
             return "unreachable";
         }
+        if (this.sealed.has(session.slice)) {
+            return "handingOver";
+        }
         if (report.leaving || this.isLeaving(session.workerId)) {
             return "leaving";
         }
