Fake cells start their stories once hand-overs are over; placers without workers are not named

Cause: the golden session of a gang differed: its explanation told of a census, since the cell was still handing slices over when the session began. Change: FakeCell waits until the ownership table is steady; an explanation leaves out placers without workers.

--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -153,6 +153,7 @@
         return undefined;
     }
     const largest = candidates
+        .filter(({ load }) => load.workers > 0)
         .map(({ load }) => load.largestWorker)
         .map(worker => `${worker.cpuMillis}m/${worker.memoryMib}MiB/${worker.accelerators}acc`);
     const sizes = [...new Set(largest)].join(", ");
--- a/src/test/fakes/fake-cell.ts
+++ b/src/test/fakes/fake-cell.ts
@@ -52,6 +52,8 @@
 /** Longest time until a new cell is ready, in fake milliseconds. */
 const READY_LIMIT_MS: Millis = 30_000;
 const STEP_MS: Millis = 50;
+/** Time without a change of the table after which no hand-over is due: two paces of planned moves. */
+const STEADY_MS: Millis = 2_000;
 /** Two digest intervals: every entry has heard of every other's workers. */
 const DIGEST_SETTLE_MS: Millis = 500;
 const DEFAULT_DOMAINS = ["domain-a", "domain-b", "domain-c", "domain-d"];
@@ -97,9 +99,24 @@
             throw new Error(`the first edit failed: ${JSON.stringify(reply)}`);
         }
         await this.waitUntil(() => this.isReady(), "all slices became ready");
+        await this.waitForSteadyTable();
         await this.clock.step(DIGEST_SETTLE_MS);
     }
 
+    /** Waits until the first entry has handed over to the others what they should own. */
+    private async waitForSteadyTable(): Promise<void> {
+        let revision = -1;
+        while (revision !== this.getTableRevision()) {
+            revision = this.getTableRevision();
+            await this.clock.step(STEADY_MS);
+        }
+        await this.waitUntil(() => this.isReady(), "all slices became ready after the hand-overs");
+    }
+
+    private getTableRevision(): number {
+        return this.requireMember().entry.operators.getStatus().tableRevision;
+    }
+
     /** Makes an edit at the first entry that lives. */
     async edit(changes: readonly FieldChange[], member = this.requireMember()): Promise<EditReply> {
         const baseVersion = member.entry.operators.readTree()?.version ?? 0;
