The age of a digest is counted from the digest that it echoes

Ruled out: clocks of the sender, which mean nothing here. Change: each digest echoes the highest sequence received from each member; freshness counts from when the echoed digest was sent. Conclusion: an old message can no longer give a right to act.

--- a/src/connection/message-schema.ts
+++ b/src/connection/message-schema.ts
@@ -50,6 +50,7 @@
     storeContactAgeMs: z.number(),
     draining: z.boolean(),
     suspects: z.array(text),
+    echoes: z.record(text, count),
     slices: z.array(sliceStatus),
     load: placerLoad,
 });
--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -28,6 +28,11 @@
     readonly draining: boolean;
     /** Members that the sender has heard of before but not lately. */
     readonly suspects: readonly string[];
+    /**
+     * Highest digest sequence that the sender had received from each member. Tells the receiver that this digest
+     * was made after its own of that sequence, however long it lay in a buffer on the way.
+     */
+    readonly echoes: Readonly<Record<string, number>>;
     /** Worker slices that the sender owns, with the epoch, and whether all their workers are known. */
     readonly slices: readonly SliceStatus[];
     readonly load: PlacerLoad;
--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -2,18 +2,12 @@
 import type { Clock, Millis, Timer } from "../common/clock.js";
 import { sleep } from "../common/clock.js";
 import type { Random } from "../common/random.js";
-import {
-    type AnswerBody,
-    type CallBody,
-    type DigestMessage,
-    type NoteBody,
-    PeerErrorCode,
-} from "../connection/messages.js";
+import { type AnswerBody, type CallBody, type NoteBody, PeerErrorCode } from "../connection/messages.js";
 import { DEFAULT_CELL } from "../version/settings.js";
 import { createHomeRole } from "./home/index.js";
 import type { OperatorGateway, StatusView } from "./operator-gateway.js";
 import { findWorkerSlice, OwnershipRole, SliceKind, TABLE_KEY } from "./ownership/index.js";
-import { createPeerHub, type HubListener, type OwnedPeerHub } from "./peers/index.js";
+import { createPeerHub, type HubListener, type OwnDigest, type OwnedPeerHub } from "./peers/index.js";
 import { createPlacementCore } from "./placement/index.js";
 import { createPlacerRole, type OwnedPlacerRole } from "./placer/index.js";
 import type { PeerPort, StoreListing, StorePort, VmListPort, WorkerPort } from "./ports/index.js";
@@ -267,7 +261,7 @@
         }
     }
 
-    private buildDigest(): DigestMessage {
+    private buildDigest(): OwnDigest {
         const contact = this.store.getLastContact();
         return {
             kind: "digest",
--- a/src/process/ownership/standing.ts
+++ b/src/process/ownership/standing.ts
@@ -75,7 +75,7 @@
         let heard = 1;
         for (const memberId of members) {
             const digest = memberId === this.source.memberId ? undefined : this.source.getDigest(memberId);
-            if (digest === undefined || now - digest.heardAt > cell.freshMs) {
+            if (digest === undefined || now - digest.sureAt > cell.freshMs) {
                 continue;
             }
             if (this.hasNews(digest, leaseEnd)) {
--- a/src/process/peers/index.ts
+++ b/src/process/peers/index.ts
@@ -1,2 +1,8 @@
 /** Calls, notes and digests between entries. */
-export { createPeerHub, type HubListener, type OwnedPeerHub, type PeerHubOptions } from "./peer-hub.js";
+export {
+    createPeerHub,
+    type HubListener,
+    type OwnDigest,
+    type OwnedPeerHub,
+    type PeerHubOptions,
+} from "./peer-hub.js";
--- a/src/process/peers/peer-hub.ts
+++ b/src/process/peers/peer-hub.ts
@@ -17,6 +17,12 @@
 /** Calls under way to one peer at most; more are refused as not sent. */
 const MAX_CALLS_PER_PEER = 10_000;
 
+/** Own digests whose times of sending are remembered; an echo of an older one proves nothing. */
+const MAX_SENT_REMEMBERED = 128;
+
+/** A digest before the hub adds its echoes. */
+export type OwnDigest = Omit<DigestMessage, "echoes">;
+
 /** Who handles what arrives. */
 export interface HubListener {
     handleCall(from: string, body: CallBody): Promise<AnswerBody>;
@@ -38,7 +44,7 @@
 export interface OwnedPeerHub extends PeerHub {
     install(listener: HubListener): void;
     /** Sends a digest to every member whose link is up. */
-    publishDigest(digest: DigestMessage): void;
+    publishDigest(digest: OwnDigest): void;
 }
 
 /**
@@ -59,6 +65,8 @@
     private listener: HubListener | undefined;
     private readonly reachable = new Set<string>();
     private readonly digests = new Map<string, HeardDigest>();
+    /** When each of this entry's latest digests was sent. */
+    private readonly sentAt = new Map<number, Millis>();
     private readonly pending = new Map<string, PendingCall>();
     private readonly callsByPeer = new Map<string, number>();
     private readonly callPrefix: string;
@@ -76,7 +84,12 @@
         this.listener = listener;
     }
 
-    publishDigest(digest: DigestMessage): void {
+    publishDigest(own: OwnDigest): void {
+        const echoes = Object.fromEntries(
+            [...this.digests].map(([memberId, heard]) => [memberId, heard.digest.sequence]),
+        );
+        const digest = { ...own, echoes };
+        this.recordSent(own.sequence);
         this.acceptDigest(this.options.memberId, digest);
         for (const memberId of this.reachable) {
             this.options.port.send(memberId, digest);
@@ -171,11 +184,21 @@
         if (last !== undefined && last.digest.sequence >= digest.sequence) {
             return;
         }
-        const heard = { digest, heardAt: this.options.clock.now() };
+        // A pause leaves digests in the socket's buffer: they arrive fresh and are old. What they echo tells their age.
+        const echoed = memberId === this.options.memberId ?
+            digest.sequence :
+            digest.echoes[this.options.memberId];
+        const sureAt = this.sentAt.get(echoed ?? -1) ?? Number.NEGATIVE_INFINITY;
+        const heard = { digest, heardAt: this.options.clock.now(), sureAt };
         this.digests.set(memberId, heard);
         this.listener?.receiveDigest(memberId, heard);
     }
 
+    private recordSent(sequence: number): void {
+        this.sentAt.set(sequence, this.options.clock.now());
+        this.sentAt.delete(sequence - MAX_SENT_REMEMBERED);
+    }
+
     private handleLinkChange(memberId: string, up: boolean): void {
         if (up) {
             this.reachable.add(memberId);
--- a/src/process/roles.ts
+++ b/src/process/roles.ts
@@ -64,6 +64,11 @@
 export interface HeardDigest {
     readonly digest: DigestMessage;
     readonly heardAt: Millis;
+    /**
+     * An instant of this entry's clock that surely came before the digest was made: when the digest that it echoes
+     * was sent. Rules that must not be misled by old messages count age from here.
+     */
+    readonly sureAt: Millis;
 }
 
 /** Result of a call to another entry. `lost`: no answer came, it may have had an effect. */
--- a/src/process/tree/currency.ts
+++ b/src/process/tree/currency.ts
@@ -51,7 +51,7 @@
     let heard = 1;
     for (const each of memberIds) {
         const digest = each === memberId ? undefined : state.getDigest(each);
-        if (digest === undefined || now - digest.heardAt > freshMs) {
+        if (digest === undefined || now - digest.sureAt > freshMs) {
             continue;
         }
         if (digest.digest.treeVersion > version) {
--- a/src/test/connection/sample-messages.ts
+++ b/src/test/connection/sample-messages.ts
@@ -28,6 +28,7 @@
     storeContactAgeMs: -1,
     draining: false,
     suspects: ["b"],
+    echoes: { a: 4, b: 7 },
     slices: [0, 3, 17, 21, 40, 63].map(slice => ({ slice, epoch: 2, ready: true })),
     load: {
         workers: 10,
--- a/src/test/process/home/home-cell.ts
+++ b/src/test/process/home/home-cell.ts
@@ -347,6 +347,7 @@
         }
         return {
             heardAt: this.clock.now(),
+            sureAt: this.clock.now(),
             digest: {
                 kind: "digest",
                 sequence: 1,
@@ -355,6 +356,7 @@
                 storeContactAgeMs: 0,
                 draining: false,
                 suspects: [],
+                echoes: {},
                 slices: this.listSlicesOf(of).map(slice => ({ ...slice, ready: placer.isReady })),
                 load: placer.makeLoad(),
             },
--- /dev/null
+++ b/src/test/process/ownership/standing_test.ts
@@ -0,0 +1,146 @@
+/** The right to act: every line of the rule in docs/design/ownership.md. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { isKnownByMajority, Standing } from "../../../process/ownership/standing.js";
+import type { HeardDigest } from "../../../process/roles.js";
+import { type CellSettings, DEFAULT_CELL } from "../../../version/settings.js";
+import { FakeClock } from "../../fakes/fake-clock.js";
+
+const CELL: CellSettings = {
+    ...DEFAULT_CELL,
+    memberTtlMs: 10_000,
+    freshMs: 3_000,
+    outageToleranceMs: 60_000,
+    clockDrift: 0,
+};
+const TABLE_REVISION = 7;
+const LEASE_END = 10_000;
+
+interface Peer {
+    /** Age of the sure word of the peer; heard of at this moment all the same. */
+    readonly sureAgeMs?: number;
+    readonly tableRevision?: number;
+    /** Age of the peer's contact with the store; far back unless given. */
+    readonly contactAgeMs?: number;
+}
+
+interface Case {
+    readonly name: string;
+    readonly now: number;
+    readonly peers: readonly (Peer | undefined)[];
+    readonly contactAt?: number;
+    readonly isMember?: boolean;
+    readonly mayAct: boolean;
+}
+
+const well: Peer = {};
+
+const cases: readonly Case[] = [
+    { name: "its lease is valid", now: 9_999, peers: [undefined, undefined], mayAct: true },
+    {
+        name: "its lease has run out and nobody is heard",
+        now: LEASE_END,
+        peers: [undefined, undefined],
+        mayAct: false,
+    },
+    { name: "a majority without the store backs it", now: 20_000, peers: [well, undefined], mayAct: true },
+    {
+        name: "half of the members do not suffice",
+        now: 20_000,
+        peers: [well, undefined, undefined],
+        mayAct: false,
+    },
+    {
+        name: "a word as old as freshMs counts",
+        now: 20_000,
+        peers: [{ sureAgeMs: 3_000 }, undefined],
+        mayAct: true,
+    },
+    { name: "an older word does not", now: 20_000, peers: [{ sureAgeMs: 3_001 }, undefined], mayAct: false },
+    { name: "a peer holds a newer table", now: 20_000, peers: [well, { tableRevision: 8 }], mayAct: false },
+    { name: "a peer holds an older table", now: 20_000, peers: [well, { tableRevision: 6 }], mayAct: true },
+    {
+        name: "a peer reached the store after its lease ended",
+        now: 20_000,
+        peers: [well, { contactAgeMs: 9_000 }],
+        mayAct: false,
+    },
+    { name: "a peer reached it before", now: 20_000, peers: [well, { contactAgeMs: 10_000 }], mayAct: true },
+    {
+        name: "the outage lasts longer than tolerated",
+        now: 70_000,
+        peers: [well, well],
+        contactAt: 9_999,
+        mayAct: false,
+    },
+    { name: "the table does not list it", now: 20_000, peers: [well, well], isMember: false, mayAct: false },
+];
+
+function makeStanding(clock: FakeClock, { now, peers, contactAt, isMember }: Case): Standing {
+    const names = peers.map((...[, index]) => `p${index}`);
+    return new Standing({
+        clock,
+        memberId: "self",
+        getCell: () => CELL,
+        listMemberIds: () => isMember === false ? names : ["self", ...names],
+        getTableRevision: () => TABLE_REVISION,
+        getDigest: memberId => makeHeard(peers[names.indexOf(memberId)], now),
+        getLastStoreContact: () => contactAt ?? LEASE_END,
+    });
+}
+
+function makeHeard(peer: Peer | undefined, now: number): HeardDigest | undefined {
+    if (peer === undefined) {
+        return undefined;
+    }
+    const digest = {
+        tableRevision: peer.tableRevision ?? TABLE_REVISION,
+        storeContactAgeMs: peer.contactAgeMs ?? now,
+    } as HeardDigest["digest"];
+    return { digest, heardAt: now, sureAt: now - (peer.sureAgeMs ?? 0) };
+}
+
+describe("an entry may act", () => {
+    for (const each of cases) {
+        it(`${each.mayAct ? "" : "not "}when ${each.name}`, async () => {
+            const clock = new FakeClock();
+            const standing = makeStanding(clock, each);
+            standing.renewLease(0);
+            await clock.step(each.now);
+            assert.equal(standing.mayAct(), each.mayAct);
+        });
+    }
+
+    it("never without a lease, and not after it was dropped", async () => {
+        const clock = new FakeClock();
+        const standing = makeStanding(clock, { name: "", now: 0, peers: [well, well], mayAct: false });
+        assert.equal(standing.mayAct(), false);
+        standing.renewLease(0);
+        standing.dropLease();
+        await clock.step(100);
+        assert.equal(standing.mayAct(), false);
+    });
+});
+
+describe("a table is known by a majority", () => {
+    const tables: readonly {
+        readonly revisions: readonly (number | undefined)[];
+        readonly known: boolean;
+    }[] = [
+        { revisions: [5, undefined], known: true },
+        { revisions: [4, undefined], known: false },
+        { revisions: [5, undefined, undefined], known: false },
+        { revisions: [5, 6, 4], known: true },
+    ];
+    for (const { revisions, known } of tables) {
+        it(`${known ? "" : "not "}with revisions ${revisions.map(each => each ?? "none").join(", ")} beside its own`, () => {
+            const names = revisions.map((...[, index]) => `p${index}`);
+            const getDigest = (memberId: string): HeardDigest | undefined => {
+                const tableRevision = revisions[names.indexOf(memberId)];
+                const digest = { tableRevision } as HeardDigest["digest"];
+                return tableRevision === undefined ? undefined : { digest, heardAt: 0, sureAt: 0 };
+            };
+            assert.equal(isKnownByMajority(["self", ...names], "self", 5, getDigest), known);
+        });
+    }
+});
--- a/src/test/process/tree/rules_test.ts
+++ b/src/test/process/tree/rules_test.ts
@@ -9,7 +9,7 @@
 const NOW = 10_000;
 
 function makeDigest(treeVersion: number, ageMs: number): HeardDigest {
-    return { digest: { treeVersion } as HeardDigest["digest"], heardAt: NOW - ageMs };
+    return { digest: { treeVersion } as HeardDigest["digest"], heardAt: NOW - ageMs, sureAt: NOW - ageMs };
 }
 
 describe("isVersionCurrent", () => {
--- a/src/test/process/tree/tree-cell.ts
+++ b/src/test/process/tree/tree-cell.ts
@@ -253,7 +253,7 @@
 
     private sendDigest(from: CellEntry, to: CellEntry): void {
         const digest = { treeVersion: from.role.getVersion() } as HeardDigest["digest"];
-        const heard = { digest, heardAt: this.clock.now() };
+        const heard = { digest, heardAt: this.clock.now(), sureAt: this.clock.now() };
         this.digests.set(`${from.memberId}>${to.memberId}`, heard);
         to.role.receiveDigest(from.memberId, heard);
     }
