What a census found is as old as when it was heard, not as its adoption

A recovered home adopted it at the end of its first census with that instant as the last word; the next census began in the same instant, so the stale word looked newer than the census and was not given up. Ruled out: the lost-worker rule, which had declared the worker lost in time. Change: found updates keep the time at which they were heard.

--- a/src/process/home/run/job-run.ts
+++ b/src/process/home/run/job-run.ts
@@ -49,6 +49,8 @@
 export interface FoundUpdate {
     readonly from: string;
     readonly update: TaskUpdate;
+    /** When it was heard. */
+    readonly heardAt: Millis;
 }
 
 interface Requeued {
--- a/src/process/home/run/open-slice.ts
+++ b/src/process/home/run/open-slice.ts
@@ -212,11 +212,13 @@
     /** Goes on with a job of an owner before: what was found is adopted, the rest is surely not running. */
     private resumeRun(run: JobRun, found: NonNullable<JobRun["found"]>): void {
         run.found = undefined;
-        for (const { from, update } of found.values()) {
+        for (const { from, update, heardAt } of found.values()) {
             if (!run.record.isTaskOpen(update.index)) {
                 continue;
             }
             const live = this.engine.registerAttempt(run, update.index, from, update.attempt);
+            // Not the time of adoption: a census that begins at once has to tell whether the word still holds.
+            live.heardAt = heardAt;
             this.engine.setPhase(live, AttemptPhase.sent);
             if (run.record.cancelled) {
                 this.engine.withdrawAttempt(live);
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -134,7 +134,7 @@
 export function receiveUpdate(engine: TaskEngine, from: string, update: TaskUpdate): void {
     const run = engine.runs.get(update.jobId);
     if (run?.found !== undefined && run.record.isTaskOpen(update.index)) {
-        collectFound(run, from, update);
+        collectFound(run, from, update, engine.core.context.clock.now());
         return;
     }
     const live = engine.findAttempt(update.attempt);
@@ -179,10 +179,10 @@
 }
 
 /** Keeps the newest word on each task of an owner before; see {@link isNewer}. */
-function collectFound(run: JobRun, from: string, update: TaskUpdate): void {
+function collectFound(run: JobRun, from: string, update: TaskUpdate, heardAt: Millis): void {
     const before = run.found?.get(update.index);
     if (before === undefined || isNewer(update, before.update)) {
-        run.found?.set(update.index, { from, update });
+        run.found?.set(update.index, { from, update, heardAt });
     }
 }
 
