Hand-overs leave callers their workers; take-overs no longer wait for the VM list to settle

Ruled out: the routing choice, which had nobody to choose. Change: one worker slice with workers moves at a time; changes of open workers are told within 20 ms; a front looks for a placer for up to 0.5 s; a placer without workers gives queued work back.

--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -23,6 +23,8 @@
 const CELL_PREFIX = "cell/";
 /** Time between looks at requests in flight while shutting down. */
 const DRAIN_POLL_MS: Millis = 50;
+/** Changes of the workers are told this soon, ahead of the regular digest. */
+const DIGEST_SOON_MS: Millis = 20;
 /** Part of the shutdown time that requests in flight may take; the rest is for handing over. */
 const DRAIN_SHARE = 0.7;
 
@@ -81,6 +83,7 @@
     private watch: WatchHandle | undefined;
     private digestTimer: Timer | undefined;
     private digestSequence = 0;
+    private digestDue = Number.POSITIVE_INFINITY;
     private inFlight = 0;
     private draining = false;
     private closed = false;
@@ -105,6 +108,7 @@
             self,
             getCell: () => this.tree.getCurrent()?.cell ?? DEFAULT_CELL,
             listWorkerDomains: () => this.placer.listWorkerDomains(),
+            hasWorkers: name => name.kind === SliceKind.worker && this.placer.hasWorkers(name.slice),
             releaseSlice: name => this.keeper.release(name),
         });
         const context: RoleContext = { ...base, settings: this.tree, ownership: this.ownership };
@@ -115,6 +119,7 @@
             findSlice: vm =>
                 findWorkerSlice(this.ownership.getTable()?.workerDomains ?? [], vm.failureDomain, vm.rack),
             isKnownByMajority: revision => this.ownership.isKnownByMajority(revision),
+            handleWorkersChange: () => this.scheduleDigest(DIGEST_SOON_MS),
             handleFenced: (slice, epoch) => this.keeper.drop(SliceKind.worker, slice, epoch),
         });
         this.home = createHomeRole(context);
@@ -253,14 +258,24 @@
     }
 
     private publishDigest(): void {
-        this.digestTimer?.cancel();
         this.hub.publishDigest(this.buildDigest());
+        this.digestDue = Number.POSITIVE_INFINITY;
         if (!this.closed) {
-            const interval = this.tree.getCurrent()?.cell.digestMs ?? DEFAULT_CELL.digestMs;
-            this.digestTimer = this.options.clock.schedule(interval, () => this.publishDigest());
+            this.scheduleDigest(this.tree.getCurrent()?.cell.digestMs ?? DEFAULT_CELL.digestMs);
         }
     }
 
+    /** Sees to it that a digest goes out within a time; changes that come together share one. */
+    private scheduleDigest(delay: Millis): void {
+        const due = this.options.clock.now() + delay;
+        if (this.closed || due >= this.digestDue) {
+            return;
+        }
+        this.digestTimer?.cancel();
+        this.digestDue = due;
+        this.digestTimer = this.options.clock.schedule(delay, () => this.publishDigest());
+    }
+
     private buildDigest(): OwnDigest {
         const contact = this.store.getLastContact();
         return {
--- a/src/process/ownership/hand-overs.ts
+++ b/src/process/ownership/hand-overs.ts
@@ -8,6 +8,11 @@
 const MOVE_PACE_MS: Millis = 1_000;
 /** Slices handed over in one step at most. */
 const MOVES_AT_ONCE = 8;
+/**
+ * Of these, worker slices with workers at most. For a moment nobody places on a slice that moves: in a cell of few
+ * racks, all at once would leave callers without any worker.
+ */
+const BUSY_MOVES_AT_ONCE = 1;
 /** Tries to write hand-overs against concurrent changes of the table. */
 const MOVE_TRIES = 5;
 
@@ -17,6 +22,8 @@
     getTable(): OwnershipTable | undefined;
     /** Whether a member was heard of lately and takes work. */
     isReachable(memberId: string): boolean;
+    /** Whether a slice is a worker slice in which workers are. */
+    hasWorkers(name: SliceName): boolean;
     /** Stops acting on a slice and flushes; resolves with whether the slice had been ready. */
     releaseSlice(name: SliceName): Promise<boolean>;
     /** One compare-and-swap of the table; resolves with whether it surely took effect. */
@@ -44,9 +51,10 @@
         if (clock.now() - this.lastMoveAt < MOVE_PACE_MS) {
             return undefined;
         }
-        const moves = listPlannedMoves(table, memberId)
-            .filter(move => this.options.isReachable(move.to))
-            .slice(0, MOVES_AT_ONCE);
+        const planned = listPlannedMoves(table, memberId).filter(move => this.options.isReachable(move.to));
+        const busy = planned.filter(move => this.options.hasWorkers(move)).slice(0, BUSY_MOVES_AT_ONCE);
+        const quiet = planned.filter(move => !this.options.hasWorkers(move));
+        const moves = [...busy, ...quiet].slice(0, MOVES_AT_ONCE);
         if (moves.length === 0) {
             return undefined;
         }
--- a/src/process/ownership/ownership-role.ts
+++ b/src/process/ownership/ownership-role.ts
@@ -41,6 +41,8 @@
     getCell(): CellSettings;
     /** Failure domains of workers in the VM list. */
     listWorkerDomains(): readonly string[];
+    /** Whether a slice is a worker slice in which workers are. */
+    hasWorkers(name: SliceName): boolean;
     /** Stops acting on a slice and flushes; resolves with whether the slice had been ready. */
     releaseSlice(name: SliceName): Promise<boolean>;
 }
@@ -68,6 +70,7 @@
             context,
             getTable: () => this.table,
             isReachable: memberId => this.suspicion.isReachable(memberId),
+            hasWorkers: name => options.hasWorkers(name),
             releaseSlice: name => options.releaseSlice(name),
             write: change => this.write(change),
         });
--- a/src/process/placer/attempt-ledger.ts
+++ b/src/process/placer/attempt-ledger.ts
@@ -40,6 +40,12 @@
         this.outbox.close();
     }
 
+    /** Number of attempts on a worker that have not ended. */
+    countOpenOn(workerId: string): number {
+        return this.book.listOfWorker(workerId).filter(attempt => attempt.state !== AttemptState.ended)
+            .length;
+    }
+
     /** Takes in an order; it waits for a worker. */
     addQueued(order: PlaceOrder): Attempt {
         const attempt: Attempt = { order, state: AttemptState.queued, stopping: false };
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -19,9 +19,9 @@
 import type { VmListPort, VmRecord } from "../ports/vm-list-port.js";
 import type { WorkerPort, WorkerReport } from "../ports/worker-port.js";
 import type { PlacerRole, RoleContext, WorkerStatus } from "../roles.js";
-import { AttemptState } from "./attempt-book.js";
 import { AttemptLedger } from "./attempt-ledger.js";
 import { logDecision } from "./decision-log.js";
+import { explainJob } from "./explain.js";
 import { ServiceRunner } from "./service-runner.js";
 import { TaskOrders } from "./task-orders.js";
 import { TaskRuns } from "./task-runs.js";
@@ -31,8 +31,6 @@
 
 /** Time to wait for the right to act before asking again, with work in the queue. */
 const STANDING_POLL_MS: Millis = 100;
-/** Tasks of one job that an explanation names at most. */
-const MAX_ATTEMPTS_EXPLAINED = 10;
 /** When to ask again after a refusal for want of the right to act. */
 const STANDING_RETRY_MS: Millis = 1_000;
 
@@ -45,6 +43,8 @@
     findSlice(vm: VmRecord): number | undefined;
     /** Whether a majority of members knows an ownership table of at least this revision. */
     isKnownByMajority(revision: number): boolean;
+    /** Called when a worker was opened or closed: routing elsewhere should know at once. */
+    handleWorkersChange(): void;
     /** Called when a worker says that a slice has a newer owner. */
     handleFenced(slice: number, epoch: number): void;
 }
@@ -55,6 +55,7 @@
     start(): void;
     /** Failure domains in the VM list. */
     listWorkerDomains(): readonly string[];
+    hasWorkers(slice: number): boolean;
     /** Gives queued work back and takes nothing new. */
     drain(): void;
     close(): void;
@@ -84,8 +85,7 @@
     constructor(private readonly context: RoleContext, private readonly options: PlacerOptions) {
         const { core } = options;
         const requestDecisions = (): void => this.scheduleDecisions(0);
-        const observeResult = (workerId: string, branch: string, failed: boolean): void =>
-            this.observeResult(workerId, branch, failed);
+        const observeResult: Placer["observeResult"] = (...result) => this.observeResult(...result);
         const getCell = (): SettingsVersion["cell"] => context.settings.getCurrent()?.cell ?? DEFAULT_CELL;
         this.health = new WorkerHealth(context.clock, getCell);
         this.fleet = new WorkerFleet({
@@ -98,6 +98,7 @@
             findSlice: vm => options.findSlice(vm),
             isKnownByMajority: revision => options.isKnownByMajority(revision),
             listener: this,
+            handleWorkersChange: () => options.handleWorkersChange(),
             handleDropped: session => this.runs.handleDropped(session),
         });
         this.ledger = new AttemptLedger({ context, core, requestDecisions });
@@ -158,9 +159,7 @@
             await this.runs.waitForStarts(slice);
         }
         this.fleet.closeSlice(slice);
-        if (this.fleet.listSlices().length === 0) {
-            this.orders.returnQueued("this placer has no workers any more");
-        }
+        this.returnIfIdle();
     }
 
     listSlices(): readonly SliceStatus[] {
@@ -175,20 +174,24 @@
         return this.fleet.listDomains();
     }
 
+    hasWorkers(slice: number): boolean {
+        return this.fleet.hasWorkers(slice);
+    }
+
+    /** Work that waits at a placer without workers would wait for ever: the home looks for another. */
+    private returnIfIdle(): void {
+        if (this.options.core.getLoad().workers === 0) {
+            this.orders.returnQueued("this placer has no workers any more");
+        }
+    }
+
     listWorkers(): readonly WorkerStatus[] {
-        return this.fleet.listWorkers(workerId =>
-            this.ledger.book.listOfWorker(workerId).filter(attempt => attempt.state !== AttemptState.ended)
-                .length
-        );
+        return this.fleet.listWorkers(workerId => this.ledger.countOpenOn(workerId));
     }
 
     explain(jobId: string): readonly string[] {
-        const now = this.context.clock.now();
-        return this.ledger.book.listOfJob(jobId, MAX_ATTEMPTS_EXPLAINED).map(attempt => {
-            const where = attempt.workerId === undefined ? "" : ` on worker ${attempt.workerId}`;
-            const reasons = this.options.core.explain(attempt.order.attempt, now).join("; ");
-            return `task ${attempt.order.index}: ${attempt.state}${where} at placer ${this.context.memberId}: ${reasons}`;
-        });
+        const { clock, memberId } = this.context;
+        return explainJob(this.ledger.book, this.options.core, jobId, memberId, clock.now());
     }
 
     async handleCall(from: string, body: CallBody): Promise<AnswerBody> {
@@ -240,6 +243,7 @@
         switch (note.kind) {
             case "place":
                 this.orders.receivePlace(note);
+                this.returnIfIdle();
                 if (this.draining) {
                     this.orders.returnQueued("the placer is shutting down");
                 }
@@ -280,6 +284,7 @@
         this.context.metrics.count("placer.workers_lost");
         this.runs.handleLost(session);
         this.options.core.removeWorker(session.workerId);
+        this.returnIfIdle();
     }
 
     handleFenced(session: WorkerSession): void {
--- a/src/process/placer/worker-fleet.ts
+++ b/src/process/placer/worker-fleet.ts
@@ -29,6 +29,8 @@
     /** Whether a majority knows of the table by which a slice was taken. */
     isKnownByMajority(revision: number): boolean;
     readonly listener: SessionListener;
+    /** Called when a worker was opened or closed to new work. */
+    handleWorkersChange(): void;
     /** Called for each attempt on a worker that the fleet gives up, without its tasks having ended. */
     handleDropped(session: WorkerSession): void;
 }
@@ -48,8 +50,11 @@
 export class WorkerFleet {
     private readonly slices = new Map<number, OpenSlice>();
     private readonly sessions = new Map<string, WorkerSession>();
+    private readonly openWorkers = new Set<string>();
     /** Slices being handed over. */
     private readonly sealed = new Set<number>();
+    /** When this entry first saw each VM in the list. */
+    private readonly firstSeen = new Map<string, Millis>();
     private vms: readonly VmRecord[] = [];
     private timer: Timer | undefined;
     private polling = false;
@@ -109,6 +114,11 @@
         return this.slices.get(slice)?.epoch === epoch;
     }
 
+    /** Whether any worker lies in an owned slice. */
+    hasWorkers(slice: number): boolean {
+        return [...this.sessions.values()].some(session => session.slice === slice);
+    }
+
     /** Failure domains in the VM list, for the ownership table. */
     listDomains(): readonly string[] {
         return [...new Set(this.vms.map(vm => vm.failureDomain))];
@@ -121,7 +131,17 @@
 
     /** Opens or closes a worker in the core by everything that is known of it. */
     refreshOpen(session: WorkerSession): void {
-        this.options.core.setWorkerOpen(session.workerId, this.isOpen(session));
+        const isOpen = this.isOpen(session);
+        this.options.core.setWorkerOpen(session.workerId, isOpen);
+        if (isOpen !== this.openWorkers.has(session.workerId)) {
+            if (isOpen) {
+                this.openWorkers.add(session.workerId);
+            }
+            else {
+                this.openWorkers.delete(session.workerId);
+            }
+            this.options.handleWorkersChange();
+        }
     }
 
     listWorkers(countTasks: (workerId: string) => number): readonly WorkerStatus[] {
@@ -151,6 +171,9 @@
         if (!session.isReachable()) {
             return "unreachable";
         }
+        if (this.isNew(session.workerId)) {
+            return "new";
+        }
         if (this.sealed.has(session.slice)) {
             return "handingOver";
         }
@@ -203,6 +226,7 @@
         }
         if (vms !== undefined) {
             this.vms = vms;
+            this.trackSeen();
             this.markListed(askedAt);
             this.syncSessions();
         }
@@ -213,12 +237,34 @@
 
     private markListed(askedAt: Millis): void {
         for (const slice of this.slices.values()) {
-            if (slice.predecessor === Predecessor.none || askedAt >= slice.openedAt + LIST_SKEW_MS) {
+            if (askedAt >= slice.openedAt) {
                 slice.listedAt ??= askedAt;
             }
         }
     }
 
+    private trackSeen(): void {
+        const now = this.options.context.clock.now();
+        for (const { workerId } of this.vms) {
+            this.firstSeen.set(workerId, this.firstSeen.get(workerId) ?? now);
+        }
+        const listed = new Set(this.vms.map(vm => vm.workerId));
+        for (const workerId of this.firstSeen.keys()) {
+            if (!listed.has(workerId) && !this.sessions.has(workerId)) {
+                this.firstSeen.delete(workerId);
+            }
+        }
+    }
+
+    /**
+     * A VM that another entry may not see yet takes no work: an owner that took its slice now would read the list,
+     * find no such worker, and declare the slice ready with tasks on it that it does not know.
+     */
+    private isNew(workerId: string): boolean {
+        const seenAt = this.firstSeen.get(workerId) ?? this.options.context.clock.now();
+        return this.options.context.clock.now() - seenAt < LIST_SKEW_MS;
+    }
+
     private syncSessions(): void {
         const wanted = new Map<string, { readonly vm: VmRecord; readonly slice: OpenSlice; }>();
         for (const vm of this.vms) {
@@ -261,6 +307,7 @@
     private dropSession(session: WorkerSession): void {
         session.close();
         this.sessions.delete(session.workerId);
+        this.openWorkers.delete(session.workerId);
         this.options.health.remove(session.workerId);
         this.options.handleDropped(session);
     }
--- a/src/process/roles.ts
+++ b/src/process/roles.ts
@@ -153,7 +153,7 @@
     readonly rack: string;
     readonly failureDomain: string;
     readonly slice: number;
-    /** `attaching`, `open`, `leaving`, `ejected`, `unreachable`. */
+    /** `attaching`, `new`, `open`, `handingOver`, `leaving`, `ejected`, `unreachable`. */
     readonly state: string;
     readonly freeSlots: number;
     readonly slots: number;
--- a/src/process/router/service-router.ts
+++ b/src/process/router/service-router.ts
@@ -9,6 +9,9 @@
 import { PlacerChoice } from "./placer-choice.js";
 import { RetryBudget } from "./retry-budget.js";
 
+/** Time to wait for a placer that has workers, and between looks. */
+const NO_PLACER_PATIENCE_MS: Millis = 500;
+const NO_PLACER_STEP_MS: Millis = 25;
 /** When to ask again while no placer can be reached. */
 const NO_PLACER_RETRY_MS: Millis = 1_000;
 /** Time that a call may take beyond the request's deadline: the placer answers by then. */
@@ -94,6 +97,22 @@
                 tried.outcome.reason !== NotRunReason.deadline);
     }
 
+    /** Chooses a placer; while slices change hands, none may be known for a moment. */
+    private async choosePlacer(
+        avoid: ReadonlySet<string>,
+        deadline: Millis,
+    ): Promise<ReturnType<PlacerChoice["choose"]>> {
+        const { clock } = this.context;
+        const giveUpAt = Math.min(deadline, clock.now() + NO_PLACER_PATIENCE_MS);
+        for (;;) {
+            const chosen = this.choice.choose(avoid);
+            if (chosen !== undefined || clock.now() >= giveUpAt) {
+                return chosen;
+            }
+            await sleep(clock, NO_PLACER_STEP_MS);
+        }
+    }
+
     private async tryOnce(
         request: ServiceRequest,
         branch: BranchSettings,
@@ -103,7 +122,7 @@
         avoidWorkers: readonly string[],
     ): Promise<Try> {
         const startedAt = this.context.clock.now();
-        const chosen = this.choice.choose(avoidMembers);
+        const chosen = await this.choosePlacer(avoidMembers, request.deadline);
         if (chosen === undefined) {
             const remedy = "no entry with workers can be reached: ask again";
             return {
