--- a/src/process/placer/worker-health.ts
+++ b/src/process/placer/worker-health.ts
@@ -63,7 +63,8 @@
             health.onTrial = false;
             return false;
         }
-        if (this.isBranchToBlame(branch, workerId)) {
+        // Work that was under way when it was ejected fails too: that is not a second reason.
+        if (this.isEjected(workerId) || this.isBranchToBlame(branch, workerId)) {
             return false;
         }
         health.failures++;
