--- a/src/test/process/replacement_test.ts
+++ b/src/test/process/replacement_test.ts
@@ -69,6 +69,12 @@
     return overlaps;
 }
 
+/** Members and epochs that an entry holds. */
+function listOwnership(cell: FakeCell) {
+    const { members, workerSlices, homeSlices } = cell.requireMember().entry.operators.getStatus();
+    return { members: members.map(({ memberId }) => memberId), workerSlices, homeSlices };
+}
+
 interface Story {
     readonly name: string;
     readonly act: (cell: FakeCell, victim: FakeMember) => Promise<void>;
@@ -111,6 +117,7 @@
         // own; when it returns nobody is removed, and ends that waited are written.
         name: "loses the store with all others for a minute",
         act: async cell => {
+            const before = listOwnership(cell);
             cell.members.forEach(member => {
                 member.storePath.faults.unreachable = true;
             });
@@ -118,6 +125,8 @@
             cell.members.forEach(member => {
                 member.storePath.faults.unreachable = false;
             });
+            await cell.clock.step(5_000);
+            assert.deepEqual(listOwnership(cell), before);
         },
         mayHaveRun: 0,
     },
