--- a/src/test/faults/random-runs-1_test.ts
+++ b/src/test/faults/random-runs-1_test.ts
@@ -3,7 +3,7 @@
 import { checkRandomRuns } from "./random-runs.js";
 
 const SEED = 100;
-const RUNS = 25;
+const RUNS = 250;
 
 describe("random faults, part 1", () => {
     it(`keeps every promise in ${RUNS} runs`, async () => {
