--- a/src/process/entry.ts
+++ b/src/process/entry.ts
@@ -2,8 +2,15 @@
 import type { Clock, Millis, Timer } from "../common/clock.js";
 import { sleep } from "../common/clock.js";
 import type { Random } from "../common/random.js";
-import { type AnswerBody, type CallBody, type NoteBody, PeerErrorCode } from "../connection/messages.js";
+import {
+    type AnswerBody,
+    type CallBody,
+    type NoteBody,
+    PeerErrorCode,
+    type PlacerLoad,
+} from "../connection/messages.js";
 import { DEFAULT_CELL } from "../version/settings.js";
+import { EntryGauges } from "./entry-gauges.js";
 import { createHomeRole } from "./home/index.js";
 import type { OperatorGateway, StatusView } from "./operator-gateway.js";
 import { findWorkerSlice, OwnershipRole, SliceKind, TABLE_KEY } from "./ownership/index.js";
@@ -80,6 +87,7 @@
     private readonly placer: OwnedPlacerRole;
     private readonly home: HomeRole;
     private readonly keeper: SliceKeeper;
+    private readonly gauges: EntryGauges;
     private watch: WatchHandle | undefined;
     private digestTimer: Timer | undefined;
     private digestSequence = 0;
@@ -131,6 +139,7 @@
         });
         this.callers = createRouter(context, { isDraining: () => this.draining });
         this.operators = this.buildOperators();
+        this.gauges = new EntryGauges(clock, metrics);
         this.settings = this.tree;
         this.ownership.subscribe(() => this.applyMembers());
     }
@@ -258,7 +267,9 @@
     }
 
     private publishDigest(): void {
-        this.hub.publishDigest(this.buildDigest());
+        const load = this.placer.getLoad();
+        this.gauges.record(load);
+        this.hub.publishDigest(this.buildDigest(load));
         this.digestDue = Number.POSITIVE_INFINITY;
         if (!this.closed) {
             this.scheduleDigest(this.tree.getCurrent()?.cell.digestMs ?? DEFAULT_CELL.digestMs);
@@ -276,7 +287,7 @@
         this.digestTimer = this.options.clock.schedule(delay, () => this.publishDigest());
     }
 
-    private buildDigest(): OwnDigest {
+    private buildDigest(load: PlacerLoad): OwnDigest {
         const contact = this.store.getLastContact();
         return {
             kind: "digest",
@@ -288,7 +299,7 @@
             suspects: this.ownership.suspicion.listSuspects(),
             slices: this.placer.listSlices(),
             // Use by team is for this entry's own status: at 410 teams it would make a digest of 300 bytes 23 KB.
-            load: { ...this.placer.getLoad(), teamUse: {} },
+            load: { ...load, teamUse: {} },
         };
     }
 
