Adapter tests give a busy machine time to connect

Change: 2 s for calls whose fault comes after the sending; expectations as they were. Conclusion: the verdict no longer depends on how soon a connection stands.

--- a/src/test/process/platform/http-adapters_test.ts
+++ b/src/test/process/platform/http-adapters_test.ts
@@ -9,6 +9,9 @@
 
 const SWAP = { key: "k", value: "v", expectedRevision: 0 };
 
+/** Long enough that a busy machine has connected and sent by then: what is tested comes after the sending. */
+const CALL_TIMEOUT_MS = 2_000;
+
 /** What a broken server does with each connection, and what a caller must make of it. */
 interface BrokenServer {
     readonly name: string;
@@ -82,7 +85,7 @@
     for (const { name, handle, expected } of brokenServers) {
         it(`a store that ${name}: ${expected}`, async () => {
             const { url } = await startServer(handle);
-            assert.equal((await createStorePort(url).swap(SWAP, 100)).kind, expected);
+            assert.equal((await createStorePort(url).swap(SWAP, CALL_TIMEOUT_MS)).kind, expected);
         });
     }
 
@@ -102,8 +105,8 @@
         let requests = 0;
         const { url } = await startServer(socket => socket.on("data", () => requests++));
         const port = createStorePort(url, 1);
-        const hanging = port.swap(SWAP, 300);
-        const queued = await port.swap(SWAP, 100);
+        const hanging = port.swap(SWAP, CALL_TIMEOUT_MS);
+        const queued = await port.swap(SWAP, CALL_TIMEOUT_MS / 4);
         assert.equal(queued.kind, "unavailable");
         assert.equal((await hanging).kind, "unknown");
         assert.equal(requests, 1);
