--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import { functionVerbs } from "./scripts/function-verbs.js";
 
 export default tseslint.config(
-    { ignores: ["node_modules", "dist"] },
+    { ignores: ["node_modules", "dist", "target"] },
     ...tseslint.configs.strict,
     {
-        files: ["src/**/*.ts", "bench/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts", "bench/**/*.ts"],
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
         plugins: { cactusrack: { rules: { "function-verbs": functionVerbs } } },
         rules: {
--- a/scripts/build-binary.mjs
+++ b/scripts/build-binary.mjs
@@ -7,6 +7,7 @@
 import { execFileSync } from "node:child_process";
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { createRequire } from "node:module";
+import { leaveOutNativeAddOns } from "./native-add-ons.mjs";
 
 const require = createRequire(import.meta.url);
 const { inject } = require("postject");
@@ -16,21 +17,6 @@
 const BLOB = "dist/main.blob";
 const BINARY = "dist/cactusrack";
 
-/**
- * Native add-ons stay out: cbor-x and hot-shots fall back to JavaScript when loading them throws. As `external`
- * modules they would be asked for at the start of the binary, and Node would print a warning for each.
- */
-const leaveOutNativeAddOns = {
-    name: "leave-out-native-add-ons",
-    setup({ onResolve, onLoad }) {
-        onResolve({ filter: /^(cbor-extract|unix-dgram)$/ }, ({ path }) => ({ path, namespace: "left-out" }));
-        onLoad({ filter: /./, namespace: "left-out" }, ({ path }) => ({
-            contents: `throw new Error("${path} is not part of the binary");`,
-            loader: "js",
-        }));
-    },
-};
-
 mkdirSync("dist", { recursive: true });
 await build({
     entryPoints: ["src/main.ts"],
--- /dev/null
+++ b/src/connection/node-link.ts
@@ -0,0 +1,187 @@
+/**
+ * One TCP connection between two nodes: calls with answers and notes, both ways, framed as in `frame-codec.ts`.
+ *
+ * @remarks The link owns its socket. It never reconnects. A connection can go silent without a reset, so both ends
+ * send something at least every beat, and an end that hears nothing for the idle time closes.
+ */
+import type { Socket } from "node:net";
+import type { Clock, Millis, Timer } from "../common/clock.js";
+import { describeFrameFault, encodeFrame, FrameDecoder } from "./frame-codec.js";
+
+/** How a call over a link ended. */
+export type LinkAnswer =
+    | { readonly kind: "answered"; readonly body: unknown; }
+    /** No answer: the other end may have acted on it. */
+    | { readonly kind: "lost"; readonly message: string; };
+
+/** What a link tells its owner. */
+export interface NodeLinkOwner {
+    /** A call of the other end; the promise's value is sent back. */
+    handleCall(body: unknown): Promise<unknown>;
+    handleNote(body: unknown): void;
+    /** Called once. */
+    handleClosed(message: string): void;
+    /** What the regular beat carries. */
+    buildBeat(): unknown;
+}
+
+/** Largest frame: a job is at most a few hundred kilobytes, and so is a configuration with all its queues. */
+const MAX_FRAME_BYTES = 8 * 1_048_576;
+/** Bytes that may wait to be written before the link counts as broken. */
+const MAX_BUFFERED_BYTES = 16 * 1_048_576;
+/** How often each end is heard at least: an entry learns within this time how its leader is. */
+const BEAT_MS: Millis = 250;
+/** Silence after which the link is closed: six beats, so that a process that is short of processor time is kept. */
+const IDLE_MS: Millis = 1_500;
+
+/** Frames of a link. */
+type Frame =
+    | { readonly kind: "call"; readonly id: number; readonly body: unknown; }
+    | { readonly kind: "answer"; readonly id: number; readonly body: unknown; }
+    | { readonly kind: "note"; readonly body: unknown; };
+
+interface PendingCall {
+    readonly settle: (answer: LinkAnswer) => void;
+    readonly timer: Timer;
+}
+
+/** A link; see the module comment. */
+export class NodeLink {
+    private readonly decoder = new FrameDecoder(MAX_FRAME_BYTES);
+    private readonly pending = new Map<number, PendingCall>();
+    private lastId = 0;
+    private lastHeard: Millis;
+    private beatTimer: Timer | undefined;
+    private closed = false;
+
+    /**
+     * @param socket - Connected.
+     * @param clock - Times beats and calls.
+     * @param owner - Told of what arrives.
+     */
+    constructor(
+        private readonly socket: Socket,
+        private readonly clock: Clock,
+        private readonly owner: NodeLinkOwner,
+    ) {
+        this.lastHeard = clock.now();
+        socket.setNoDelay(true);
+        socket.on("data", chunk => this.receiveChunk(chunk));
+        socket.on("error", error => this.close(error.message));
+        socket.on("close", () => this.close("closed by the other end"));
+        this.sendBeat();
+    }
+
+    /** Sends a call and waits for its answer. */
+    call(body: unknown, timeout: Millis): Promise<LinkAnswer> {
+        if (this.closed) {
+            return Promise.resolve({ kind: "lost", message: "the link is closed" });
+        }
+        this.lastId += 1;
+        const id = this.lastId;
+        return new Promise(resolve => {
+            const timer = this.clock.schedule(timeout, () => {
+                this.settle(id, { kind: "lost", message: `no answer within ${timeout} ms` });
+            });
+            this.pending.set(id, { settle: resolve, timer });
+            this.send({ kind: "call", id, body });
+        });
+    }
+
+    /** Sends a message without an answer. */
+    note(body: unknown): void {
+        this.send({ kind: "note", body });
+    }
+
+    /** Closes the link; calls under way are lost. */
+    close(message: string): void {
+        if (this.closed) {
+            return;
+        }
+        this.closed = true;
+        this.beatTimer?.cancel();
+        this.socket.destroy();
+        for (const id of [...this.pending.keys()]) {
+            this.settle(id, { kind: "lost", message });
+        }
+        this.owner.handleClosed(message);
+    }
+
+    isClosed(): boolean {
+        return this.closed;
+    }
+
+    private sendBeat(): void {
+        if (this.clock.now() - this.lastHeard > IDLE_MS) {
+            this.close(`nothing heard for ${IDLE_MS} ms`);
+            return;
+        }
+        this.note(this.owner.buildBeat());
+        this.beatTimer = this.clock.schedule(BEAT_MS, () => this.sendBeat());
+    }
+
+    private send(frame: Frame): void {
+        if (this.closed) {
+            return;
+        }
+        if (this.socket.writableLength > MAX_BUFFERED_BYTES) {
+            this.close("the other end does not read");
+            return;
+        }
+        this.socket.write(encodeFrame(frame));
+    }
+
+    private receiveChunk(chunk: Buffer): void {
+        this.lastHeard = this.clock.now();
+        const fault = this.decoder.push(chunk, value => {
+            this.receiveFrame(value);
+            return !this.closed;
+        });
+        if (fault !== undefined) {
+            this.close(describeFrameFault(fault));
+        }
+    }
+
+    private receiveFrame(value: unknown): void {
+        if (!isFrame(value)) {
+            this.close("a frame of an unknown kind");
+            return;
+        }
+        switch (value.kind) {
+            case "call":
+                void this.answer(value.id, value.body);
+                return;
+            case "answer":
+                this.settle(value.id, { kind: "answered", body: value.body });
+                return;
+            case "note":
+                this.owner.handleNote(value.body);
+                return;
+        }
+    }
+
+    private async answer(id: number, body: unknown): Promise<void> {
+        const answer = await this.owner.handleCall(body);
+        this.send({ kind: "answer", id, body: answer });
+    }
+
+    private settle(id: number, answer: LinkAnswer): void {
+        const pending = this.pending.get(id);
+        if (pending !== undefined) {
+            this.pending.delete(id);
+            pending.timer.cancel();
+            pending.settle(answer);
+        }
+    }
+}
+
+function isFrame(value: unknown): value is Frame {
+    if (typeof value !== "object" || !value || !("kind" in value)) {
+        return false;
+    }
+    if (value.kind === "note") {
+        return "body" in value;
+    }
+    const hasId = "id" in value && typeof value.id === "number";
+    return hasId && (value.kind === "call" || value.kind === "answer");
+}
--- /dev/null
+++ b/src/process/dispatch/advice-desk.ts
@@ -0,0 +1,135 @@
+/**
+ * Spreads questions to the advice service over the cluster's nodes.
+ *
+ * @remarks The load this answers: the service serves one call at a time for each calling VM, a question takes from
+ * 8 ms to 600 ms, and all questions together take 1.4 s in each second at the small deployments' ordinary load. One
+ * caller would fall behind for ever; with every node asking, each is busy for a quarter of the time. Some nodes are
+ * kept for short questions, else the quick work waits behind a question that takes longer than its whole slack.
+ */
+import type { Clock, Millis } from "../../common/clock.js";
+import type { AdvicePolicy } from "../../version/cluster-config.js";
+import type { AdviceAnswer } from "../ports/task-worker-port.js";
+
+/** A node that can ask. */
+export interface AdviceCaller {
+    readonly nodeName: string;
+    advise(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
+}
+
+/** A question that waits or is under way. */
+export interface AdviceQuestion {
+    readonly step: string;
+    readonly workerIds: readonly string[];
+    readonly policy: AdvicePolicy;
+    /** Lower goes first. */
+    readonly priority: number;
+    /** Whether the answer is still wanted; asked before the question is sent. */
+    readonly isWanted: () => boolean;
+    /** Called once; `askedAt` is when it was sent. */
+    readonly settle: (answer: AdviceAnswer | undefined, askedAt: Millis) => void;
+}
+
+/** Questions longer than this are kept off the nodes for short ones. */
+const SHORT_QUESTION_MS: Millis = 120;
+/** Share of the nodes that is kept for short questions, where there are at least two. */
+const SHORT_SHARE = 0.34;
+/** Questions under way on one node: the second is on its way while the first is answered. */
+const MAX_UNDER_WAY = 2;
+/** Time allowed on top of what the question takes, as a factor and a constant. */
+const TIMEOUT_FACTOR = 2;
+const TIMEOUT_MARGIN_MS: Millis = 600;
+
+/** A node whose question failed is asked last for this long: it may be cut off from the service. */
+const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
+
+interface CallerState {
+    readonly caller: AdviceCaller;
+    underWay: number;
+    /** When its questions under way will have been answered, by the policy's figures. */
+    busyUntil: Millis;
+}
+
+/** Returns how long the service takes for a question. */
+export function estimateAdviceMs(policy: AdvicePolicy, workers: number): Millis {
+    return policy.decideMs + policy.perWorkerMs * workers;
+}
+
+/** The desk; see the module comment. */
+export class AdviceDesk {
+    private readonly callers = new Map<string, CallerState>();
+    private waiting: AdviceQuestion[] = [];
+
+    /** @param clock - For timeouts and estimates. */
+    constructor(private readonly clock: Clock) {}
+
+    /** Adds a node that can ask. */
+    addCaller(caller: AdviceCaller): void {
+        this.callers.set(caller.nodeName, { caller, underWay: 0, busyUntil: 0 });
+        this.dispatch();
+    }
+
+    /** Removes a node; its questions under way end as failed by themselves. */
+    removeCaller(nodeName: string): void {
+        this.callers.delete(nodeName);
+    }
+
+    /** Takes a question. */
+    ask(question: AdviceQuestion): void {
+        const index = this.waiting.findIndex(other => other.priority > question.priority);
+        this.waiting.splice(index < 0 ? this.waiting.length : index, 0, question);
+        this.dispatch();
+    }
+
+    /** Counts questions that no node has taken yet. */
+    countWaiting(): number {
+        return this.waiting.length;
+    }
+
+    private dispatch(): void {
+        const unwanted: AdviceQuestion[] = [];
+        this.waiting = this.waiting.filter(question => {
+            if (!question.isWanted()) {
+                unwanted.push(question);
+                return false;
+            }
+            const state = this.chooseCaller(question);
+            if (state !== undefined) {
+                void this.send(state, question);
+            }
+            return state === undefined;
+        });
+        unwanted.forEach(question => question.settle(undefined, 0));
+    }
+
+    /** Chooses the node that is free first; nothing for a long question while only kept nodes are free. */
+    private chooseCaller(question: AdviceQuestion): CallerState | undefined {
+        const states = [...this.callers.values()];
+        const kept = states.length < 2 ? 0 : Math.ceil(states.length * SHORT_SHARE);
+        const isShort = estimateAdviceMs(question.policy, question.workerIds.length) <= SHORT_QUESTION_MS;
+        const eligible = isShort ? states : states.slice(kept);
+        let best: CallerState | undefined;
+        for (const state of eligible) {
+            const limit = isShort ? MAX_UNDER_WAY : 1;
+            if (state.underWay < limit && state.busyUntil < (best?.busyUntil ?? Infinity)) {
+                best = state;
+            }
+        }
+        return best;
+    }
+
+    private async send(state: CallerState, question: AdviceQuestion): Promise<void> {
+        const askedAt = this.clock.now();
+        const took = estimateAdviceMs(question.policy, question.workerIds.length);
+        const begin = Math.max(askedAt, state.busyUntil);
+        state.underWay += 1;
+        state.busyUntil = begin + took;
+        const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
+        const answer = await state.caller.advise(question.step, question.workerIds, timeout);
+        state.underWay -= 1;
+        if (answer.kind !== "done") {
+            state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
+        }
+        question.settle(answer, askedAt);
+        this.dispatch();
+    }
+}
--- /dev/null
+++ b/src/process/dispatch/permits.ts
@@ -0,0 +1,63 @@
+/** What the advice service has said of one step: who may run it, with permits that expire. */
+import type { Millis } from "../../common/clock.js";
+import type { Permit } from "../ports/task-worker-port.js";
+
+/** Part of a permit's time that is kept for the order to arrive and be carried out. */
+const PERMIT_MARGIN_MS: Millis = 250;
+
+interface HeldPermit {
+    readonly token: string;
+    /** On our clock. */
+    readonly usableUntil: Millis;
+}
+
+/** Permits of one step; see the module comment. */
+export class StepPermits {
+    /** Whether a question is waiting or under way. */
+    isAsking = false;
+    private readonly held = new Map<string, HeldPermit>();
+    private readonly denied = new Set<string>();
+
+    /**
+     * Takes in an answer. Which workers may run a step does not change, so a worker that was named and not allowed
+     * is never asked for again.
+     * @param asked - Workers that were named.
+     * @param permits - Those that are allowed.
+     * @param askedAt - When the question was sent: permits count from no earlier.
+     * @param validMs - How long permits are valid.
+     */
+    accept(asked: readonly string[], permits: readonly Permit[], askedAt: Millis, validMs: Millis): void {
+        const usableUntil = askedAt + validMs - PERMIT_MARGIN_MS;
+        for (const { workerId, token } of permits) {
+            this.held.set(workerId, { token, usableUntil });
+        }
+        for (const workerId of asked) {
+            if (!this.held.has(workerId)) {
+                this.denied.add(workerId);
+            }
+        }
+    }
+
+    /** Drops a permit that its worker did not take. */
+    drop(workerId: string): void {
+        const permit = this.held.get(workerId);
+        if (permit !== undefined) {
+            this.held.set(workerId, { ...permit, usableUntil: -Infinity });
+        }
+    }
+
+    /** Tells whether a worker was neither allowed nor denied yet. */
+    isUnknown(workerId: string): boolean {
+        return !this.held.has(workerId) && !this.denied.has(workerId);
+    }
+
+    isAllowed(workerId: string): boolean {
+        return this.held.has(workerId);
+    }
+
+    /** Returns the permit for a worker if it can still be used. */
+    getUsable(workerId: string, now: Millis): string | undefined {
+        const permit = this.held.get(workerId);
+        return permit !== undefined && now < permit.usableUntil ? permit.token : undefined;
+    }
+}
--- /dev/null
+++ b/src/process/dispatch/planner.ts
@@ -0,0 +1,262 @@
+/**
+ * Decides which waiting tasks start where. Pure: it reads the state and returns what to do.
+ *
+ * @remarks Steps are served in the order of their urgency. What a step is given, or waits for a permit for, is out
+ * of reach of the steps behind it. A gang that does not fit yet keeps what it could use, else smaller tasks would
+ * take each piece of room as it comes free and the gang would never start.
+ */
+import type { Millis } from "../../common/clock.js";
+import { addResources, isWithin, removeResources } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
+import { TaskState } from "../jobs/job.js";
+import type { Step, Task } from "../jobs/job.js";
+import type { StepPermits } from "./permits.js";
+import { compareUrgency } from "./urgency.js";
+import type { Urgency } from "./urgency.js";
+import type { WorkerState } from "./worker-state.js";
+
+/** What a pass is made from. */
+export interface PlanInput {
+    /** Steps with something to start, in any order. */
+    readonly waiting: readonly Urgency[];
+    /** Usable workers of each pool. */
+    readonly workersByPool: ReadonlyMap<string, readonly WorkerState[]>;
+    /** Permits of a step whose queue needs them. */
+    readonly getPermits: (step: Step) => StepPermits;
+    readonly now: Millis;
+}
+
+/** A run to begin. */
+export interface PlannedStart {
+    readonly step: Step;
+    readonly task: Task;
+    readonly worker: WorkerState;
+    readonly permit: string | undefined;
+}
+
+/** A question to put to the advice service. */
+export interface PermitWish {
+    readonly urgency: Urgency;
+    readonly workerIds: readonly string[];
+}
+
+/** What to do. */
+export interface Plan {
+    readonly starts: readonly PlannedStart[];
+    readonly wishes: readonly PermitWish[];
+}
+
+/** Workers that one question may name. */
+export const MAX_ASKED_WORKERS = 100;
+/**
+ * Gangs without enough room that keep what they could use. One drains workers for the most urgent; with more, room
+ * for several gangs stands idle at once.
+ */
+const MAX_KEEPING_GANGS = 1;
+
+/**
+ * Plans one pass.
+ * @param input - The state.
+ */
+export function planStarts(input: PlanInput): Plan {
+    return new Pass(input).run();
+}
+
+/** A place found for a task. */
+interface Placement {
+    readonly task: Task;
+    readonly worker: WorkerState;
+}
+
+class Pass {
+    private readonly starts: PlannedStart[] = [];
+    private readonly wishes: PermitWish[] = [];
+    /** Free room of workers from which this pass has taken something. */
+    private readonly free = new Map<WorkerState, Resources>();
+    /** Tasks of a step that this pass has put on a worker, for its limit of tasks for each. */
+    private readonly placed = new Map<string, number>();
+    private keepingGangs = 0;
+
+    constructor(private readonly input: PlanInput) {}
+
+    run(): Plan {
+        const ordered = [...this.input.waiting].sort(compareUrgency);
+        ordered.forEach(urgency => this.planStep(urgency));
+        return { starts: this.starts, wishes: this.wishes };
+    }
+
+    private planStep(urgency: Urgency): void {
+        const { step, queue } = urgency;
+        const all = this.input.workersByPool.get(queue.pool) ?? [];
+        const suitable = all.filter(worker => isSuitable(step, worker));
+        const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
+        const candidates = permits === undefined ?
+            suitable :
+            suitable.filter(worker => permits.isAllowed(worker.id));
+        const tasks = step.tasks.filter(task => task.state === TaskState.waiting);
+        const placements = this.placeTasks(step, tasks, candidates, permits);
+        const isWhole = placements.length === tasks.length;
+        if (step.spec.isGang && !isWhole) {
+            this.keepOrReturn(step, placements);
+        }
+        else {
+            this.startOrAsk(urgency, placements, permits);
+        }
+        if (!isWhole && permits !== undefined && !permits.isAsking) {
+            this.askForUnknown(urgency, suitable, permits);
+        }
+    }
+
+    /** Finds places for as many tasks as possible and takes their room. */
+    private placeTasks(
+        step: Step,
+        tasks: readonly Task[],
+        candidates: readonly WorkerState[],
+        permits: StepPermits | undefined,
+    ): readonly Placement[] {
+        const placements: Placement[] = [];
+        for (const task of tasks) {
+            const worker = this.chooseWorker(step, task, candidates, permits);
+            if (worker === undefined) {
+                if (step.spec.isGang) {
+                    break;
+                }
+                continue;
+            }
+            this.takeRoom(step, worker);
+            placements.push({ task, worker });
+        }
+        return placements;
+    }
+
+    /** Chooses the fullest worker that still fits, so that large holes stay for gangs. */
+    private chooseWorker(
+        step: Step,
+        task: Task,
+        candidates: readonly WorkerState[],
+        permits: StepPermits | undefined,
+    ): WorkerState | undefined {
+        let best: WorkerState | undefined;
+        let bestScore = Infinity;
+        for (const worker of candidates) {
+            const free = this.getFree(worker);
+            if (!isWithin(step.spec.demand, free) || this.isAtLimit(step, worker)) {
+                continue;
+            }
+            const score = this.scoreWorker(step, task, worker, free, permits);
+            if (score < bestScore) {
+                best = worker;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    /** Lower is better. */
+    private scoreWorker(
+        step: Step,
+        task: Task,
+        worker: WorkerState,
+        free: Resources,
+        permits: StepPermits | undefined,
+    ): number {
+        const { demand, dataRack } = step.spec;
+        let score = (free.cpuMillis - demand.cpuMillis) / worker.record.capacity.cpuMillis;
+        if (task.failedOn.has(worker.id)) {
+            score += FAILED_HERE_PENALTY;
+        }
+        if (dataRack !== undefined && worker.record.rack !== dataRack) {
+            score += FAR_DATA_PENALTY;
+        }
+        if (permits !== undefined && permits.getUsable(worker.id, this.input.now) === undefined) {
+            score += EXPIRED_PERMIT_PENALTY;
+        }
+        return score;
+    }
+
+    private startOrAsk(
+        urgency: Urgency,
+        placements: readonly Placement[],
+        permits: StepPermits | undefined,
+    ): void {
+        const { step } = urgency;
+        const found = placements.map(({ task, worker }): PlannedStart => {
+            return { step, task, worker, permit: permits?.getUsable(worker.id, this.input.now) };
+        });
+        if (permits === undefined) {
+            this.starts.push(...found);
+            return;
+        }
+        const lacking = found.filter(start => start.permit === undefined);
+        if (!step.spec.isGang || lacking.length === 0) {
+            this.starts.push(...found.filter(start => start.permit !== undefined));
+        }
+        if (lacking.length > 0 && !permits.isAsking) {
+            const wanted = step.spec.isGang ? found : lacking;
+            const workerIds = [...new Set(wanted.map(start => start.worker.id))].slice(0, MAX_ASKED_WORKERS);
+            this.wishes.push({ urgency, workerIds });
+        }
+    }
+
+    /** A gang without enough room keeps what it found, or gives it back to those behind it. */
+    private keepOrReturn(step: Step, placements: readonly Placement[]): void {
+        if (placements.length > 0 && this.keepingGangs < MAX_KEEPING_GANGS) {
+            this.keepingGangs += 1;
+            return;
+        }
+        for (const { worker } of placements) {
+            this.free.set(worker, addResources(this.getFree(worker), step.spec.demand));
+        }
+    }
+
+    private askForUnknown(
+        urgency: Urgency,
+        suitable: readonly WorkerState[],
+        permits: StepPermits,
+    ): void {
+        const unknown = suitable
+            .filter(worker => permits.isUnknown(worker.id))
+            .sort((left, right) => this.getFree(right).cpuMillis - this.getFree(left).cpuMillis)
+            .slice(0, MAX_ASKED_WORKERS);
+        if (unknown.length > 0) {
+            this.wishes.push({ urgency, workerIds: unknown.map(worker => worker.id) });
+        }
+    }
+
+    private getFree(worker: WorkerState): Resources {
+        return this.free.get(worker) ?? worker.free;
+    }
+
+    private takeRoom(step: Step, worker: WorkerState): void {
+        this.free.set(worker, removeResources(this.getFree(worker), step.spec.demand));
+        if (step.spec.maxPerWorker !== undefined) {
+            const key = makePlacedKey(step, worker);
+            this.placed.set(key, (this.placed.get(key) ?? 0) + 1);
+        }
+    }
+
+    private isAtLimit(step: Step, worker: WorkerState): boolean {
+        const limit = step.spec.maxPerWorker;
+        if (limit === undefined) {
+            return false;
+        }
+        return worker.countOfStep(step.name) + (this.placed.get(makePlacedKey(step, worker)) ?? 0) >= limit;
+    }
+}
+
+/** Weights in units of a whole worker's processors: a worker that failed the task is the last choice. */
+const FAILED_HERE_PENALTY = 4;
+const FAR_DATA_PENALTY = 2;
+/** A permit that has to be asked for again costs a question of up to half a second. */
+const EXPIRED_PERMIT_PENALTY = 1;
+
+function makePlacedKey(step: Step, worker: WorkerState): string {
+    return `${step.name}@${worker.id}`;
+}
+
+/** Tells whether a worker could ever run a step's tasks. */
+function isSuitable(step: Step, worker: WorkerState): boolean {
+    const { requiredLabel, demand } = step.spec;
+    const hasLabel = requiredLabel === undefined || worker.record.labels.includes(requiredLabel);
+    return hasLabel && isWithin(demand, worker.record.capacity);
+}
--- /dev/null
+++ b/src/process/dispatch/urgency.ts
@@ -0,0 +1,51 @@
+/** In which order waiting steps get room. */
+import type { Millis } from "../../common/clock.js";
+import type { QueueConfig } from "../../version/cluster-config.js";
+import type { Step } from "../jobs/job.js";
+
+/** Place of a step in the order; lower goes first, field by field. */
+export interface Urgency {
+    readonly step: Step;
+    readonly queue: QueueConfig;
+    /** 0 while the objective can be met, 1 while a late answer still helps, 2 beyond. */
+    readonly lateness: 0 | 1 | 2;
+    /** Wall-clock time at which the job has to be done for its objective. */
+    readonly dueAt: number;
+}
+
+/** A job is worth something to its caller until this many times its objective has passed. */
+const LATE_FACTOR = 3;
+
+/** Returns the time from acceptance within which a job is to be done. */
+export function computeObjectiveMs(queue: QueueConfig, chainMs: Millis): Millis {
+    return queue.stretch * chainMs + queue.targetMs;
+}
+
+/**
+ * Ranks a step.
+ *
+ * @remarks The load this answers: bursts in which more work waits than the workers can do in time. Work that can
+ * still meet its objective goes before work that cannot any more, else the queue's head is always late work and
+ * every job behind it becomes late too.
+ * @param step - A step with something to start.
+ * @param queue - Its queue.
+ * @param wallNow - Wall-clock time.
+ */
+export function rankStep(step: Step, queue: QueueConfig, wallNow: number): Urgency {
+    const { job } = step;
+    const begin = Math.max(job.acceptedAt, step.occurrence.dueAt);
+    const objective = computeObjectiveMs(queue, job.chainMs);
+    const dueAt = begin + objective;
+    const endAt = wallNow + step.spec.estimateMs;
+    if (endAt <= dueAt) {
+        return { step, queue, lateness: 0, dueAt };
+    }
+    return { step, queue, lateness: endAt <= begin + LATE_FACTOR * objective ? 1 : 2, dueAt };
+}
+
+/** Compares two steps: on time before late, then the queue's priority, then what is due first. */
+export function compareUrgency(left: Urgency, right: Urgency): number {
+    return left.lateness - right.lateness ||
+        left.queue.priority - right.queue.priority ||
+        left.dueAt - right.dueAt;
+}
--- /dev/null
+++ b/src/process/dispatch/worker-session.ts
@@ -0,0 +1,234 @@
+/**
+ * The leader's conversation with one life of a worker: reports that also renew the lease, and orders.
+ *
+ * @remarks The loop asks for the next report as soon as the last one is handled. The worker holds its answer back
+ * until something ends, so an end is known within milliseconds at the price of one call.
+ */
+import { sleep } from "../../common/clock.js";
+import type { Clock, Millis } from "../../common/clock.js";
+import { OrderRefusal } from "../ports/task-worker-port.js";
+import type {
+    RunOrder,
+    StartOrder,
+    TaskWorkerPort,
+    WorkerAnswer,
+    WorkerIdentity,
+    WorkerReport,
+} from "../ports/task-worker-port.js";
+import type { Log, Metrics } from "../telemetry.js";
+
+/** What a session tells the leader. */
+export interface SessionListener {
+    /** A report; the first one of a session shows what earlier leaders left there. */
+    handleReport(report: WorkerReport, isFirst: boolean): void;
+    /** Whether the worker can be given work has changed. */
+    handleReachable(isReachable: boolean): void;
+    /** This life is over: another one answers at its address. */
+    handleReplaced(): void;
+    /** The worker follows a later leader. */
+    handleFenced(): void;
+    /** The worker's clock ran ahead of ours by this much: this process was suspended. */
+    handleSuspended(gap: Millis): void;
+    /** Whether this leader may still extend leases: see `authority.ts`. */
+    mayExtend(): boolean;
+}
+
+/** What a session is made from. */
+export interface SessionOptions {
+    readonly worker: WorkerIdentity;
+    readonly port: TaskWorkerPort;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly epoch: number;
+    /** Length of the leases given. */
+    readonly leaseMs: Millis;
+    /** Until when, on our clock, leases given by earlier leaders may run. */
+    readonly inheritedLeaseEnd: Millis;
+    readonly listener: SessionListener;
+}
+
+/** How long a worker may hold a report back. Leases are renewed at least this often. */
+const REPORT_WAIT_MS: Millis = 1_000;
+/**
+ * Least time between two reports of one worker: each is a priced look. Ends of the meantime come together; at five
+ * ends a second a fifth of the calls is saved for at most this delay.
+ */
+const REPORT_GAP_MS: Millis = 60;
+/** Time for the answer on top of what the worker may wait: one way is under 4 ms, a busy worker takes longer. */
+const ANSWER_MARGIN_MS: Millis = 500;
+const RETRY_PAUSE_MS: Millis = 100;
+/** Reports that fail one after the other before the worker gets no new work. */
+const MAX_FAILURES = 1;
+/** Time for an order's answer. What was not answered by then is settled by the reports. */
+const ORDER_TIMEOUT_MS: Millis = 600;
+/** A worker's clock that gains more than this between two reports shows that this process stood still. */
+const SUSPENSION_MS: Millis = 1_000;
+/** A worker's clock may be slower than ours by 2%; another 1% and this constant cover the estimate of its time. */
+const CLOCK_FACTOR = 1.03;
+const CLOCK_MARGIN_MS: Millis = 300;
+
+/** Returns when a lease given now has surely run out, as a duration on our clock. */
+export function computeLeaseBound(leaseMs: Millis): Millis {
+    return leaseMs * CLOCK_FACTOR + CLOCK_MARGIN_MS;
+}
+
+/** A session; see the module comment. */
+export class WorkerSession {
+    /** Highest end that is durable. */
+    seenEnd = 0;
+    private offset: Millis | undefined;
+    private leaseEnd: Millis;
+    private lastWorkerNow: Millis = 0;
+    private isFirst = true;
+    private isReachable = false;
+    private failures = 0;
+    private closed = false;
+
+    constructor(private readonly options: SessionOptions) {
+        this.leaseEnd = options.inheritedLeaseEnd;
+    }
+
+    /** Returns when, on our clock, all leases on this worker have surely run out unless it is heard again. */
+    getLeaseEnd(): Millis {
+        return this.leaseEnd;
+    }
+
+    /** Returns the worker's time now, at most; undefined before the first report. */
+    estimateWorkerNow(): Millis | undefined {
+        return this.offset === undefined ? undefined : this.options.clock.now() + this.offset;
+    }
+
+    /** Runs until closed. */
+    async run(): Promise<void> {
+        while (!this.closed) {
+            const { clock, listener } = this.options;
+            if (!listener.mayExtend()) {
+                this.setReachable(false);
+                await sleep(clock, RETRY_PAUSE_MS);
+                continue;
+            }
+            const sentAt = clock.now();
+            await this.requestReport(sentAt);
+            if (!this.closed && this.failures > 0) {
+                await sleep(clock, RETRY_PAUSE_MS);
+            }
+            else if (!this.closed && this.seenEnd > 0) {
+                await sleep(clock, Math.max(0, sentAt + REPORT_GAP_MS - clock.now()));
+            }
+        }
+    }
+
+    /** Ends the session. */
+    close(): void {
+        if (!this.closed) {
+            this.closed = true;
+            this.options.port.forget(this.options.worker);
+        }
+    }
+
+    isClosed(): boolean {
+        return this.closed;
+    }
+
+    /** Sends an order to start a run. */
+    start(order: Omit<StartOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
+        const { port, worker, epoch } = this.options;
+        return this.order("start", () => port.start(worker, { ...order, epoch }, ORDER_TIMEOUT_MS));
+    }
+
+    /** Sends an order to stop a run. */
+    stop(order: Omit<RunOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
+        const { port, worker, epoch } = this.options;
+        return this.order("stop", () => port.stop(worker, { ...order, epoch }, ORDER_TIMEOUT_MS));
+    }
+
+    private async order(
+        name: string,
+        send: () => Promise<WorkerAnswer<Millis>>,
+    ): Promise<WorkerAnswer<Millis>> {
+        const { clock, metrics } = this.options;
+        const sentAt = clock.now();
+        const answer = await send();
+        metrics.time(`worker.${name}`, clock.now() - sentAt);
+        if (!this.closed) {
+            this.handleEnd(answer);
+        }
+        return answer;
+    }
+
+    private async requestReport(sentAt: Millis): Promise<void> {
+        const { port, worker, epoch, leaseMs } = this.options;
+        const now = this.estimateWorkerNow();
+        const workerDeadline = now === undefined ? undefined : Math.floor(now + leaseMs);
+        // Until the clock is known the answer is wanted at once, and an unsure worker is asked for a sign of life.
+        const waitMs = now === undefined || this.failures > 0 ? 0 : REPORT_WAIT_MS;
+        if (workerDeadline !== undefined) {
+            this.leaseEnd = Math.max(this.leaseEnd, sentAt + computeLeaseBound(leaseMs));
+        }
+        const request = { epoch, seenEnd: this.seenEnd, workerDeadline, waitMs };
+        const answer = await port.report(worker, request, waitMs + ANSWER_MARGIN_MS);
+        if (this.closed) {
+            return;
+        }
+        if (answer.kind === "done") {
+            this.failures = 0;
+            this.acceptReport(answer.value);
+            return;
+        }
+        if (!this.handleEnd(answer)) {
+            this.countFailure(answer);
+        }
+    }
+
+    private acceptReport(report: WorkerReport): void {
+        const { clock, listener } = this.options;
+        // Answers on several connections may overtake each other; an older one tells nothing new.
+        if (report.workerNow < this.lastWorkerNow) {
+            return;
+        }
+        this.lastWorkerNow = report.workerNow;
+        const offset = report.workerNow - clock.now();
+        if (this.offset !== undefined && offset - this.offset > SUSPENSION_MS) {
+            listener.handleSuspended(offset - this.offset);
+        }
+        this.offset = offset;
+        const { isFirst } = this;
+        this.isFirst = false;
+        listener.handleReport(report, isFirst);
+        this.setReachable(true);
+    }
+
+    /** Handles answers that end the session; tells whether it was one. */
+    private handleEnd(answer: WorkerAnswer<unknown>): boolean {
+        if (answer.kind === "replaced") {
+            this.close();
+            this.options.listener.handleReplaced();
+            return true;
+        }
+        if (answer.kind === "refused" && answer.reason === OrderRefusal.fenced) {
+            this.close();
+            this.options.listener.handleFenced();
+            return true;
+        }
+        return false;
+    }
+
+    private countFailure(answer: WorkerAnswer<unknown>): void {
+        this.failures += 1;
+        this.options.metrics.count("worker.reportFailures");
+        if (this.failures >= MAX_FAILURES && this.isReachable) {
+            this.setReachable(false);
+            const { worker, log } = this.options;
+            const reason = answer.kind === "refused" ? answer.reason : answer.kind;
+            log.warn("CR1611", "workerUnreachable", { workerId: worker.workerId, reason });
+        }
+    }
+
+    private setReachable(isReachable: boolean): void {
+        if (this.isReachable !== isReachable) {
+            this.isReachable = isReachable;
+            this.options.listener.handleReachable(isReachable);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/dispatch/worker-state.ts
@@ -0,0 +1,110 @@
+/** What the leader holds of one worker: what it has, and every run that may be on it. */
+import type { Millis } from "../../common/clock.js";
+import { addResources, removeResources } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
+import type { WorkerRecord } from "../ports/task-worker-port.js";
+
+/** How far a run is. */
+export const RunPhase = {
+    /** Room is taken; the assignment is not durable yet. */
+    reserved: "reserved",
+    /** The order was sent; whether it was carried out is not known yet. */
+    ordered: "ordered",
+    running: "running",
+    /** It must end; its room is taken until its end is listed. */
+    stopping: "stopping",
+} as const;
+export type RunPhase = (typeof RunPhase)[keyof typeof RunPhase];
+
+/** A run that may be on a worker. */
+export interface RunRecord {
+    readonly task: string;
+    readonly run: number;
+    readonly step: string;
+    readonly demand: Resources;
+    phase: RunPhase;
+    /**
+     * On the worker's clock: a report from later that does not list the run shows that it is not there and never
+     * will be. It is the order's deadline, or when the worker answered that it runs or is stopped.
+     */
+    settledAfter: Millis;
+    /** Whether the worker ever said that it runs. */
+    wasSeen: boolean;
+    checkpoint: string;
+    /** When it was ordered, on our clock. */
+    orderedAt: Millis;
+}
+
+/** Returns the key of a run. A task may have an older run on a worker that is out of reach. */
+export function makeRunKey(task: string, run: number): string {
+    return `${task}#${run}`;
+}
+
+/**
+ * A worker; see the module comment.
+ *
+ * @remarks Failure guarded against: workers that do not check admission start whatever they are told, so a run
+ * that is forgotten too early lets the next one overload the worker. Room is given back only when the worker lists
+ * the end, when the order surely came too late, or when the worker's lease has surely run out.
+ */
+export class WorkerState {
+    readonly runs = new Map<string, RunRecord>();
+    free: Resources;
+    /** Whether its reports come, so that its runs are known. */
+    isReachable = false;
+    /** Whether it stands in the worker list. */
+    isListed = true;
+    /** Until when, on our clock, it gets no new work because it refused or failed some. */
+    avoidedUntil: Millis = -Infinity;
+
+    /** @param record - What it registered. */
+    constructor(public record: WorkerRecord) {
+        this.free = record.capacity;
+    }
+
+    get id(): string {
+        return this.record.workerId;
+    }
+
+    /** Tells whether it may be given new work. */
+    isUsable(now: Millis): boolean {
+        return this.isReachable && this.isListed && !this.record.isDraining && now >= this.avoidedUntil;
+    }
+
+    /** Takes in a newer registration of the same life. */
+    updateRecord(record: WorkerRecord): void {
+        const used = removeResources(this.record.capacity, this.free);
+        this.record = record;
+        this.free = removeResources(record.capacity, used);
+    }
+
+    /** Takes room for a run. */
+    addRun(run: RunRecord): void {
+        this.runs.set(makeRunKey(run.task, run.run), run);
+        this.free = removeResources(this.free, run.demand);
+    }
+
+    /** Gives a run's room back. */
+    removeRun(task: string, run: number): RunRecord | undefined {
+        const key = makeRunKey(task, run);
+        const record = this.runs.get(key);
+        if (record !== undefined) {
+            this.runs.delete(key);
+            this.free = addResources(this.free, record.demand);
+        }
+        return record;
+    }
+
+    getRun(task: string, run: number): RunRecord | undefined {
+        return this.runs.get(makeRunKey(task, run));
+    }
+
+    /** Counts the runs of a step here. */
+    countOfStep(step: string): number {
+        let count = 0;
+        for (const run of this.runs.values()) {
+            count += run.step === step ? 1 : 0;
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/src/process/jobs/job-book.ts
@@ -0,0 +1,302 @@
+/**
+ * All jobs of the cluster, as the durable events make them. A leader applies each event as it decides it and
+ * lets its effects out only once the event is durable; a new leader applies what it finds in the store.
+ */
+import { JobPhase, RunEnd } from "./job-events.js";
+import type { JobAccepted, JobClosed, JobEvent, RunAssigned, RunEnded } from "./job-events.js";
+import { computeChainMs, formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
+import type { JobSpec } from "./job-spec.js";
+import { isStepRunnable, TaskState } from "./job.js";
+import type { Job, Occurrence, Step, Task } from "./job.js";
+
+/** A task with the step that it belongs to. */
+export interface FoundTask {
+    readonly step: Step;
+    readonly task: Task;
+}
+
+/** The jobs; see the module comment. */
+export class JobBook {
+    private readonly jobs = new Map<string, Job>();
+    /** Jobs that have not ended, so that passes need not look at the others. */
+    private readonly open = new Map<string, Job>();
+
+    get(jobId: string): Job | undefined {
+        return this.jobs.get(jobId);
+    }
+
+    /** Lists the jobs that have not ended, oldest first. */
+    listOpen(): Iterable<Job> {
+        return this.open.values();
+    }
+
+    /** Lists all jobs that are kept. */
+    listAll(): Iterable<Job> {
+        return this.jobs.values();
+    }
+
+    /** Counts the jobs that have not ended. */
+    countOpen(): number {
+        return this.open.size;
+    }
+
+    /** Finds a task by the name that workers know it by. */
+    findTask(name: string): FoundTask | undefined {
+        const ref = parseTaskName(name);
+        const step = ref && this.jobs.get(ref.jobId)?.occurrences.get(ref.occurrence)?.steps[ref.step];
+        const task = ref && step?.tasks[ref.index];
+        return step === undefined || task === undefined ? undefined : { step, task };
+    }
+
+    /** Lists the steps of open jobs with something to start. */
+    *listRunnable(): Iterable<Step> {
+        for (const job of this.open.values()) {
+            for (const occurrence of job.occurrences.values()) {
+                for (const step of occurrence.steps) {
+                    if (step.waiting > 0 && isStepRunnable(step)) {
+                        yield step;
+                    }
+                }
+            }
+        }
+    }
+
+    /** Counts a queue's jobs of which nothing has started. */
+    countPending(queue: string): number {
+        let count = 0;
+        for (const job of this.open.values()) {
+            if (job.queue === queue && !job.hasStarted) {
+                count += 1;
+            }
+        }
+        return count;
+    }
+
+    /**
+     * Opens the occurrences that are due. Not an event: it follows from the job and the time.
+     * @param job - A job that repeats.
+     * @param wallNow - Wall-clock time.
+     */
+    openDueOccurrences(job: Job, wallNow: number): void {
+        const repeat = job.spec?.repeat;
+        while (repeat !== undefined && job.nextOccurrence < repeat.count) {
+            const dueAt = repeat.firstRunAt + job.nextOccurrence * repeat.intervalMs;
+            if (dueAt > wallNow) {
+                return;
+            }
+            this.ensureOccurrence(job, job.nextOccurrence);
+        }
+    }
+
+    /** Applies one event. Events that no longer fit the state have no effect. */
+    apply(event: JobEvent): void {
+        switch (event.type) {
+            case "accepted":
+                return this.applyAccepted(event);
+            case "assigned":
+                return this.applyAssigned(event);
+            case "ended":
+                return this.applyEnded(event);
+            case "cancelled":
+                return this.endJob(event.jobId, JobPhase.cancelled, event.at);
+            case "closed":
+                return this.applyClosed(event);
+            case "forgotten":
+                this.jobs.delete(event.jobId);
+        }
+    }
+
+    /** Puts back a job that a snapshot holds. */
+    restore(job: Job): void {
+        this.jobs.set(job.id, job);
+        if (job.endedAt === 0) {
+            this.open.set(job.id, job);
+        }
+    }
+
+    /** Drops a job whose acceptance was never made durable; what was planned for it finds no work any more. */
+    dropUncommitted(jobId: string): void {
+        const job = this.jobs.get(jobId);
+        if (job !== undefined) {
+            job.spec = undefined;
+            job.occurrences.clear();
+        }
+        this.jobs.delete(jobId);
+        this.open.delete(jobId);
+    }
+
+    private applyAccepted(event: JobAccepted): void {
+        if (this.jobs.has(event.jobId)) {
+            return;
+        }
+        const job = buildJob(event);
+        this.jobs.set(job.id, job);
+        this.open.set(job.id, job);
+        if (event.spec.repeat === undefined) {
+            this.ensureOccurrence(job, 0);
+        }
+    }
+
+    private applyAssigned(event: RunAssigned): void {
+        const ref = parseTaskName(event.task);
+        const job = ref && this.open.get(ref.jobId);
+        if (ref === undefined || job === undefined) {
+            return;
+        }
+        this.ensureOccurrence(job, ref.occurrence);
+        const found = this.findTask(event.task);
+        if (found === undefined || found.task.state !== TaskState.waiting || event.run <= found.task.run) {
+            return;
+        }
+        const { step, task } = found;
+        task.state = TaskState.assigned;
+        task.run = event.run;
+        task.workerId = event.workerId;
+        step.waiting -= 1;
+        step.assigned += 1;
+        job.hasStarted = true;
+        job.phase = JobPhase.running;
+    }
+
+    private applyEnded(event: RunEnded): void {
+        const found = this.findTask(event.task);
+        if (found === undefined || found.task.run !== event.run || found.task.state !== TaskState.assigned) {
+            return;
+        }
+        const { step, task } = found;
+        if (event.end === RunEnd.done && !step.spec.isLongRunning) {
+            this.finishTasks(step, step.spec.isGang ? step.tasks : [task]);
+            return;
+        }
+        if (event.end === RunEnd.failed) {
+            countFailure(step, task, event.run);
+        }
+        task.state = TaskState.waiting;
+        task.workerId = undefined;
+        if (event.checkpoint !== "") {
+            task.checkpoint = event.checkpoint;
+        }
+        step.assigned -= 1;
+        step.waiting += 1;
+        if (step.spec.isGang && event.checkpoint !== "") {
+            step.tasks.forEach(member => member.checkpoint = event.checkpoint);
+        }
+    }
+
+    /** Marks tasks as done: all members at once when one member of a gang says so. */
+    private finishTasks(step: Step, tasks: readonly Task[]): void {
+        for (const task of tasks) {
+            if (task.state === TaskState.done) {
+                continue;
+            }
+            step[task.state === TaskState.assigned ? "assigned" : "waiting"] -= 1;
+            step.done += 1;
+            task.state = TaskState.done;
+            task.workerId = undefined;
+            task.checkpoint = "";
+        }
+        if (step.done === step.tasks.length) {
+            step.occurrence.openSteps -= 1;
+        }
+        if (step.occurrence.openSteps === 0) {
+            step.job.occurrences.delete(step.occurrence.number);
+        }
+    }
+
+    private applyClosed(event: JobClosed): void {
+        this.endJob(event.jobId, event.phase, event.at);
+    }
+
+    private endJob(jobId: string, phase: JobPhase, at: number): void {
+        const job = this.open.get(jobId);
+        if (job === undefined) {
+            return;
+        }
+        job.phase = phase;
+        job.endedAt = at;
+        job.spec = undefined;
+        job.occurrences.clear();
+        this.open.delete(jobId);
+    }
+
+    private ensureOccurrence(job: Job, number: number): void {
+        while (job.spec !== undefined && job.nextOccurrence <= number) {
+            const occurrence = buildOccurrence(job, job.spec, job.nextOccurrence);
+            job.occurrences.set(job.nextOccurrence, occurrence);
+            job.nextOccurrence += 1;
+        }
+    }
+}
+
+/** Tells whether every occurrence of a job is done. */
+export function isJobDone(job: Job): boolean {
+    const total = job.spec?.repeat?.count ?? 1;
+    return job.nextOccurrence >= total && job.occurrences.size === 0;
+}
+
+/**
+ * Builds the state of a job that was just accepted, without occurrences.
+ * @param event - Its acceptance.
+ */
+export function buildJob(event: JobAccepted): Job {
+    return {
+        id: event.jobId,
+        queue: event.queue,
+        spec: event.spec,
+        acceptedAt: event.at,
+        phase: JobPhase.queued,
+        endedAt: 0,
+        isEndDurable: false,
+        occurrences: new Map(),
+        nextOccurrence: 0,
+        hasStarted: false,
+        chainMs: computeChainMs(event.spec.steps),
+    };
+}
+
+/** Builds one occurrence with all its tasks waiting. */
+export function buildOccurrence(job: Job, spec: JobSpec, number: number): Occurrence {
+    const { repeat } = spec;
+    const dueAt = repeat === undefined ? 0 : repeat.firstRunAt + number * repeat.intervalMs;
+    const occurrence: Occurrence = { number, steps: [], dueAt, openSteps: spec.steps.length };
+    spec.steps.forEach((stepSpec, stepNumber) => {
+        const ref = { jobId: job.id, occurrence: number, step: stepNumber };
+        const tasks = Array.from({ length: stepSpec.taskCount }, (...[, index]): Task => ({
+            index,
+            name: formatTaskName({ ...ref, index }),
+            state: TaskState.waiting,
+            run: 0,
+            failures: 0,
+            workerId: undefined,
+            checkpoint: "",
+            failedOn: new Set(),
+        }));
+        occurrence.steps.push({
+            job,
+            occurrence,
+            number: stepNumber,
+            name: formatStepName(ref),
+            spec: stepSpec,
+            tasks,
+            waiting: tasks.length,
+            assigned: 0,
+            done: 0,
+            failures: 0,
+            lastFailedRun: 0,
+        });
+    });
+    return occurrence;
+}
+
+function countFailure(step: Step, task: Task, run: number): void {
+    if (task.workerId !== undefined) {
+        task.failedOn.add(task.workerId);
+    }
+    if (!step.spec.isGang) {
+        task.failures += 1;
+    }
+    else if (run > step.lastFailedRun) {
+        step.failures += 1;
+        step.lastFailedRun = run;
+    }
+}
--- /dev/null
+++ b/src/process/jobs/job-events.ts
@@ -0,0 +1,86 @@
+/** The durable events of jobs. Applying them in order rebuilds the state, so a new leader starts from them. */
+import type { JobSpec } from "./job-spec.js";
+
+/** How a run ended, or that it never began. */
+export const RunEnd = {
+    /** The task is done for good. */
+    done: "done",
+    /** It failed, by its own fault or its worker's. It counts as an attempt. */
+    failed: "failed",
+    /** It was stopped by an order. */
+    stopped: "stopped",
+    /** Its worker's lease ran out. */
+    lapsed: "lapsed",
+    /** Another member of its gang ended. */
+    broken: "broken",
+    /** It waited in vain for the other members of its gang. */
+    alone: "alone",
+    /** It surely never began. */
+    notRun: "notRun",
+    /** Its worker is gone, or was silent until its lease had surely run out. */
+    lost: "lost",
+} as const;
+export type RunEnd = (typeof RunEnd)[keyof typeof RunEnd];
+
+/** State of a job as callers see it. */
+export const JobPhase = {
+    queued: "queued",
+    running: "running",
+    completed: "completed",
+    failed: "failed",
+    cancelled: "cancelled",
+} as const;
+export type JobPhase = (typeof JobPhase)[keyof typeof JobPhase];
+
+/** A job was handed in. */
+export interface JobAccepted {
+    readonly type: "accepted";
+    readonly jobId: string;
+    readonly queue: string;
+    readonly spec: JobSpec;
+    /** Wall-clock time, in milliseconds since 1970. */
+    readonly at: number;
+}
+
+/** A run was given to a worker. It is durable before the worker is told. */
+export interface RunAssigned {
+    readonly type: "assigned";
+    readonly task: string;
+    /** Rises with each run of the task. */
+    readonly run: number;
+    readonly workerId: string;
+}
+
+/** A run ended. It is durable before the worker is told that the end was seen. */
+export interface RunEnded {
+    readonly type: "ended";
+    readonly task: string;
+    readonly run: number;
+    readonly end: RunEnd;
+    /** Last checkpoint that is known; empty if there is none. */
+    readonly checkpoint: string;
+}
+
+/** A job was cancelled by its caller. */
+export interface JobCancelled {
+    readonly type: "cancelled";
+    readonly jobId: string;
+    readonly at: number;
+}
+
+/** A job has completed or failed. */
+export interface JobClosed {
+    readonly type: "closed";
+    readonly jobId: string;
+    readonly phase: "completed" | "failed";
+    readonly at: number;
+}
+
+/** An ended job is no longer kept. */
+export interface JobForgotten {
+    readonly type: "forgotten";
+    readonly jobId: string;
+}
+
+/** A durable event. */
+export type JobEvent = JobAccepted | RunAssigned | RunEnded | JobCancelled | JobClosed | JobForgotten;
--- /dev/null
+++ b/src/process/jobs/snapshot.ts
@@ -0,0 +1,143 @@
+/** Jobs as text and back: the part of the journal that a snapshot covers. */
+import { buildJob, buildOccurrence, JobBook } from "./job-book.js";
+import { JobPhase } from "./job-events.js";
+import type { JobSpec } from "./job-spec.js";
+import { TaskState } from "./job.js";
+import type { Job, Occurrence, Step, Task } from "./job.js";
+
+/** A task that differs from a fresh one. */
+interface StoredTask {
+    readonly index: number;
+    readonly state: TaskState;
+    readonly run: number;
+    readonly failures: number;
+    readonly workerId?: string;
+    readonly checkpoint: string;
+}
+
+/** A step that differs from a fresh one. */
+interface StoredStep {
+    readonly number: number;
+    readonly failures: number;
+    readonly lastFailedRun: number;
+    readonly tasks: readonly StoredTask[];
+}
+
+interface StoredOccurrence {
+    readonly number: number;
+    readonly steps: readonly StoredStep[];
+}
+
+interface StoredOpenJob {
+    readonly id: string;
+    readonly queue: string;
+    readonly at: number;
+    readonly spec: JobSpec;
+    readonly hasStarted: boolean;
+    readonly nextOccurrence: number;
+    readonly occurrences: readonly StoredOccurrence[];
+}
+
+interface StoredEndedJob {
+    readonly id: string;
+    readonly queue: string;
+    readonly at: number;
+    readonly phase: JobPhase;
+    readonly endedAt: number;
+}
+
+interface StoredBook {
+    readonly open: readonly StoredOpenJob[];
+    readonly ended: readonly StoredEndedJob[];
+}
+
+/** Encodes all jobs. */
+export function encodeBook(book: JobBook): string {
+    const open: StoredOpenJob[] = [];
+    const ended: StoredEndedJob[] = [];
+    for (const job of book.listAll()) {
+        const { id, queue, acceptedAt: at, phase, endedAt, spec } = job;
+        if (spec === undefined) {
+            ended.push({ id, queue, at, phase, endedAt });
+            continue;
+        }
+        const occurrences = [...job.occurrences.values()].map(convertOccurrence);
+        const { hasStarted, nextOccurrence } = job;
+        open.push({ id, queue, at, spec, hasStarted, nextOccurrence, occurrences });
+    }
+    return JSON.stringify({ open, ended } satisfies StoredBook);
+}
+
+/**
+ * Decodes what {@link encodeBook} made.
+ * @param text - Trusted: only this program writes it, under the leader's guard.
+ */
+export function decodeBook(text: string): JobBook {
+    const book = new JobBook();
+    const stored = JSON.parse(text) as StoredBook;
+    for (const { id, queue, at, phase, endedAt } of stored.ended) {
+        const spec: JobSpec = { payload: "", steps: [], repeat: undefined };
+        const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
+        book.restore({ ...job, spec: undefined, phase, endedAt, isEndDurable: true });
+    }
+    for (const entry of stored.open) {
+        book.restore(rebuildOpenJob(entry));
+    }
+    return book;
+}
+
+function rebuildOpenJob(entry: StoredOpenJob): Job {
+    const { id, queue, at, spec, hasStarted, nextOccurrence } = entry;
+    const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
+    job.hasStarted = hasStarted;
+    job.nextOccurrence = nextOccurrence;
+    job.phase = hasStarted ? JobPhase.running : JobPhase.queued;
+    for (const stored of entry.occurrences) {
+        const occurrence = buildOccurrence(job, spec, stored.number);
+        stored.steps.forEach(step => fillStep(occurrence, step));
+        job.occurrences.set(stored.number, occurrence);
+    }
+    return job;
+}
+
+function fillStep(occurrence: Occurrence, stored: StoredStep): void {
+    const step = occurrence.steps[stored.number];
+    if (step === undefined) {
+        return;
+    }
+    step.failures = stored.failures;
+    step.lastFailedRun = stored.lastFailedRun;
+    for (const { index, state, run, failures, workerId, checkpoint } of stored.tasks) {
+        const task = step.tasks[index];
+        if (task !== undefined) {
+            Object.assign(task, { state, run, failures, workerId, checkpoint });
+        }
+    }
+    step.done = step.tasks.filter(task => task.state === TaskState.done).length;
+    step.assigned = step.tasks.filter(task => task.state === TaskState.assigned).length;
+    step.waiting = step.tasks.length - step.done - step.assigned;
+    if (step.done === step.tasks.length) {
+        occurrence.openSteps -= 1;
+    }
+}
+
+function convertOccurrence(occurrence: Occurrence): StoredOccurrence {
+    const steps = occurrence.steps.map(convertStep).filter(step =>
+        step.tasks.length > 0 || step.failures > 0
+    );
+    return { number: occurrence.number, steps };
+}
+
+function convertStep(step: Step): StoredStep {
+    const { number, failures, lastFailedRun } = step;
+    return { number, failures, lastFailedRun, tasks: step.tasks.filter(isChanged).map(convertTask) };
+}
+
+function isChanged(task: Task): boolean {
+    return task.run > 0 || task.state !== TaskState.waiting;
+}
+
+function convertTask(task: Task): StoredTask {
+    const { index, state, run, failures, workerId, checkpoint } = task;
+    return { index, state, run, failures, workerId, checkpoint };
+}
--- /dev/null
+++ b/src/process/journal/guarded-store.ts
@@ -0,0 +1,147 @@
+/**
+ * Writes to the store that hold only while this node leads.
+ *
+ * @remarks Failure guarded against: a leader that was paused or cut off goes on writing after another has taken
+ * over, and two histories mix. Every write names the revision of the leader's record as a condition; the record
+ * changes with each take-over, so a write of an earlier leader is refused, also one that is carried out late.
+ */
+import type { Clock, Millis } from "../../common/clock.js";
+import { sleep } from "../../common/clock.js";
+import type { StoreAnswer, StoreCondition, StorePort, TransactionWrite } from "../ports/index.js";
+import { CallTimeout } from "../store/call-timeout.js";
+import type { Log, Metrics } from "../telemetry.js";
+import { LEADER_KEY } from "./keys.js";
+
+/** Result of a guarded write that was pursued to its end. */
+export type GuardedResult =
+    | { readonly kind: "done"; readonly revision: number; }
+    /** Another node leads; nothing more can be written. */
+    | { readonly kind: "deposed"; }
+    /** The owner gave up while the store was away; the write may or may not stand. */
+    | { readonly kind: "abandoned"; };
+
+/** What guarded writes need. */
+export interface GuardedStoreOptions {
+    readonly port: StorePort;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    /** Revision of the leader's record that this node wrote. */
+    readonly leaderRevision: number;
+}
+
+/**
+ * First timeout of a write. The store answers in 7 to 14 ms as measured; a lost answer costs this long, and a slow
+ * store is learnt by doubling.
+ */
+const SHORTEST_TIMEOUT_MS: Millis = 120;
+/** Pause after the store said that it is busy or away; doubles up to the longest. */
+const SHORTEST_PAUSE_MS: Millis = 25;
+const LONGEST_PAUSE_MS: Millis = 200;
+
+/** The store under the leader's guard. */
+export class GuardedStore {
+    private readonly timeout = new CallTimeout(SHORTEST_TIMEOUT_MS);
+    private closed = false;
+    private lastContact: Millis;
+    private callSince: Millis | undefined;
+
+    /** @param options - Store, clock and guard. */
+    constructor(private readonly options: GuardedStoreOptions) {
+        this.lastContact = options.clock.now();
+    }
+
+    /** Returns the sending time of the last call that the store answered. */
+    getLastContact(): Millis {
+        return this.lastContact;
+    }
+
+    /** Takes in that the store answered another call that was sent at an instant. */
+    observeContact(sentAt: Millis): void {
+        this.lastContact = Math.max(this.lastContact, sentAt);
+    }
+
+    /** Returns how long the write under way has been tried; 0 while there is none. */
+    getStallMs(): Millis {
+        return this.callSince === undefined ? 0 : this.options.clock.now() - this.callSince;
+    }
+
+    /** Gives up what is under way. */
+    close(): void {
+        this.closed = true;
+    }
+
+    /**
+     * Writes records, trying again until the end is known.
+     *
+     * @remarks A try whose answer was lost may have been carried out: the next one then finds the conditions
+     * changed, and what stands at the keys tells whether it was ours.
+     * @param writes - What to write.
+     * @param conditions - Revisions that the written keys must have, beside the guard.
+     */
+    async write(
+        writes: readonly TransactionWrite[],
+        conditions: readonly StoreCondition[],
+    ): Promise<GuardedResult> {
+        const { leaderRevision, clock } = this.options;
+        const guard = { key: LEADER_KEY, revision: leaderRevision };
+        const transaction = { conditions: [guard, ...conditions], writes, removals: [] };
+        let pause = SHORTEST_PAUSE_MS;
+        this.callSince = clock.now();
+        while (!this.closed) {
+            const answer = await this.call(() => this.options.port.transact(transaction, this.timeout.get()));
+            const result = this.judge(answer, writes);
+            if (result !== undefined) {
+                this.callSince = undefined;
+                return result;
+            }
+            if (answer.kind === "unavailable") {
+                await sleep(clock, pause);
+                pause = Math.min(LONGEST_PAUSE_MS, pause * 2);
+            }
+        }
+        return { kind: "abandoned" };
+    }
+
+    private judge(
+        answer: StoreAnswer<number>,
+        writes: readonly TransactionWrite[],
+    ): GuardedResult | undefined {
+        if (answer.kind === "done") {
+            return { kind: "done", revision: answer.value };
+        }
+        if (answer.kind !== "refused") {
+            return undefined;
+        }
+        const standing = new Map(answer.standing?.map(record => [record.key, record]));
+        const leader = standing.get(LEADER_KEY);
+        const first = writes[0];
+        const ours = first && standing.get(first.key);
+        const isLeading = leader?.revision === this.options.leaderRevision;
+        if (isLeading && ours !== undefined && ours.value === first?.value) {
+            return { kind: "done", revision: ours.revision };
+        }
+        this.options.log.warn("CR1601", "guardedWriteRefused", { reason: answer.reason, isLeading });
+        return { kind: "deposed" };
+    }
+
+    private async call(send: () => Promise<StoreAnswer<number>>): Promise<StoreAnswer<number>> {
+        const { clock, metrics } = this.options;
+        const sentAt = clock.now();
+        const limit = this.timeout.get();
+        const answer = await send();
+        const took = clock.now() - sentAt;
+        metrics.time("store.write", took);
+        if (answer.kind === "done" || answer.kind === "refused") {
+            this.timeout.observeAnswer(took);
+            this.lastContact = sentAt;
+        }
+        else if (answer.kind === "unknown" && took >= limit) {
+            this.timeout.observeTimeout(limit);
+        }
+        if (answer.kind === "unknown" || answer.kind === "unavailable") {
+            metrics.count("store.failures", 1, { kind: answer.kind });
+        }
+        return answer;
+    }
+}
--- /dev/null
+++ b/src/process/journal/load-journal.ts
@@ -0,0 +1,114 @@
+/** Reads the journal back after a take-over. */
+import { sleep } from "../../common/clock.js";
+import type { Clock, Millis } from "../../common/clock.js";
+import { JobBook } from "../jobs/job-book.js";
+import { decodeBook } from "../jobs/snapshot.js";
+import type { StoreAnswer, StorePort, StoreRecord } from "../ports/index.js";
+import { CallTimeout } from "../store/call-timeout.js";
+import type { Log } from "../telemetry.js";
+import { makeSnapshotKey, RECORD_PREFIX, SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX } from "./keys.js";
+import { decodeJournalRecord, decodeSnapshotHead } from "./records.js";
+import type { JournalRecord } from "./records.js";
+
+/** The state as the store has it. */
+export interface LoadedJournal {
+    readonly book: JobBook;
+    /** Last record. */
+    readonly sequence: number;
+    /** Last record that the newest snapshot covers. */
+    readonly coveredSequence: number;
+    readonly generation: number;
+    readonly slotRevisions: Map<string, number>;
+}
+
+/** What loading needs. */
+export interface LoadContext {
+    readonly port: StorePort;
+    readonly clock: Clock;
+    readonly log: Log;
+    /** Whether the attempt is no longer wanted. */
+    readonly isOver: () => boolean;
+}
+
+/** First timeout of a listing: it carries up to a megabyte. */
+const LIST_TIMEOUT_MS: Millis = 500;
+const RETRY_PAUSE_MS: Millis = 50;
+
+/**
+ * Loads snapshot and records. Call it once this node's own leader record is written: from then on no earlier leader
+ * can add to them.
+ * @returns Undefined if the attempt is over.
+ */
+export async function loadJournal(context: LoadContext): Promise<LoadedJournal | undefined> {
+    const snapshotRecords = await listPrefix(context, SNAPSHOT_PREFIX);
+    const records = await listPrefix(context, RECORD_PREFIX);
+    return snapshotRecords === undefined || records === undefined ?
+        undefined :
+        rebuildState(context.log, snapshotRecords, records);
+}
+
+/** Lists a prefix, trying again until the store answers. */
+export async function listPrefix(
+    context: LoadContext,
+    prefix: string,
+): Promise<readonly StoreRecord[] | undefined> {
+    const timeout = new CallTimeout(LIST_TIMEOUT_MS);
+    while (!context.isOver()) {
+        const limit = timeout.get();
+        const answer = await context.port.list(prefix, limit);
+        if (answer.kind === "done") {
+            return answer.value.records;
+        }
+        reportFailure(context.log, prefix, answer);
+        timeout.observeTimeout(answer.kind === "unknown" ? limit : LIST_TIMEOUT_MS / 2);
+        await sleep(context.clock, RETRY_PAUSE_MS);
+    }
+    return undefined;
+}
+
+function reportFailure(log: Log, prefix: string, answer: StoreAnswer<unknown>): void {
+    const message = answer.kind === "unavailable" || answer.kind === "unknown" ? answer.message : answer.kind;
+    log.warn("CR1602", "journalReadFailed", { prefix, message });
+}
+
+function rebuildState(
+    log: Log,
+    snapshotRecords: readonly StoreRecord[],
+    records: readonly StoreRecord[],
+): LoadedJournal {
+    const values = new Map(snapshotRecords.map(record => [record.key, record.value]));
+    const headText = values.get(SNAPSHOT_HEAD_KEY);
+    const head = headText === undefined ?
+        { generation: 0, parts: 0, sequence: 0 } :
+        decodeSnapshotHead(headText);
+    const parts = Array.from({ length: head.parts }, (...[, part]) => {
+        return values.get(makeSnapshotKey(head.generation, part)) ?? "";
+    });
+    const book = head.parts === 0 ? new JobBook() : decodeBook(parts.join(""));
+    const later = records
+        .map(record => decodeJournalRecord(record.value))
+        .filter(record => record.sequence > head.sequence)
+        .sort((left, right) => left.sequence - right.sequence);
+    reportGaps(log, head.sequence, later);
+    for (const record of later) {
+        record.events.forEach(event => book.apply(event));
+    }
+    return {
+        book,
+        sequence: later.at(-1)?.sequence ?? head.sequence,
+        coveredSequence: head.sequence,
+        generation: head.generation,
+        slotRevisions: new Map(records.map(record => [record.key, record.revision])),
+    };
+}
+
+/** A gap means that the store lost an acknowledged record, or a fault of this program: never silent. */
+function reportGaps(log: Log, covered: number, records: readonly JournalRecord[]): void {
+    let expected = covered + 1;
+    for (const { sequence } of records) {
+        if (sequence !== expected) {
+            log.error("CR1603", "journalGap", { expected, found: sequence });
+        }
+        expected = sequence + 1;
+    }
+}
--- /dev/null
+++ b/src/process/leader/context.ts
@@ -0,0 +1,34 @@
+/** What the parts of a leader share. */
+import type { Clock, Millis } from "../../common/clock.js";
+import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
+import type { JobBook } from "../jobs/job-book.js";
+import type { JobEvent } from "../jobs/job-events.js";
+import type { TaskWorkerPort } from "../ports/task-worker-port.js";
+import type { Log, Metrics } from "../telemetry.js";
+import type { Authority } from "./authority.js";
+
+/** Shared by the parts of one leader, for as long as it leads. */
+export interface LeaderContext {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly epoch: number;
+    readonly book: JobBook;
+    readonly workerPort: TaskWorkerPort;
+    readonly authority: Authority;
+    /** Length of the leases given to workers. */
+    readonly leaseMs: Millis;
+    /** Until when, on our clock, leases given by earlier leaders may run. */
+    readonly inheritedLeaseEnd: Millis;
+    readonly getConfig: () => ClusterConfig;
+    /** Finds a job's queue by name; undefined once the operator has removed it. */
+    readonly findQueueByName: (name: string) => QueueConfig | undefined;
+    /** Applies an event and makes it durable; `handleCommitted` is called once it is. */
+    readonly record: (event: JobEvent, handleCommitted?: () => void) => void;
+    /** Calls back once everything recorded so far is durable. */
+    readonly runWhenCommitted: (notify: () => void) => void;
+    /** Asks for a planning pass soon. */
+    readonly requestPass: () => void;
+    /** Another node leads. */
+    readonly handleDeposed: (reason: string) => void;
+}
--- /dev/null
+++ b/src/process/leader/end-desk.ts
@@ -0,0 +1,124 @@
+/** What the end of a run means: for its task, its gang, its job, and for the worker that ran it. */
+import type { Millis } from "../../common/clock.js";
+import type { WorkerState } from "../dispatch/worker-state.js";
+import { isJobDone } from "../jobs/job-book.js";
+import { RunEnd } from "../jobs/job-events.js";
+import type { Job, Step } from "../jobs/job.js";
+import { TaskState } from "../jobs/job.js";
+import type { LeaderContext } from "./context.js";
+import { WorkerHealth } from "./worker-health.js";
+
+/** A run that ended. */
+export interface EndedRunNotice {
+    /** Undefined where the worker never appeared. */
+    readonly state: WorkerState | undefined;
+    readonly task: string;
+    readonly run: number;
+    readonly end: RunEnd;
+    readonly checkpoint: string;
+}
+
+/** Told of runs that have to end. */
+export interface RunStopper {
+    stopTask(workerId: string, task: string, run: number): void;
+}
+
+/** The desk; see the module comment. */
+export class EndDesk {
+    private readonly health: WorkerHealth;
+    private stopper: RunStopper | undefined;
+
+    /** @param context - Shared parts. */
+    constructor(private readonly context: LeaderContext) {
+        this.health = new WorkerHealth(context);
+    }
+
+    /** Sets who stops runs. */
+    install(stopper: RunStopper): void {
+        this.stopper = stopper;
+    }
+
+    /** Takes in an end. Ends of runs that no task is waiting for change nothing. */
+    recordEnd(notice: EndedRunNotice): void {
+        const { context } = this;
+        const found = context.book.findTask(notice.task);
+        const isCurrent = found !== undefined &&
+            found.task.run === notice.run &&
+            found.task.state === TaskState.assigned;
+        context.log.info("runEnded", {
+            task: notice.task,
+            run: notice.run,
+            end: notice.end,
+            workerId: notice.state?.id,
+            isCurrent,
+        });
+        context.metrics.count("runs.ended", 1, { end: notice.end });
+        if (!isCurrent) {
+            return;
+        }
+        const { step } = found;
+        if (notice.state !== undefined) {
+            this.health.observeEnd(notice.state, found.task, notice.end);
+        }
+        const { task, run, end, checkpoint } = notice;
+        context.record({ type: "ended", task, run, end, checkpoint });
+        if (step.spec.isGang && end === RunEnd.notRun) {
+            this.stopGang(step, run);
+        }
+        this.closeIfOver(step);
+        context.requestPass();
+    }
+
+    /** Stops everything that a job has on workers. */
+    stopJob(job: Job): void {
+        for (const occurrence of job.occurrences.values()) {
+            occurrence.steps.forEach(step => this.stopStep(step));
+        }
+    }
+
+    /** A gang whose start failed in part would hold its room until the others give up waiting. */
+    private stopGang(step: Step, run: number): void {
+        if (step.tasks.some(task => task.state === TaskState.assigned && task.run === run)) {
+            this.context.log.info("gangStopped", { step: step.name, run });
+            this.stopStep(step);
+        }
+    }
+
+    private stopStep(step: Step): void {
+        for (const task of step.tasks) {
+            if (task.state === TaskState.assigned && task.workerId !== undefined) {
+                this.stopper?.stopTask(task.workerId, task.name, task.run);
+            }
+        }
+    }
+
+    private closeIfOver(step: Step): void {
+        const { job } = step;
+        if (job.endedAt !== 0) {
+            return;
+        }
+        if (isJobDone(job)) {
+            this.closeJob(job, "completed");
+            return;
+        }
+        const maxAttempts = this.context.findQueueByName(job.queue)?.maxAttempts ?? Infinity;
+        const failures = step.spec.isGang ?
+            step.failures :
+            Math.max(...step.tasks.map(task => task.failures));
+        if (failures >= maxAttempts && !step.spec.isLongRunning) {
+            this.stopJob(job);
+            this.closeJob(job, "failed");
+        }
+    }
+
+    private closeJob(job: Job, phase: "completed" | "failed"): void {
+        const { context } = this;
+        const at = context.clock.wallNow();
+        const tookMs: Millis = at - job.acceptedAt;
+        context.log.info("jobClosed", { jobId: job.id, queue: job.queue, phase, tookMs });
+        context.metrics.time("jobs.took", tookMs, { phase });
+        context.record({ type: "closed", jobId: job.id, phase, at }, () => {
+            job.isEndDurable = true;
+        });
+    }
+}
--- /dev/null
+++ b/src/process/leader/fleet.ts
@@ -0,0 +1,373 @@
+/** The workers of a leader: their registrations, sessions and runs, and what reports mean for tasks. */
+import type { Millis } from "../../common/clock.js";
+import { NO_RESOURCES } from "../../common/resources.js";
+import { computeLeaseBound, WorkerSession } from "../dispatch/worker-session.js";
+import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
+import type { RunRecord } from "../dispatch/worker-state.js";
+import type { FoundTask } from "../jobs/job-book.js";
+import { RunEnd } from "../jobs/job-events.js";
+import { TaskState } from "../jobs/job.js";
+import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
+import type { EndedRun, RunningRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
+import type { LeaderContext } from "./context.js";
+import type { EndDesk } from "./end-desk.js";
+
+/** Time between two orders to stop the same run while its end is not listed. */
+const STOP_RETRY_MS: Millis = 400;
+/** A worker without runs that is no longer in the list is kept this long: entries lapse while the store is away. */
+const UNLISTED_GRACE_MS: Millis = 5_000;
+
+interface Member {
+    readonly state: WorkerState;
+    readonly session: WorkerSession;
+    unlistedSince: Millis | undefined;
+}
+
+/** The fleet; see the module comment. */
+export class Fleet {
+    private readonly members = new Map<string, Member>();
+    /** Tasks that earlier leaders gave to workers that have no session yet. */
+    private readonly inherited = new Map<string, FoundTask[]>();
+    private closed = false;
+
+    /**
+     * @param context - Shared parts.
+     * @param ends - Where ends of runs go.
+     */
+    constructor(private readonly context: LeaderContext, private readonly ends: EndDesk) {
+        for (const found of listAssigned(context)) {
+            const workerId = found.task.workerId ?? "";
+            this.inherited.set(workerId, [...this.inherited.get(workerId) ?? [], found]);
+        }
+    }
+
+    /** Takes in the worker list. */
+    setWorkers(records: ReadonlyMap<string, WorkerRecord>): void {
+        const now = this.context.clock.now();
+        for (const record of records.values()) {
+            this.upsertWorker(record);
+        }
+        for (const [workerId, member] of this.members) {
+            const isListed = records.has(workerId);
+            member.state.isListed = isListed;
+            member.unlistedSince = isListed ? undefined : member.unlistedSince ?? now;
+        }
+        this.context.requestPass();
+    }
+
+    /** Returns usable workers by pool. */
+    collectUsable(now: Millis): ReadonlyMap<string, readonly WorkerState[]> {
+        const pools = new Map<string, WorkerState[]>();
+        for (const { state } of this.members.values()) {
+            if (state.isUsable(now)) {
+                const pool = pools.get(state.record.pool);
+                if (pool === undefined) {
+                    pools.set(state.record.pool, [state]);
+                }
+                else {
+                    pool.push(state);
+                }
+            }
+        }
+        return pools;
+    }
+
+    /** Finds a worker's session. */
+    findSession(workerId: string): WorkerSession | undefined {
+        return this.members.get(workerId)?.session;
+    }
+
+    /** Finds a worker. */
+    findState(workerId: string): WorkerState | undefined {
+        return this.members.get(workerId)?.state;
+    }
+
+    /** Counts workers that can be given work. */
+    countUsable(now: Millis): number {
+        return [...this.members.values()].filter(({ state }) => state.isUsable(now)).length;
+    }
+
+    /** Looks for leases that have run out and workers that are gone. Call it several times a second. */
+    sweep(): void {
+        const now = this.context.clock.now();
+        for (const member of [...this.members.values()]) {
+            this.sweepMember(member, now);
+        }
+        if (now > this.context.inheritedLeaseEnd) {
+            this.dropInherited();
+        }
+    }
+
+    /** Orders a run to stop, again and again until its end is known. */
+    stopRun(state: WorkerState, run: RunRecord): void {
+        if (run.phase === RunPhase.stopping) {
+            return;
+        }
+        const wasOrdered = run.phase !== RunPhase.reserved;
+        run.phase = RunPhase.stopping;
+        if (wasOrdered) {
+            void this.sendStops(state, run);
+        }
+    }
+
+    /** Stops a run wherever it is. */
+    stopTask(workerId: string, task: string, run: number): void {
+        const state = this.findState(workerId);
+        const record = state?.getRun(task, run);
+        if (state !== undefined && record !== undefined) {
+            this.stopRun(state, record);
+        }
+    }
+
+    /** Ends all sessions. */
+    close(): void {
+        this.closed = true;
+        this.members.forEach(({ session }) => session.close());
+    }
+
+    private upsertWorker(record: WorkerRecord): void {
+        const member = this.members.get(record.workerId);
+        if (member !== undefined) {
+            if (member.state.record.isDraining !== record.isDraining) {
+                this.context.log.info("workerDraining", { workerId: record.workerId });
+            }
+            member.state.updateRecord(record);
+            return;
+        }
+        this.addWorker(record);
+    }
+
+    private addWorker(record: WorkerRecord): void {
+        const { context } = this;
+        const state = new WorkerState(record);
+        const session = new WorkerSession({
+            worker: record,
+            port: context.workerPort,
+            clock: context.clock,
+            log: context.log,
+            metrics: context.metrics,
+            epoch: context.epoch,
+            leaseMs: context.leaseMs,
+            inheritedLeaseEnd: this.inherited.has(record.workerId) ? context.inheritedLeaseEnd : -Infinity,
+            listener: {
+                handleReport: (report, isFirst) => this.handleReport(member, report, isFirst),
+                handleReachable: isReachable => this.handleReachable(state, isReachable),
+                handleReplaced: () => this.removeMember(member, "replaced"),
+                handleFenced: () => context.handleDeposed("a worker follows a later leader"),
+                handleSuspended: gap => this.handleSuspended(gap),
+                mayExtend: () => context.authority.mayOrder(),
+            },
+        });
+        const member: Member = { state, session, unlistedSince: undefined };
+        for (const found of this.inherited.get(record.workerId) ?? []) {
+            state.addRun(buildInheritedRun(found, context.clock.now()));
+        }
+        this.inherited.delete(record.workerId);
+        this.members.set(record.workerId, member);
+        context.log.info("workerAdded", {
+            workerId: record.workerId,
+            pool: record.pool,
+            inherited: state.runs.size,
+        });
+        void session.run();
+    }
+
+    private handleReachable(state: WorkerState, isReachable: boolean): void {
+        state.isReachable = isReachable;
+        if (isReachable) {
+            this.context.requestPass();
+        }
+    }
+
+    private handleSuspended(gap: Millis): void {
+        this.context.log.warn("CR1612", "processWasSuspended", { gapMs: Math.round(gap) });
+        this.context.authority.observeSuspension();
+    }
+
+    private handleReport(member: Member, report: WorkerReport, isFirst: boolean): void {
+        const { state, session } = member;
+        const listed = new Set<string>();
+        for (const ended of report.ended) {
+            listed.add(makeRunKey(ended.task, ended.run));
+            this.acceptEnd(state, session, ended);
+        }
+        for (const running of report.running) {
+            listed.add(makeRunKey(running.task, running.run));
+            this.acceptRunning(state, running, report.workerNow);
+        }
+        const isComplete = report.ended.length < MAX_REPORTED_ENDS;
+        if (isComplete) {
+            this.settleAbsent(state, listed, report.workerNow);
+        }
+        const lastEnd = report.ended.at(-1)?.number ?? 0;
+        if (lastEnd > session.seenEnd) {
+            this.context.runWhenCommitted(() => {
+                session.seenEnd = Math.max(session.seenEnd, lastEnd);
+            });
+        }
+        if (isFirst || report.ended.length > 0) {
+            this.context.requestPass();
+        }
+    }
+
+    private acceptEnd(state: WorkerState, session: WorkerSession, ended: EndedRun): void {
+        if (ended.number <= session.seenEnd) {
+            return;
+        }
+        const record = state.removeRun(ended.task, ended.run);
+        const checkpoint = ended.checkpoint === "" ? record?.checkpoint ?? "" : ended.checkpoint;
+        this.ends.recordEnd({ state, task: ended.task, run: ended.run, end: ended.end, checkpoint });
+    }
+
+    private acceptRunning(state: WorkerState, running: RunningRun, workerNow: Millis): void {
+        const record = state.getRun(running.task, running.run);
+        if (record === undefined) {
+            this.stopForeign(state, running, workerNow);
+            return;
+        }
+        record.wasSeen = true;
+        if (running.checkpoint !== "") {
+            record.checkpoint = running.checkpoint;
+        }
+        if (record.phase === RunPhase.ordered) {
+            record.phase = RunPhase.running;
+            record.settledAfter = workerNow;
+        }
+    }
+
+    /** A run that no task is waiting for: its room is taken until it has ended. */
+    private stopForeign(state: WorkerState, running: RunningRun, workerNow: Millis): void {
+        const found = this.context.book.findTask(running.task);
+        const record: RunRecord = {
+            task: running.task,
+            run: running.run,
+            step: found?.step.name ?? "",
+            demand: found?.step.spec.demand ?? NO_RESOURCES,
+            phase: RunPhase.running,
+            settledAfter: workerNow,
+            wasSeen: true,
+            checkpoint: running.checkpoint,
+            orderedAt: this.context.clock.now(),
+        };
+        state.addRun(record);
+        this.context.log.warn("CR1613", "foreignRunStopped", {
+            workerId: state.id,
+            task: running.task,
+            run: running.run,
+        });
+        this.stopRun(state, record);
+    }
+
+    /** Runs that a report from after their last uncertainty does not list are not there. */
+    private settleAbsent(state: WorkerState, listed: ReadonlySet<string>, workerNow: Millis): void {
+        for (const [key, run] of [...state.runs]) {
+            if (listed.has(key) || run.phase === RunPhase.reserved || workerNow <= run.settledAfter) {
+                continue;
+            }
+            state.removeRun(run.task, run.run);
+            const end = run.wasSeen ? RunEnd.lost : RunEnd.notRun;
+            this.ends.recordEnd({ state, task: run.task, run: run.run, end, checkpoint: run.checkpoint });
+        }
+    }
+
+    private sweepMember(member: Member, now: Millis): void {
+        const { state, session } = member;
+        if (!state.isReachable && now > session.getLeaseEnd() && state.runs.size > 0) {
+            this.loseRuns(state, "lease ran out");
+        }
+        const { unlistedSince } = member;
+        const isGone = unlistedSince !== undefined && now - unlistedSince > UNLISTED_GRACE_MS;
+        if (isGone && state.runs.size === 0) {
+            this.removeMember(member, "not listed");
+        }
+    }
+
+    private loseRuns(state: WorkerState, reason: string): void {
+        this.context.log.warn("CR1614", "runsLost", { workerId: state.id, runs: state.runs.size, reason });
+        for (const run of [...state.runs.values()]) {
+            state.removeRun(run.task, run.run);
+            const end = run.phase === RunPhase.reserved ? RunEnd.notRun : RunEnd.lost;
+            this.ends.recordEnd({ state, task: run.task, run: run.run, end, checkpoint: run.checkpoint });
+        }
+    }
+
+    private removeMember(member: Member, reason: string): void {
+        const { state, session } = member;
+        this.context.log.info("workerRemoved", { workerId: state.id, reason });
+        if (state.runs.size > 0) {
+            this.loseRuns(state, reason);
+        }
+        session.close();
+        this.members.delete(state.id);
+        this.context.requestPass();
+    }
+
+    /** Gives up on workers that earlier leaders used and that never appeared again. */
+    private dropInherited(): void {
+        for (const [workerId, tasks] of this.inherited) {
+            this.context.log.warn("CR1614", "runsLost", {
+                workerId,
+                runs: tasks.length,
+                reason: "never heard",
+            });
+            for (const { task } of tasks) {
+                const { name, run, checkpoint } = task;
+                this.ends.recordEnd({ state: undefined, task: name, run, end: RunEnd.lost, checkpoint });
+            }
+        }
+        this.inherited.clear();
+    }
+
+    private async sendStops(state: WorkerState, run: RunRecord): Promise<void> {
+        const { clock } = this.context;
+        while (!this.closed && state.getRun(run.task, run.run) === run) {
+            const session = this.findSession(state.id);
+            if (session === undefined || session.isClosed()) {
+                return;
+            }
+            const answer = await session.stop({ task: run.task, run: run.run });
+            if (answer.kind === "done") {
+                run.settledAfter = Math.min(run.settledAfter, answer.value);
+            }
+            await new Promise<void>(resolve => {
+                clock.schedule(STOP_RETRY_MS, resolve);
+            });
+        }
+    }
+}
+
+/** Returns until when leases of earlier leaders may run, counted from a take-over. */
+export function computeInheritedLeaseMs(leaseMs: Millis, unconfirmedMs: Millis): Millis {
+    return unconfirmedMs + computeLeaseBound(leaseMs);
+}
+
+function buildInheritedRun({ step, task }: FoundTask, now: Millis): RunRecord {
+    return {
+        task: task.name,
+        run: task.run,
+        step: step.name,
+        demand: step.spec.demand,
+        phase: RunPhase.ordered,
+        // The first report carries the new epoch, so orders of earlier leaders have no effect after it.
+        settledAfter: 0,
+        wasSeen: false,
+        checkpoint: task.checkpoint,
+        orderedAt: now,
+    };
+}
+
+function listAssigned(context: LeaderContext): readonly FoundTask[] {
+    const found: FoundTask[] = [];
+    for (const job of context.book.listOpen()) {
+        for (const occurrence of job.occurrences.values()) {
+            for (const step of occurrence.steps) {
+                for (const task of step.tasks) {
+                    if (task.state === TaskState.assigned) {
+                        found.push({ step, task });
+                    }
+                }
+            }
+        }
+    }
+    return found;
+}
--- /dev/null
+++ b/src/process/leader/job-desk.ts
@@ -0,0 +1,190 @@
+/** Answers callers' requests at the leader. */
+import type { Millis } from "../../common/clock.js";
+import { findQueue } from "../../version/cluster-config.js";
+import { JobPhase } from "../jobs/job-events.js";
+import type { JobSpec } from "../jobs/job-spec.js";
+import type { Job } from "../jobs/job.js";
+import type { Journal } from "../journal/journal.js";
+import type { LeaderContext } from "./context.js";
+import type { EndDesk } from "./end-desk.js";
+import { RefusalReason } from "./requests.js";
+import type { CallerReply, CallerRequest } from "./requests.js";
+
+/** When a caller may come back while the store is away: its outages last seconds. */
+const STORE_AWAY_RETRY_MS: Millis = 1_000;
+/** Jobs that have ended are shown for at least this long: the deployments ask for 120 s. */
+const RETENTION_MS: Millis = 240_000;
+const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
+
+type Reply = (reply: CallerReply) => void;
+
+/** The desk; see the module comment. */
+export class JobDesk {
+    /** Callers that wait for the acceptance of a job to be durable. */
+    private readonly waiting = new Map<string, Reply[]>();
+    /** Callers that wait for something else; they are told when this leader ends. */
+    private readonly open = new Set<Reply>();
+
+    /**
+     * @param context - Shared parts.
+     * @param journal - Knows whether the store is away.
+     * @param ends - Stops what cancelled jobs run.
+     */
+    constructor(
+        private readonly context: LeaderContext,
+        private readonly journal: Journal,
+        private readonly ends: EndDesk,
+    ) {}
+
+    /** Answers a request; the promise settles once the answer is true for good. */
+    serve(request: CallerRequest): Promise<CallerReply> {
+        return new Promise(resolve => {
+            const reply: Reply = answer => {
+                this.open.delete(reply);
+                resolve(answer);
+            };
+            this.open.add(reply);
+            this.dispatchRequest(request, reply);
+        });
+    }
+
+    /** Refuses acceptances that no try has sent yet while the store is away. */
+    refuseWhileStalled(): void {
+        if (!this.journal.isStalled()) {
+            return;
+        }
+        this.journal.withdrawAcceptances(jobId => {
+            this.context.book.dropUncommitted(jobId);
+            this.finishWaiting(jobId, buildStoreAway());
+        });
+    }
+
+    /** Forgets jobs whose end is older than callers may ask for. */
+    forgetOld(): void {
+        const limit = this.context.clock.wallNow() - RETENTION_MS;
+        for (const job of this.context.book.listAll()) {
+            if (job.endedAt !== 0 && job.endedAt < limit) {
+                this.context.record({ type: "forgotten", jobId: job.id });
+            }
+        }
+    }
+
+    /** Tells everyone who waits that this leader can't say. */
+    close(): void {
+        for (const reply of [...this.open]) {
+            reply({ kind: "unknown", message: "the leader has changed" });
+        }
+        this.waiting.clear();
+    }
+
+    private dispatchRequest(request: CallerRequest, reply: Reply): void {
+        const match = findQueue(this.context.getConfig(), request.host, request.path);
+        if (match === undefined) {
+            reply({ kind: "noQueue" });
+            return;
+        }
+        const { queue, rest } = match;
+        if (request.kind === "show" && rest === "") {
+            reply({ kind: "pending", count: this.context.book.countPending(queue.name) });
+            return;
+        }
+        if (!JOB_ID_PATTERN.test(rest)) {
+            reply({ kind: "malformed" });
+            return;
+        }
+        switch (request.kind) {
+            case "submit":
+                return this.submit(rest, queue.name, request.spec, reply);
+            case "show":
+                return this.show(rest, reply);
+            case "cancel":
+                return this.cancel(rest, reply);
+        }
+    }
+
+    private submit(jobId: string, queue: string, spec: JobSpec, reply: Reply): void {
+        const waiting = this.waiting.get(jobId);
+        if (waiting !== undefined) {
+            waiting.push(reply);
+            return;
+        }
+        if (this.context.book.get(jobId) !== undefined) {
+            reply({ kind: "accepted" });
+            return;
+        }
+        if (this.journal.isStalled()) {
+            this.logDecision(jobId, queue, "refused", "the store does not answer");
+            reply(buildStoreAway());
+            return;
+        }
+        this.waiting.set(jobId, [reply]);
+        const at = this.context.clock.wallNow();
+        this.context.record({ type: "accepted", jobId, queue, spec, at }, () => {
+            this.logDecision(jobId, queue, "accepted", "durable");
+            this.finishWaiting(jobId, { kind: "accepted" });
+            this.context.requestPass();
+        });
+        // Permits can be asked for while the acceptance becomes durable.
+        this.context.requestPass();
+    }
+
+    private show(jobId: string, reply: Reply): void {
+        const job = this.context.book.get(jobId);
+        if (job === undefined) {
+            reply({ kind: "noJob" });
+            return;
+        }
+        reply({ kind: "state", phase: getShownPhase(job) });
+    }
+
+    private cancel(jobId: string, reply: Reply): void {
+        const job = this.context.book.get(jobId);
+        if (job === undefined) {
+            reply({ kind: "noJob" });
+            return;
+        }
+        if (job.endedAt !== 0) {
+            this.context.runWhenCommitted(() => reply({ kind: "cancelled" }));
+            return;
+        }
+        if (this.journal.isStalled()) {
+            reply(buildStoreAway());
+            return;
+        }
+        this.ends.stopJob(job);
+        const at = this.context.clock.wallNow();
+        this.context.record({ type: "cancelled", jobId, at }, () => {
+            job.isEndDurable = true;
+            this.logDecision(jobId, job.queue, "cancelled", "durable");
+            reply({ kind: "cancelled" });
+        });
+    }
+
+    private finishWaiting(jobId: string, answer: CallerReply): void {
+        const waiting = this.waiting.get(jobId) ?? [];
+        this.waiting.delete(jobId);
+        waiting.forEach(reply => reply(answer));
+    }
+
+    private logDecision(jobId: string, queue: string, outcome: string, reason: string): void {
+        this.context.metrics.count("jobs.decided", 1, { outcome });
+        this.context.log.info("jobDecided", {
+            jobId,
+            queue,
+            outcome,
+            reason,
+            configVersion: this.context.getConfig().version,
+            epoch: this.context.epoch,
+            openJobs: this.context.book.countOpen(),
+        });
+    }
+}
+
+/** An end is shown once it is durable: a later leader must never take it back. */
+function getShownPhase(job: Job): JobPhase {
+    return job.endedAt !== 0 && !job.isEndDurable ? JobPhase.running : job.phase;
+}
+
+function buildStoreAway(): CallerReply {
+    return { kind: "refused", reason: RefusalReason.storeAway, retryAfterMs: STORE_AWAY_RETRY_MS };
+}
--- /dev/null
+++ b/src/process/leader/leader.ts
@@ -0,0 +1,309 @@
+/** One leadership: everything that decides, from the take-over until another node leads. */
+import type { Clock, Millis, Timer } from "../../common/clock.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
+import { AdviceDesk } from "../dispatch/advice-desk.js";
+import type { AdviceCaller } from "../dispatch/advice-desk.js";
+import { StepPermits } from "../dispatch/permits.js";
+import { planStarts } from "../dispatch/planner.js";
+import type { PermitWish } from "../dispatch/planner.js";
+import { rankStep } from "../dispatch/urgency.js";
+import type { Urgency } from "../dispatch/urgency.js";
+import type { Step } from "../jobs/job.js";
+import { encodeBook } from "../jobs/snapshot.js";
+import type { GuardedStore } from "../journal/guarded-store.js";
+import { Journal } from "../journal/journal.js";
+import type { LoadedJournal } from "../journal/load-journal.js";
+import type { AdviceAnswer, TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
+import type { Log, Metrics } from "../telemetry.js";
+import { Authority } from "./authority.js";
+import type { LeaderContext } from "./context.js";
+import { EndDesk } from "./end-desk.js";
+import { Fleet } from "./fleet.js";
+import { JobDesk } from "./job-desk.js";
+import type { CallerReply, CallerRequest } from "./requests.js";
+import { Starter } from "./starter.js";
+
+/** What a leader is made from. */
+export interface LeaderOptions {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly epoch: number;
+    readonly store: GuardedStore;
+    readonly loaded: LoadedJournal;
+    readonly workerPort: TaskWorkerPort;
+    readonly leaseMs: Millis;
+    /** Until when, on our clock, leases given by earlier leaders may run. */
+    readonly inheritedLeaseEnd: Millis;
+    readonly getConfig: () => ClusterConfig;
+    readonly handleDeposed: (reason: string) => void;
+}
+
+/** Events of one moment lead to one pass. */
+const PASS_DELAY_MS: Millis = 3;
+/** How often leases, schedules and the store's silence are looked at. */
+const SWEEP_MS: Millis = 100;
+const FORGET_EVERY_SWEEPS = 50;
+/** How often the state of the cluster is logged. */
+const REPORT_EVERY_SWEEPS = 10;
+
+/** The leader; see the module comment. */
+export class Leader {
+    readonly advice: AdviceDesk;
+    private readonly context: LeaderContext;
+    private readonly journal: Journal;
+    private readonly ends: EndDesk;
+    private readonly fleet: Fleet;
+    private readonly desk: JobDesk;
+    private readonly starter: Starter;
+    private readonly permits = new Map<Step, StepPermits>();
+    private passTimer: Timer | undefined;
+    private sweepTimer: Timer | undefined;
+    private sweeps = 0;
+    private closed = false;
+
+    constructor(private readonly options: LeaderOptions) {
+        this.context = this.buildContext();
+        this.journal = this.buildJournal();
+        this.advice = new AdviceDesk(options.clock);
+        this.ends = new EndDesk(this.context);
+        this.fleet = new Fleet(this.context, this.ends);
+        this.ends.install(this.fleet);
+        this.desk = new JobDesk(this.context, this.journal, this.ends);
+        this.starter = new Starter(this.context, this.fleet, this.ends, step => this.getPermits(step));
+        for (const job of options.loaded.book.listAll()) {
+            job.isEndDurable = job.endedAt !== 0;
+        }
+        this.sweep();
+    }
+
+    /** Answers a caller's request. */
+    serve(request: CallerRequest): Promise<CallerReply> {
+        return this.desk.serve(request);
+    }
+
+    /** Takes in the worker list. */
+    setWorkers(records: ReadonlyMap<string, WorkerRecord>): void {
+        this.fleet.setWorkers(records);
+    }
+
+    /** Takes in that a newer configuration is in force. */
+    handleConfig(): void {
+        this.requestPass();
+    }
+
+    /** Adds a node that can ask the advice service. */
+    addCaller(caller: AdviceCaller): void {
+        this.advice.addCaller(caller);
+    }
+
+    /** Tells whether the store answers. */
+    isStoreAway(): boolean {
+        return this.journal.isStalled();
+    }
+
+    /** Resolves once everything decided so far is durable. */
+    flush(): Promise<void> {
+        return new Promise(resolve => this.journal.runWhenCommitted(resolve));
+    }
+
+    /** Ends the leadership: nothing more is decided, ordered or written. */
+    close(): void {
+        this.closed = true;
+        this.passTimer?.cancel();
+        this.sweepTimer?.cancel();
+        this.journal.close();
+        this.fleet.close();
+        this.desk.close();
+    }
+
+    private buildContext(): LeaderContext {
+        const { options } = this;
+        return {
+            clock: options.clock,
+            log: options.log,
+            metrics: options.metrics,
+            epoch: options.epoch,
+            book: options.loaded.book,
+            workerPort: options.workerPort,
+            authority: new Authority(options.clock, options.store),
+            leaseMs: options.leaseMs,
+            inheritedLeaseEnd: options.inheritedLeaseEnd,
+            getConfig: options.getConfig,
+            findQueueByName: name => options.getConfig().queues.find(queue => queue.name === name),
+            record: (event, handleCommitted) => {
+                if (!this.closed) {
+                    options.loaded.book.apply(event);
+                    this.journal.append(event, handleCommitted);
+                }
+            },
+            runWhenCommitted: notify => this.journal.runWhenCommitted(notify),
+            requestPass: () => this.requestPass(),
+            handleDeposed: options.handleDeposed,
+        };
+    }
+
+    private buildJournal(): Journal {
+        const { options } = this;
+        return new Journal({
+            store: options.store,
+            clock: options.clock,
+            log: options.log,
+            metrics: options.metrics,
+            epoch: options.epoch,
+            loaded: options.loaded,
+            encodeState: () => encodeBook(options.loaded.book),
+            handleDeposed: () => options.handleDeposed("the store refused a write under this leader's guard"),
+        });
+    }
+
+    private requestPass(): void {
+        if (this.passTimer !== undefined || this.closed) {
+            return;
+        }
+        this.passTimer = this.options.clock.schedule(PASS_DELAY_MS, () => {
+            this.passTimer = undefined;
+            this.runPass();
+        });
+    }
+
+    private runPass(): void {
+        const { clock, metrics } = this.options;
+        const begin = clock.now();
+        // While nothing can be made durable, nothing can be started.
+        if (this.journal.isStalled() || !this.context.authority.mayOrder()) {
+            return;
+        }
+        const plan = planStarts({
+            waiting: this.rankWaiting(),
+            workersByPool: this.fleet.collectUsable(begin),
+            getPermits: step => this.getPermits(step),
+            now: begin,
+        });
+        this.starter.begin(plan.starts);
+        plan.wishes.forEach(wish => this.askAdvice(wish));
+        metrics.time("plan.took", clock.now() - begin);
+    }
+
+    private rankWaiting(): readonly Urgency[] {
+        const wallNow = this.options.clock.wallNow();
+        const queues = new Map(this.options.getConfig().queues.map(queue => [queue.name, queue]));
+        const ranked: Urgency[] = [];
+        for (const step of this.options.loaded.book.listRunnable()) {
+            const queue = queues.get(step.job.queue);
+            if (queue !== undefined) {
+                ranked.push(rankStep(step, queue, wallNow));
+            }
+        }
+        return ranked;
+    }
+
+    private getPermits(step: Step): StepPermits {
+        const known = this.permits.get(step);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = new StepPermits();
+        this.permits.set(step, created);
+        return created;
+    }
+
+    private askAdvice({ urgency, workerIds }: PermitWish): void {
+        const { step, queue } = urgency;
+        const permits = this.getPermits(step);
+        if (queue.advice === undefined) {
+            return;
+        }
+        permits.isAsking = true;
+        const { advice } = queue;
+        this.advice.ask({
+            step: step.name,
+            workerIds,
+            policy: advice,
+            priority: queue.priority,
+            isWanted: () => !this.closed && step.job.endedAt === 0 && step.waiting > 0,
+            settle: (answer, askedAt) => {
+                permits.isAsking = false;
+                this.acceptAdvice(step, permits, workerIds, answer, askedAt, advice.validMs);
+            },
+        });
+    }
+
+    private acceptAdvice(
+        step: Step,
+        permits: StepPermits,
+        workerIds: readonly string[],
+        answer: AdviceAnswer | undefined,
+        askedAt: Millis,
+        validMs: Millis,
+    ): void {
+        if (answer === undefined) {
+            return;
+        }
+        const { clock, log, metrics } = this.options;
+        const tookMs = clock.now() - askedAt;
+        metrics.time("advice.took", tookMs, { answer: answer.kind });
+        log.info("adviceGiven", {
+            step: step.name,
+            answer: answer.kind,
+            asked: workerIds.length,
+            allowed: answer.kind === "done" ? answer.permits.length : 0,
+            tookMs: Math.round(tookMs),
+        });
+        if (answer.kind === "done") {
+            permits.accept(workerIds, answer.permits, askedAt, validMs);
+        }
+        this.requestPass();
+    }
+
+    private sweep(): void {
+        const { clock } = this.options;
+        this.sweeps += 1;
+        this.fleet.sweep();
+        this.desk.refuseWhileStalled();
+        this.openOccurrences();
+        this.dropOldPermits();
+        if (this.sweeps % FORGET_EVERY_SWEEPS === 0) {
+            this.desk.forgetOld();
+        }
+        if (this.sweeps % REPORT_EVERY_SWEEPS === 0) {
+            this.reportState();
+        }
+        this.requestPass();
+        this.sweepTimer = clock.schedule(SWEEP_MS, () => this.sweep());
+    }
+
+    private openOccurrences(): void {
+        const wallNow = this.options.clock.wallNow();
+        const { book } = this.options.loaded;
+        for (const job of book.listOpen()) {
+            if (job.spec?.repeat !== undefined) {
+                book.openDueOccurrences(job, wallNow);
+            }
+        }
+    }
+
+    private dropOldPermits(): void {
+        for (const step of this.permits.keys()) {
+            if (step.job.endedAt !== 0) {
+                this.permits.delete(step);
+            }
+        }
+    }
+
+    private reportState(): void {
+        const { clock, log, metrics, epoch } = this.options;
+        const now = clock.now();
+        const fields = {
+            epoch,
+            openJobs: this.options.loaded.book.countOpen(),
+            usableWorkers: this.fleet.countUsable(now),
+            questions: this.advice.countWaiting(),
+            storeAway: this.journal.isStalled(),
+        };
+        log.info("leaderState", fields);
+        metrics.gauge("jobs.open", fields.openJobs);
+        metrics.gauge("workers.usable", fields.usableWorkers);
+        metrics.gauge("advice.waiting", fields.questions);
+    }
+}
--- /dev/null
+++ b/src/process/leader/starter.ts
@@ -0,0 +1,176 @@
+/** Carries out planned starts: takes room, makes the assignment durable, orders the run, and settles the answer. */
+import type { Millis } from "../../common/clock.js";
+import type { StepPermits } from "../dispatch/permits.js";
+import type { PlannedStart } from "../dispatch/planner.js";
+import { RunPhase } from "../dispatch/worker-state.js";
+import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
+import { RunEnd } from "../jobs/job-events.js";
+import type { Step } from "../jobs/job.js";
+import { OrderRefusal } from "../ports/task-worker-port.js";
+import type { WorkerAnswer } from "../ports/task-worker-port.js";
+import type { LeaderContext } from "./context.js";
+import type { EndDesk } from "./end-desk.js";
+import type { Fleet } from "./fleet.js";
+
+/**
+ * Time on the worker's clock for which an order may still be carried out. It is short so that an order without an
+ * answer is settled by the next report after it; the worker's lease is longer and not shortened by it.
+ */
+const ORDER_LIFE_MS: Millis = 1_000;
+/** A worker that calls itself unhealthy, or that cannot be reached, gets nothing new for this long. */
+const UNHEALTHY_PAUSE_MS: Millis = 1_000;
+
+/** The starter; see the module comment. */
+export class Starter {
+    /**
+     * @param context - Shared parts.
+     * @param fleet - Workers.
+     * @param ends - Takes runs that never began.
+     * @param getPermits - Permits of a step.
+     */
+    constructor(
+        private readonly context: LeaderContext,
+        private readonly fleet: Fleet,
+        private readonly ends: EndDesk,
+        private readonly getPermits: (step: Step) => StepPermits,
+    ) {}
+
+    /** Begins planned starts. All members of a gang get the same run number. */
+    begin(starts: readonly PlannedStart[]): void {
+        const gangRuns = new Map<Step, number>();
+        for (const start of starts) {
+            const { step, task } = start;
+            let run = task.run + 1;
+            if (step.spec.isGang) {
+                run = gangRuns.get(step) ?? Math.max(...step.tasks.map(member => member.run)) + 1;
+                gangRuns.set(step, run);
+            }
+            this.assign(start, run);
+        }
+    }
+
+    private assign(start: PlannedStart, run: number): void {
+        const { step, task, worker } = start;
+        const record: RunRecord = {
+            task: task.name,
+            run,
+            step: step.name,
+            demand: step.spec.demand,
+            phase: RunPhase.reserved,
+            settledAfter: Infinity,
+            wasSeen: false,
+            checkpoint: task.checkpoint,
+            orderedAt: this.context.clock.now(),
+        };
+        worker.addRun(record);
+        this.context.record(
+            { type: "assigned", task: task.name, run, workerId: worker.id },
+            () => void this.order(start, record),
+        );
+    }
+
+    /** Sends the order once the assignment is durable. */
+    private async order(start: PlannedStart, record: RunRecord): Promise<void> {
+        const { worker, step, permit } = start;
+        const { context } = this;
+        const session = this.fleet.findSession(worker.id);
+        const workerNow = session?.estimateWorkerNow();
+        const payload = step.job.spec?.payload;
+        const isWanted = record.phase === RunPhase.reserved && payload !== undefined &&
+            context.authority.mayOrder();
+        if (session === undefined || workerNow === undefined || !isWanted) {
+            this.settleNotRun(worker, record, "no longer wanted");
+            return;
+        }
+        record.phase = RunPhase.ordered;
+        record.settledAfter = Math.floor(workerNow + ORDER_LIFE_MS);
+        record.orderedAt = context.clock.now();
+        const { task, run, checkpoint } = record;
+        const answer = await session.start({
+            task,
+            run,
+            payload,
+            workerDeadline: record.settledAfter,
+            checkpoint,
+            permit,
+        });
+        this.logOrder(start, record, answer);
+        this.settle(start, record, answer);
+    }
+
+    private logOrder(start: PlannedStart, record: RunRecord, answer: WorkerAnswer<Millis>): void {
+        const { clock, log, metrics, epoch } = this.context;
+        const tookMs = Math.round(clock.now() - record.orderedAt);
+        const { job } = start.step;
+        metrics.count("runs.ordered", 1, { answer: answer.kind });
+        log.info("runOrdered", {
+            task: record.task,
+            run: record.run,
+            workerId: start.worker.id,
+            epoch,
+            answer: answer.kind === "refused" ? answer.reason : answer.kind,
+            tookMs,
+            jobAgeMs: clock.wallNow() - job.acceptedAt,
+            freeCpu: start.worker.free.cpuMillis,
+        });
+    }
+
+    private settle(start: PlannedStart, record: RunRecord, answer: WorkerAnswer<Millis>): void {
+        const { worker, step } = start;
+        if (worker.getRun(record.task, record.run) !== record) {
+            return;
+        }
+        switch (answer.kind) {
+            case "done":
+                this.confirm(record, answer.value);
+                return;
+            case "refused":
+                this.handleRefusal(start, answer.reason);
+                this.settleNotRun(worker, record, answer.reason);
+                return;
+            case "notSent":
+                worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
+                this.settleNotRun(worker, record, "not sent");
+                return;
+            case "unknown":
+                // The reports settle it: see `settledAfter`. Until then room and task stay taken.
+                worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
+                this.context.log.warn("CR1616", "orderUnanswered", {
+                    task: record.task,
+                    run: record.run,
+                    step: step.name,
+                    workerId: worker.id,
+                });
+                return;
+            case "replaced":
+                return;
+        }
+    }
+
+    private confirm(record: RunRecord, workerNow: Millis): void {
+        record.wasSeen = true;
+        if (record.phase === RunPhase.ordered) {
+            record.phase = RunPhase.running;
+            record.settledAfter = workerNow;
+        }
+    }
+
+    private handleRefusal(start: PlannedStart, reason: OrderRefusal): void {
+        const { worker, step } = start;
+        if (reason === OrderRefusal.noPermit) {
+            this.getPermits(step).drop(worker.id);
+        }
+        if (reason === OrderRefusal.unhealthy || reason === OrderRefusal.noRoom) {
+            worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
+        }
+    }
+
+    private settleNotRun(worker: WorkerState, record: RunRecord, reason: string): void {
+        if (worker.removeRun(record.task, record.run) === undefined) {
+            return;
+        }
+        const { task, run, checkpoint } = record;
+        this.context.log.info("runNotStarted", { task, run, workerId: worker.id, reason });
+        this.ends.recordEnd({ state: worker, task, run, end: RunEnd.notRun, checkpoint });
+    }
+}
--- /dev/null
+++ b/src/process/leadership/leader-lease.ts
@@ -0,0 +1,109 @@
+/** The lease by which the store tells other nodes that it still hears the leader. */
+import type { Clock, Millis } from "../../common/clock.js";
+import { ALIVE_KEY, LEADER_KEY } from "../journal/keys.js";
+import type { StorePort } from "../ports/index.js";
+
+/** Time to live of the lease: a leader that stands still is replaced after this time and a look. */
+const ALIVE_TTL_MS: Millis = 1_500;
+/** Renewals cost a tenth of a read; three may be lost. */
+const RENEW_MS: Millis = 400;
+const CALL_TIMEOUT_MS: Millis = 400;
+/** An idle leader looks at its record this long after its last write. */
+const CHECK_AFTER_MS: Millis = 1_000;
+
+/** What keeping the lease needs. */
+export interface LeaderLeaseOptions {
+    readonly port: StorePort;
+    readonly clock: Clock;
+    readonly life: string;
+    readonly leaderRevision: number;
+    /** Returns when the last call was sent whose answer showed that this node leads. */
+    readonly getLastContact: () => Millis;
+    /** Such a call was sent at this instant. */
+    readonly observeContact: (sentAt: Millis) => void;
+    /** The record is another's. */
+    readonly handleDeposed: (reason: string) => void;
+}
+
+/** Keeps the alive key on a lease for as long as this node leads. */
+export class LeaderLease {
+    private leaseId: string | undefined;
+    private closed = false;
+
+    constructor(private readonly options: LeaderLeaseOptions) {
+        void this.run();
+    }
+
+    /** Stops renewing and, if possible, ends the lease at once. */
+    close(): void {
+        this.closed = true;
+        if (this.leaseId !== undefined) {
+            void this.options.port.revokeLease(this.leaseId, CALL_TIMEOUT_MS);
+        }
+    }
+
+    private async run(): Promise<void> {
+        const { clock } = this.options;
+        while (!this.closed) {
+            const sentAt = clock.now();
+            if (this.leaseId === undefined) {
+                await this.grant(sentAt);
+            }
+            else {
+                await this.renew(this.leaseId);
+            }
+            if (clock.now() - this.options.getLastContact() > CHECK_AFTER_MS && !this.closed) {
+                await this.check();
+            }
+            await new Promise<void>(resolve => {
+                clock.schedule(RENEW_MS, resolve);
+            });
+        }
+    }
+
+    private async grant(sentAt: Millis): Promise<void> {
+        const { port, life, leaderRevision } = this.options;
+        const granted = await port.grantLease(ALIVE_TTL_MS, CALL_TIMEOUT_MS);
+        if (granted.kind !== "done") {
+            return;
+        }
+        const answer = await port.transact(
+            {
+                conditions: [{ key: LEADER_KEY, revision: leaderRevision }],
+                writes: [{ key: ALIVE_KEY, value: life, leaseId: granted.value }],
+                removals: [],
+            },
+            CALL_TIMEOUT_MS,
+        );
+        if (answer.kind === "done") {
+            this.leaseId = granted.value;
+            this.options.observeContact(sentAt);
+            return;
+        }
+        if (answer.kind === "refused" && answer.reason === "conflict" && !this.closed) {
+            this.options.handleDeposed("the leader's record has changed");
+        }
+    }
+
+    /** A renewal shows nothing of the record: the lease is this process's own and outlives its leadership. */
+    private async renew(leaseId: string): Promise<void> {
+        const answer = await this.options.port.renewLease(leaseId, CALL_TIMEOUT_MS);
+        if (answer.kind === "refused") {
+            this.leaseId = undefined;
+        }
+    }
+
+    private async check(): Promise<void> {
+        const { port, clock, leaderRevision } = this.options;
+        const sentAt = clock.now();
+        const answer = await port.read(LEADER_KEY, CALL_TIMEOUT_MS);
+        if (answer.kind !== "done" || this.closed) {
+            return;
+        }
+        if (answer.value?.revision === leaderRevision) {
+            this.options.observeContact(sentAt);
+            return;
+        }
+        this.options.handleDeposed("the leader's record has changed");
+    }
+}
--- /dev/null
+++ b/src/process/node/cluster-node.ts
@@ -0,0 +1,407 @@
+/**
+ * One node of the cluster: it answers callers, through the leader, and leads when its turn comes.
+ *
+ * @remarks All nodes are alike and any number of them may be lost. The store's leader record says who leads; a claim
+ * is one conditional write and needs nobody's consent, so the last node standing goes on alone.
+ */
+import type { Millis } from "../../common/clock.js";
+import { sleep } from "../../common/clock.js";
+import type { Random } from "../../common/random.js";
+import { RefusalReason } from "../leader/requests.js";
+import type { CallerReply, CallerRequest } from "../leader/requests.js";
+import { claimLeadership, readLeader } from "../leadership/leader-record.js";
+import type { LeaderView } from "../leadership/leader-record.js";
+import type { SourceHandle } from "../ports/cluster-sources.js";
+import type { AdvicePort } from "../ports/task-worker-port.js";
+import { dialLeader } from "./leader-dialer.js";
+import type { LeaderLink } from "./leader-dialer.js";
+import { LeaderSeat } from "./leader-seat.js";
+import type { LeadingParts } from "./leader-seat.js";
+import { LinkServer } from "./link-server.js";
+import type { InboundLink } from "./link-server.js";
+
+import type { NodeAnswer, NodeCall, NodeNote, StatusNote } from "./messages.js";
+
+/** What a node is made from. */
+export interface ClusterNodeOptions extends LeadingParts {
+    readonly name: string;
+    readonly host: string;
+    /** Port for links of other nodes; 0 lets the operating system pick one. */
+    readonly port: number;
+    readonly random: Random;
+    readonly advicePort: AdvicePort;
+    /** Added to the time before a claim: nodes with more processor time lead sooner. */
+    readonly claimDelayMs: Millis;
+}
+
+const READ_TIMEOUT_MS: Millis = 500;
+const STORE_RETRY_MS: Millis = 150;
+const RELOOK_MS: Millis = 100;
+/** Spread of claims, so that one usually wins before the others try. */
+const CLAIM_SPREAD_MS: Millis = 40;
+/** Attempts that must find nothing listening before a leader counts as dead. */
+const DEAD_REFUSALS = 2;
+/** A node that was replaced as leader leaves the next claims to others: it may be the one that is cut off. */
+const DEPOSED_PAUSE_MS: Millis = 3_000;
+/** Time without a way to a leader that the store still hears; doubles with each claim made for this reason. */
+const UNREACHABLE_CLAIM_MS: Millis = 2_500;
+/** A leader whose writes go unanswered for this long is replaced by a node that the store answers. */
+const STORE_AWAY_CLAIM_MS: Millis = 700;
+/** Time that a request waits for a leader before it is refused: a take-over usually takes less. */
+const LEADER_PATIENCE_MS: Millis = 700;
+const SERVE_RETRY_MS: Millis = 40;
+const NO_LEADER_RETRY_MS: Millis = 1_000;
+const FOLLOW_CHECK_MS: Millis = 200;
+
+/** The node; see the module comment. */
+export class ClusterNode {
+    private readonly server: LinkServer;
+    private address = "";
+    private seat: LeaderSeat | undefined;
+    private leaderLink: LeaderLink | undefined;
+    private configHandle: SourceHandle | undefined;
+    private refusals = 0;
+    private unreachableSince: Millis | undefined;
+    private unreachableLimit = UNREACHABLE_CLAIM_MS;
+    private deposedAt: Millis = -Infinity;
+    private handoverEpoch: number | undefined;
+    private isDraining = false;
+    private closed = false;
+
+    constructor(private readonly options: ClusterNodeOptions) {
+        this.server = new LinkServer(options.clock, options.log, {
+            buildStatus: () => this.buildStatus(),
+            handleCall: body => this.handleCall(body),
+            handleNote: (inbound, note) => this.handleInboundNote(inbound, note),
+            handleClosed: inbound => this.handleInboundClosed(inbound),
+        });
+    }
+
+    /** Opens the node's port and starts to look for a leader. */
+    async open(): Promise<void> {
+        const { options } = this;
+        const port = await this.server.open(options.host, options.port);
+        this.address = `${options.host}:${port}`;
+        options.config.subscribe(() => this.seat?.handleConfig());
+        this.configHandle = options.configSource.follow(config => options.config.accept(config, "store"));
+        void this.run();
+    }
+
+    /** Tells whether callers' requests can be answered here. */
+    isReady(): boolean {
+        const hasLeader = this.seat?.isReady() === true || this.leaderLink?.status?.leadsEpoch !== undefined;
+        return !this.isDraining && this.options.config.get().version > 0 && hasLeader;
+    }
+
+    /**
+     * Answers a caller's request.
+     * @param request - What is asked.
+     * @param patience - Milliseconds that the caller waits.
+     */
+    async serve(request: CallerRequest, patience: Millis): Promise<CallerReply> {
+        const { clock, config } = this.options;
+        const begin = clock.now();
+        let mayHaveRun = false;
+        while (clock.now() - begin < patience) {
+            const remaining = patience - (clock.now() - begin);
+            if (config.get().version === 0) {
+                return { kind: "refused", reason: RefusalReason.noConfig, retryAfterMs: NO_LEADER_RETRY_MS };
+            }
+            const reply = await this.tryServe(request, remaining);
+            if (reply !== undefined && reply.kind !== "unknown") {
+                return reply;
+            }
+            mayHaveRun ||= reply?.kind === "unknown";
+            if (!mayHaveRun && clock.now() - begin > LEADER_PATIENCE_MS) {
+                return { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
+            }
+            await sleep(clock, SERVE_RETRY_MS);
+        }
+        return { kind: "unknown", message: "no leader has answered in time" };
+    }
+
+    /** First step of a shutdown: the leadership goes to another node; callers are still answered. */
+    async startDraining(): Promise<void> {
+        this.isDraining = true;
+        const { seat } = this;
+        if (seat === undefined) {
+            return;
+        }
+        const heir = [...this.server.links].find(inbound => inbound.status?.isDraining === false);
+        await seat.resign("this node shuts down");
+        heir?.link.note({ kind: "handover", epoch: seat.claim.epoch } satisfies NodeNote);
+    }
+
+    /** Last step of a shutdown. */
+    close(): void {
+        this.closed = true;
+        this.configHandle?.stop();
+        this.leaderLink?.link.close("this node shuts down");
+        this.server.close();
+    }
+
+    private async run(): Promise<void> {
+        const { clock, storePort, log } = this.options;
+        while (!this.closed) {
+            const view = await readLeader(storePort, READ_TIMEOUT_MS);
+            if (view === undefined) {
+                await sleep(clock, STORE_RETRY_MS);
+                continue;
+            }
+            const reason = await this.findClaimReason(view);
+            if (reason === undefined) {
+                await sleep(clock, RELOOK_MS);
+                continue;
+            }
+            log.info("leadershipClaimed", {
+                reason,
+                lastEpoch: view.record?.epoch,
+                lastLeader: view.record?.nodeName,
+            });
+            await this.claim(view);
+        }
+    }
+
+    /** Follows the leader for as long as it is there; returns why to claim its place, or undefined to look again. */
+    private async findClaimReason(view: LeaderView): Promise<string | undefined> {
+        const { record } = view;
+        const { name, clock, random } = this.options;
+        if (this.isDraining) {
+            // A node that leaves still follows, so that its last callers are answered.
+            return record === undefined ? undefined : this.follow(view);
+        }
+        if (record === undefined) {
+            await sleep(clock, this.options.claimDelayMs + random.pickInt(CLAIM_SPREAD_MS));
+            return "nobody leads yet";
+        }
+        if (record.nodeName === name) {
+            return "the leader was an earlier life of this node";
+        }
+        if (this.handoverEpoch === record.epoch) {
+            return "the leader handed over";
+        }
+        return this.follow(view);
+    }
+
+    private async follow(view: LeaderView): Promise<string | undefined> {
+        const { clock } = this.options;
+        const address = view.record?.address ?? "";
+        const result = await dialLeader(address, clock, {
+            buildStatus: () => this.buildStatus(),
+            handleCall: body => this.handleCall(body),
+            handleNote: (link, note) => this.handleLeaderNote(link, note),
+        });
+        if (result.kind !== "up") {
+            return this.isDraining ? undefined : this.judgeUnreachable(view, result.kind);
+        }
+        this.refusals = 0;
+        const reason = await this.followLink(result.link, view);
+        this.leaderLink = undefined;
+        return this.isDraining ? undefined : reason;
+    }
+
+    /** Decides on a leader that cannot be reached: dead, silent beyond its lease, or cut off from this node only. */
+    private judgeUnreachable(view: LeaderView, kind: "refused" | "silent"): string | undefined {
+        const now = this.options.clock.now();
+        this.unreachableSince ??= now;
+        this.refusals = kind === "refused" ? this.refusals + 1 : 0;
+        if (!view.isAlive) {
+            return "the leader's lease has run out";
+        }
+        if (this.refusals >= DEAD_REFUSALS && now - this.deposedAt > DEPOSED_PAUSE_MS) {
+            return "nothing listens at the leader's address";
+        }
+        if (now - this.unreachableSince > this.unreachableLimit) {
+            this.unreachableLimit *= 2;
+            return "no way to the leader";
+        }
+        return undefined;
+    }
+
+    /** Stays with a leader until its link closes, it no longer leads, or this node should take its place. */
+    private async followLink(leaderLink: LeaderLink, view: LeaderView): Promise<string | undefined> {
+        const { clock, log } = this.options;
+        const epoch = view.record?.epoch ?? 0;
+        this.leaderLink = leaderLink;
+        log.info("leaderFound", { epoch, nodeName: view.record?.nodeName });
+        const begin = clock.now();
+        let isClosed = false;
+        void leaderLink.closed.then(message => {
+            isClosed = true;
+            log.warn("CR1632", "leaderLost", { epoch, message });
+        });
+        while (!isClosed && !this.closed) {
+            await Promise.race([leaderLink.closed, sleep(clock, FOLLOW_CHECK_MS)]);
+            if (leaderLink.status?.leadsEpoch !== undefined) {
+                this.unreachableSince = undefined;
+                this.unreachableLimit = UNREACHABLE_CLAIM_MS;
+            }
+            const hasLeft = leaderLink.status?.leadsEpoch !== epoch && clock.now() - begin > FOLLOW_CHECK_MS;
+            if (this.handoverEpoch === epoch || hasLeft) {
+                leaderLink.link.close("it no longer leads");
+                return this.handoverEpoch === epoch ? "the leader handed over" : undefined;
+            }
+            if (await this.shouldReplace(leaderLink)) {
+                leaderLink.link.close("it cannot reach the store");
+                return "the leader cannot reach the store, this node can";
+            }
+        }
+        return undefined;
+    }
+
+    private async shouldReplace(leaderLink: LeaderLink): Promise<boolean> {
+        const { clock, storePort } = this.options;
+        const since = leaderLink.storeAwaySince;
+        const isLong = since !== undefined && clock.now() - since > STORE_AWAY_CLAIM_MS;
+        if (!isLong || this.isDraining) {
+            return false;
+        }
+        const canReach = await readLeader(storePort, READ_TIMEOUT_MS) !== undefined;
+        // The leader may have regained it meanwhile, with the next beat on its way.
+        return canReach && leaderLink.storeAwaySince === since;
+    }
+
+    private async claim(view: LeaderView): Promise<void> {
+        const { options } = this;
+        const { life, name } = options;
+        const wasHandedOver = this.handoverEpoch === view.record?.epoch && view.record !== undefined;
+        const own = { nodeName: name, address: this.address, life };
+        const result = await claimLeadership(options.storePort, view, own, READ_TIMEOUT_MS);
+        if (result.kind !== "won") {
+            options.log.info("claimFailed", { result: result.kind });
+            return;
+        }
+        this.refusals = 0;
+        this.unreachableSince = undefined;
+        const seat = new LeaderSeat(options, {
+            epoch: result.epoch,
+            revision: result.revision,
+            wasHandedOver,
+        });
+        this.seat = seat;
+        this.addCallers(seat);
+        options.log.info("leadershipWon", { epoch: result.epoch, wasHandedOver });
+        await seat.over;
+        this.seat = undefined;
+        this.deposedAt = options.clock.now();
+    }
+
+    private addCallers(seat: LeaderSeat): void {
+        const { advicePort, name } = this.options;
+        seat.addCaller({
+            nodeName: name,
+            advise: (step, workerIds, timeout) => advicePort.advise(step, workerIds, timeout),
+        });
+        for (const inbound of this.server.links) {
+            this.addInboundCaller(seat, inbound);
+        }
+    }
+
+    private addInboundCaller(seat: LeaderSeat, inbound: InboundLink): void {
+        const nodeName = inbound.status?.nodeName;
+        if (nodeName === undefined) {
+            return;
+        }
+        seat.addCaller({
+            nodeName,
+            advise: async (step, workerIds, timeoutMs) => {
+                const call: NodeCall = { kind: "advise", step, workerIds, timeoutMs };
+                const answer = await inbound.link.call(call, timeoutMs);
+                if (answer.kind === "lost") {
+                    return { kind: "failed", message: answer.message };
+                }
+                const body = answer.body as NodeAnswer;
+                return body.kind === "advised" ? body.answer : { kind: "failed", message: body.kind };
+            },
+        });
+    }
+
+    private async tryServe(request: CallerRequest, remaining: Millis): Promise<CallerReply | undefined> {
+        if (this.seat !== undefined) {
+            return this.seat.serve(request);
+        }
+        const { leaderLink } = this;
+        if (leaderLink === undefined) {
+            return undefined;
+        }
+        this.passConfig(leaderLink);
+        const answer = await leaderLink.link.call({ kind: "serve", request } satisfies NodeCall, remaining);
+        if (answer.kind === "lost") {
+            return { kind: "unknown", message: answer.message };
+        }
+        const body = answer.body as NodeAnswer;
+        return body.kind === "served" ? body.reply : undefined;
+    }
+
+    private async handleCall(body: unknown): Promise<NodeAnswer> {
+        const call = body as NodeCall;
+        if (call.kind === "advise") {
+            const answer = await this.options.advicePort.advise(call.step, call.workerIds, call.timeoutMs);
+            return { kind: "advised", answer };
+        }
+        const { seat } = this;
+        return seat === undefined ?
+            { kind: "notLeading" } :
+            { kind: "served", reply: await seat.serve(call.request) };
+    }
+
+    private handleInboundNote(inbound: InboundLink, note: NodeNote): void {
+        if (note.kind === "config") {
+            this.options.config.accept(note.config, "follower");
+        }
+        if (note.kind !== "status") {
+            return;
+        }
+        const { config } = this.options;
+        if (note.configVersion < config.get().version) {
+            inbound.link.note({ kind: "config", config: config.get() } satisfies NodeNote);
+        }
+        if (this.seat !== undefined && !this.knownCallers.has(inbound)) {
+            this.addInboundCaller(this.seat, inbound);
+        }
+        this.knownCallers.add(inbound);
+    }
+
+    private readonly knownCallers = new WeakSet<InboundLink>();
+
+    private handleInboundClosed(inbound: InboundLink): void {
+        if (inbound.status !== undefined) {
+            this.seat?.removeCaller(inbound.status.nodeName);
+        }
+    }
+
+    private handleLeaderNote(link: LeaderLink, note: NodeNote): void {
+        switch (note.kind) {
+            case "config":
+                this.options.config.accept(note.config, "leader");
+                return;
+            case "handover":
+                this.handoverEpoch = note.epoch;
+                link.link.close("it handed over");
+                return;
+            case "status":
+                this.passConfig(link);
+        }
+    }
+
+    /** Gives the leader a configuration that it does not have: it decides for all nodes. */
+    private passConfig(link: LeaderLink): void {
+        const config = this.options.config.get();
+        const known = link.status?.configVersion;
+        if (known !== undefined && known < config.version) {
+            link.link.note({ kind: "config", config } satisfies NodeNote);
+            link.status = link.status && { ...link.status, configVersion: config.version };
+        }
+    }
+
+    private buildStatus(): StatusNote {
+        return {
+            kind: "status",
+            nodeName: this.options.name,
+            leadsEpoch: this.seat?.claim.epoch,
+            isStoreAway: this.seat?.isStoreAway() ?? false,
+            configVersion: this.options.config.get().version,
+            isDraining: this.isDraining,
+        };
+    }
+}
--- /dev/null
+++ b/src/process/node/leader-dialer.ts
@@ -0,0 +1,96 @@
+/** A follower's link to its leader. */
+import { connect } from "node:net";
+import type { Clock, Millis } from "../../common/clock.js";
+import { NodeLink } from "../../connection/node-link.js";
+import { hasKind } from "./messages.js";
+import type { NodeNote, StatusNote } from "./messages.js";
+
+/** How an attempt to reach a node ended. */
+export type DialResult =
+    | { readonly kind: "up"; readonly link: LeaderLink; }
+    /** Nothing listens there. */
+    | { readonly kind: "refused"; }
+    | { readonly kind: "silent"; };
+
+/** What a link to the leader tells its owner. */
+export interface LeaderLinkOwner {
+    buildStatus(): StatusNote;
+    handleCall(body: unknown): Promise<unknown>;
+    handleNote(link: LeaderLink, note: NodeNote): void;
+}
+
+/** Time for a connection, and for the first status over it. */
+const DIAL_TIMEOUT_MS: Millis = 500;
+
+/** A link to the leader. */
+export class LeaderLink {
+    /** Last status of the other end. */
+    status: StatusNote | undefined;
+    /** Since when the leader has said that its store is away; undefined while it is not. */
+    storeAwaySince: Millis | undefined;
+    /** Resolves when the link is closed. */
+    readonly closed: Promise<string>;
+
+    /**
+     * @param link - The connection.
+     * @param closed - Its end.
+     */
+    constructor(readonly link: NodeLink, closed: Promise<string>) {
+        this.closed = closed;
+    }
+}
+
+/**
+ * Opens a link.
+ * @param address - `host:port`.
+ * @param clock - For the timeout and the link.
+ * @param owner - Told of what arrives.
+ */
+export function dialLeader(address: string, clock: Clock, owner: LeaderLinkOwner): Promise<DialResult> {
+    const separator = address.lastIndexOf(":");
+    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
+    return new Promise(resolve => {
+        const timer = clock.schedule(DIAL_TIMEOUT_MS, () => {
+            socket.destroy();
+            resolve({ kind: "silent" });
+        });
+        socket.once("error", (error: NodeJS.ErrnoException) => {
+            timer.cancel();
+            resolve({ kind: error.code === "ECONNREFUSED" ? "refused" : "silent" });
+        });
+        socket.once("connect", () => {
+            timer.cancel();
+            resolve({ kind: "up", link: openLink() });
+        });
+    });
+
+    function openLink(): LeaderLink {
+        let settleClosed: (message: string) => void = () => undefined;
+        const closed = new Promise<string>(resolve => {
+            settleClosed = resolve;
+        });
+        const link = new NodeLink(socket, clock, {
+            buildBeat: () => owner.buildStatus(),
+            handleCall: body => owner.handleCall(body),
+            handleNote: body => {
+                if (!hasKind(body)) {
+                    link.close("a note of an unknown kind");
+                    return;
+                }
+                const note = body as NodeNote;
+                if (note.kind === "status") {
+                    acceptStatus(leaderLink, note, clock);
+                }
+                owner.handleNote(leaderLink, note);
+            },
+            handleClosed: message => settleClosed(message),
+        });
+        const leaderLink = new LeaderLink(link, closed);
+        return leaderLink;
+    }
+}
+
+function acceptStatus(link: LeaderLink, note: StatusNote, clock: Clock): void {
+    link.status = note;
+    link.storeAwaySince = note.isStoreAway ? link.storeAwaySince ?? clock.now() : undefined;
+}
--- /dev/null
+++ b/src/process/node/leader-seat.ts
@@ -0,0 +1,187 @@
+/** This node's leadership: from a claim that was won until another node leads or the node shuts down. */
+import { sleep } from "../../common/clock.js";
+import type { Clock, Millis } from "../../common/clock.js";
+import type { AdviceCaller } from "../dispatch/advice-desk.js";
+import { GuardedStore } from "../journal/guarded-store.js";
+import { loadJournal } from "../journal/load-journal.js";
+import { MAX_UNCONFIRMED_MS } from "../leader/authority.js";
+import { computeInheritedLeaseMs } from "../leader/fleet.js";
+import { Leader } from "../leader/leader.js";
+import type { CallerReply, CallerRequest } from "../leader/requests.js";
+import { LeaderLease } from "../leadership/leader-lease.js";
+import type { ConfigSource, SourceHandle, WorkerSource } from "../ports/cluster-sources.js";
+import type { StorePort } from "../ports/index.js";
+import type { TaskWorkerPort } from "../ports/task-worker-port.js";
+import type { Log, Metrics } from "../telemetry.js";
+import type { ConfigHolder } from "./config-holder.js";
+
+/** What leading needs. */
+export interface LeadingParts {
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly storePort: StorePort;
+    readonly workerPort: TaskWorkerPort;
+    readonly workerSource: WorkerSource;
+    readonly configSource: ConfigSource;
+    readonly config: ConfigHolder;
+    readonly life: string;
+    /** Longest lease that workers give. */
+    readonly maxLeaseMs: Millis;
+}
+
+/** A claim that was won. */
+export interface WonClaim {
+    readonly epoch: number;
+    readonly revision: number;
+    /** Whether the earlier leader gave its place up, so that its right to order workers has ended. */
+    readonly wasHandedOver: boolean;
+}
+
+/**
+ * Length of the leases of what runs. A take-over after a silent death takes about 2.5 s, in which nobody renews; what
+ * is lost with an unreachable worker starts again only after this time.
+ */
+const LEASE_MS: Millis = 4_500;
+/** Part of the workers' longest lease that is used at most: they cut longer ones short. */
+const MAX_LEASE_SHARE = 0.9;
+/** A leader that shuts down waits this long for what it has decided to be durable. */
+const FLUSH_MS: Millis = 400;
+
+/** The seat; see the module comment. */
+export class LeaderSeat {
+    /** Resolves once the leadership is over. */
+    readonly over: Promise<string>;
+    private readonly store: GuardedStore;
+    private readonly ready: Promise<Leader | undefined>;
+    private leader: Leader | undefined;
+    private lease: LeaderLease | undefined;
+    private workers: SourceHandle | undefined;
+    private readonly callers = new Map<string, AdviceCaller>();
+    private isOver = false;
+    private settleOver: (reason: string) => void = () => undefined;
+
+    /**
+     * @param parts - What leading needs.
+     * @param claim - The claim.
+     */
+    constructor(private readonly parts: LeadingParts, readonly claim: WonClaim) {
+        this.over = new Promise(resolve => {
+            this.settleOver = resolve;
+        });
+        this.store = new GuardedStore({
+            port: parts.storePort,
+            clock: parts.clock,
+            log: parts.log,
+            metrics: parts.metrics,
+            leaderRevision: claim.revision,
+        });
+        this.ready = this.open();
+    }
+
+    /** Answers a caller's request, once the journal is loaded. */
+    async serve(request: CallerRequest): Promise<CallerReply> {
+        const leader = await this.ready;
+        return leader === undefined || this.isOver ?
+            { kind: "unknown", message: "the leader has changed" } :
+            leader.serve(request);
+    }
+
+    /** Tells whether it has loaded the journal and decides. */
+    isReady(): boolean {
+        return this.leader !== undefined && !this.isOver;
+    }
+
+    /** Tells whether the store does not answer. */
+    isStoreAway(): boolean {
+        return this.leader?.isStoreAway() ?? false;
+    }
+
+    /** Takes in that a newer configuration is in force. */
+    handleConfig(): void {
+        this.leader?.handleConfig();
+    }
+
+    /** Adds a node that can ask the advice service. */
+    addCaller(caller: AdviceCaller): void {
+        this.callers.set(caller.nodeName, caller);
+        this.leader?.addCaller(caller);
+    }
+
+    /** Removes a node that is gone. */
+    removeCaller(nodeName: string): void {
+        this.callers.delete(nodeName);
+        this.leader?.advice.removeCaller(nodeName);
+    }
+
+    /** Gives the leadership up: what was decided becomes durable first, if that is quick. */
+    async resign(reason: string): Promise<void> {
+        const { clock } = this.parts;
+        if (this.leader !== undefined) {
+            await Promise.race([this.leader.flush(), sleep(clock, FLUSH_MS)]);
+        }
+        this.end(reason);
+    }
+
+    private end(reason: string): void {
+        if (this.isOver) {
+            return;
+        }
+        this.isOver = true;
+        this.parts.log.warn("CR1631", "leadershipOver", { epoch: this.claim.epoch, reason });
+        this.workers?.stop();
+        this.lease?.close();
+        this.leader?.close();
+        this.store.close();
+        this.settleOver(reason);
+    }
+
+    private async open(): Promise<Leader | undefined> {
+        const { parts, claim } = this;
+        const { clock, log } = parts;
+        const begin = clock.now();
+        this.lease = new LeaderLease({
+            port: parts.storePort,
+            clock,
+            life: parts.life,
+            leaderRevision: claim.revision,
+            getLastContact: () => this.store.getLastContact(),
+            observeContact: sentAt => this.store.observeContact(sentAt),
+            handleDeposed: reason => this.end(reason),
+        });
+        const loaded = await loadJournal({
+            port: parts.storePort,
+            clock,
+            log,
+            isOver: () => this.isOver,
+        });
+        if (loaded === undefined || this.isOver) {
+            return undefined;
+        }
+        const leaseMs = Math.min(LEASE_MS, parts.maxLeaseMs * MAX_LEASE_SHARE);
+        const unconfirmedMs = claim.wasHandedOver ? 0 : MAX_UNCONFIRMED_MS;
+        const leader = new Leader({
+            clock,
+            log,
+            metrics: parts.metrics,
+            epoch: claim.epoch,
+            store: this.store,
+            loaded,
+            workerPort: parts.workerPort,
+            leaseMs,
+            inheritedLeaseEnd: begin + computeInheritedLeaseMs(leaseMs, unconfirmedMs),
+            getConfig: () => parts.config.get(),
+            handleDeposed: reason => this.end(reason),
+        });
+        this.leader = leader;
+        this.callers.forEach(caller => leader.addCaller(caller));
+        this.workers = parts.workerSource.follow(records => leader.setWorkers(records));
+        log.info("leadershipReady", {
+            epoch: claim.epoch,
+            openJobs: loaded.book.countOpen(),
+            sequence: loaded.sequence,
+            tookMs: Math.round(clock.now() - begin),
+        });
+        return leader;
+    }
+}
--- /dev/null
+++ b/src/process/node/messages.ts
@@ -0,0 +1,61 @@
+/** Messages between the nodes of a cluster. */
+import type { Millis } from "../../common/clock.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
+import type { CallerReply, CallerRequest } from "../leader/requests.js";
+import type { AdviceAnswer } from "../ports/task-worker-port.js";
+
+/** Calls of a follower to its leader. */
+export interface ServeCall {
+    readonly kind: "serve";
+    readonly request: CallerRequest;
+}
+
+/** Calls of a leader to its followers. */
+export interface AdviseCall {
+    readonly kind: "advise";
+    readonly step: string;
+    readonly workerIds: readonly string[];
+    readonly timeoutMs: Millis;
+}
+
+export type NodeCall = ServeCall | AdviseCall;
+
+/** Answers, by the kind of call. */
+export type NodeAnswer =
+    | { readonly kind: "served"; readonly reply: CallerReply; }
+    | { readonly kind: "advised"; readonly answer: AdviceAnswer; }
+    /** The node that was asked does not lead. */
+    | { readonly kind: "notLeading"; };
+
+/** The regular beat of a link's end. */
+export interface StatusNote {
+    readonly kind: "status";
+    readonly nodeName: string;
+    /** Epoch under which this end leads; undefined where it does not. */
+    readonly leadsEpoch: number | undefined;
+    /** Whether the leader's writes to the store go unanswered. */
+    readonly isStoreAway: boolean;
+    readonly configVersion: number;
+    /** Whether the node is shutting down. */
+    readonly isDraining: boolean;
+}
+
+/** A configuration that the other end does not have yet. */
+export interface ConfigNote {
+    readonly kind: "config";
+    readonly config: ClusterConfig;
+}
+
+/** The leader gives its place up: the node that hears this claims it at once. */
+export interface HandoverNote {
+    readonly kind: "handover";
+    readonly epoch: number;
+}
+
+export type NodeNote = StatusNote | ConfigNote | HandoverNote;
+
+/** Tells whether a received body has the shape of a message: only nodes of the same cluster speak on links. */
+export function hasKind(body: unknown): body is { readonly kind: string; } {
+    return typeof body === "object" && Boolean(body) &&
+        typeof (body as { kind?: unknown; }).kind === "string";
+}
--- a/src/process/platform/http-store-port.ts
+++ b/src/process/platform/http-store-port.ts
@@ -10,6 +10,7 @@
     StorePort,
     StoreRecord,
     StoreSwap,
+    StoreTransaction,
 } from "../ports/index.js";
 import { sendHttpRequest } from "./http-request.js";
 import type { HttpRequest } from "./http-request.js";
@@ -67,6 +68,11 @@
         );
     }
 
+    transact(transaction: StoreTransaction, timeout: Millis): Promise<StoreAnswer<number>> {
+        const call: Call = { method: "POST", path: "/v1/transactions", body: transaction };
+        return this.request(call, schema.number().int(), timeout);
+    }
+
     grantLease(ttl: Millis, timeout: Millis): Promise<StoreAnswer<string>> {
         const call: Call = { method: "POST", path: "/v1/leases", body: { ttlMs: ttl } };
         return this.request(call, schema.string(), timeout);
@@ -111,7 +117,7 @@
         if (answer.kind !== "refused") {
             return answer;
         }
-        const { reason, current } = answer.refusal;
-        return { kind: "refused", reason, current };
+        const { reason, current, standing } = answer.refusal;
+        return { kind: "refused", reason, current, standing };
     }
 }
--- a/src/process/platform/schemas.ts
+++ b/src/process/platform/schemas.ts
@@ -5,6 +5,7 @@
     StoreListing,
     StoreRecord,
     StoreSwap,
+    StoreTransaction,
     VmRecord,
     WorkerReport,
 } from "../ports/index.js";
@@ -31,6 +32,13 @@
 export const storeRefusalSchema = z.object({
     reason: z.enum(Object.values(StoreRefusal)),
     current: recordSchema.optional(),
+    standing: z.array(recordSchema).optional(),
+});
+
+export const transactionSchema: z.ZodType<StoreTransaction> = z.object({
+    conditions: z.array(z.object({ key: z.string().min(1), revision })),
+    writes: z.array(z.object({ key: z.string().min(1), value: z.string(), leaseId: z.string().optional() })),
+    removals: z.array(z.string().min(1)),
 });
 
 export const swapSchema: z.ZodType<StoreSwap> = z.object({
--- a/src/process/ports/store-port.ts
+++ b/src/process/ports/store-port.ts
@@ -26,7 +26,13 @@
  */
 export type StoreAnswer<Value> =
     | { readonly kind: "done"; readonly value: Value; }
-    | { readonly kind: "refused"; readonly reason: StoreRefusal; readonly current: StoreRecord | undefined; }
+    | {
+        readonly kind: "refused";
+        readonly reason: StoreRefusal;
+        readonly current: StoreRecord | undefined;
+        /** After a conflict of a transaction: the records that stand at the keys of its conditions. */
+        readonly standing?: readonly StoreRecord[];
+    }
     | { readonly kind: "unavailable"; readonly message: string; }
     | { readonly kind: "unknown"; readonly message: string; };
 
@@ -54,6 +60,27 @@
     readonly leaseId?: string;
 }
 
+/** A condition of a transaction: the key has this revision; 0 means that it is absent. */
+export interface StoreCondition {
+    readonly key: string;
+    readonly revision: number;
+}
+
+/** A record that a transaction writes. */
+export interface TransactionWrite {
+    readonly key: string;
+    readonly value: string;
+    /** Lease the key lives on; it is deleted when the lease lapses. */
+    readonly leaseId?: string;
+}
+
+/** Conditions and changes of several keys, all or nothing. */
+export interface StoreTransaction {
+    readonly conditions: readonly StoreCondition[];
+    readonly writes: readonly TransactionWrite[];
+    readonly removals: readonly string[];
+}
+
 /** Calls to the store. Each costs one call of the platform's budget, a waiting watch too. */
 export interface StorePort {
     /** Reads one key. */
@@ -62,6 +89,8 @@
     list(prefix: string, timeout: Millis): Promise<StoreAnswer<StoreListing>>;
     /** Compare-and-swap; `done` gives the new revision. */
     swap(swap: StoreSwap, timeout: Millis): Promise<StoreAnswer<number>>;
+    /** Makes all changes if all conditions hold; `done` gives the new revision. */
+    transact(transaction: StoreTransaction, timeout: Millis): Promise<StoreAnswer<number>>;
     /** Grants a lease; `done` gives its id. */
     grantLease(ttl: Millis, timeout: Millis): Promise<StoreAnswer<string>>;
     /** Extends a lease by its whole time to live, counted from the moment the store handles the call. */
--- a/src/process/store/call-timeout.ts
+++ b/src/process/store/call-timeout.ts
@@ -16,7 +16,12 @@
  */
 export class CallTimeout {
     private smoothed: Millis = 0;
-    private current: Millis = SHORTEST_TIMEOUT_MS;
+    private current: Millis;
+
+    /** @param shortest - First timeout, and the least one. */
+    constructor(private readonly shortest: Millis = SHORTEST_TIMEOUT_MS) {
+        this.current = shortest;
+    }
 
     /** Returns the timeout for the next call. */
     get(): Millis {
@@ -27,7 +32,7 @@
     observeAnswer(took: Millis): void {
         this.smoothed += (took - this.smoothed) * GAIN;
         const wanted = Math.max(took, this.smoothed) * MARGIN;
-        this.current = Math.min(LONGEST_TIMEOUT_MS, Math.max(SHORTEST_TIMEOUT_MS, wanted));
+        this.current = Math.min(LONGEST_TIMEOUT_MS, Math.max(this.shortest, wanted));
     }
 
     /** Takes in that a call was not answered after a timeout. */
--- a/src/stand-ins/store-model.ts
+++ b/src/stand-ins/store-model.ts
@@ -11,6 +11,7 @@
     StoreListing,
     StoreRecord,
     StoreSwap,
+    StoreTransaction,
 } from "../process/ports/index.js";
 
 /** Bounds of a {@link StoreModel}. */
@@ -96,6 +97,20 @@
         return { kind: "done", value: this.put(swap.key, swap.value, swap.leaseId) };
     }
 
+    /** Makes all changes of a transaction at one revision if all its conditions hold. */
+    transact(transaction: StoreTransaction): StoreAnswer<number> {
+        this.counters.writes++;
+        const refusal = this.findTransactionRefusal(transaction);
+        if (refusal !== undefined) {
+            const standing = transaction.conditions
+                .flatMap(({ key }) => this.entries.get(key)?.record ?? []);
+            return { kind: "refused", reason: refusal, current: undefined, standing };
+        }
+        transaction.writes.forEach(({ key, value, leaseId }) => this.put(key, value, leaseId));
+        transaction.removals.forEach(key => this.put(key, undefined, undefined));
+        return { kind: "done", value: this.revision };
+    }
+
     /** Grants a lease and returns its id. */
     grantLease(ttl: Millis): StoreAnswer<string> {
         this.counters.leases++;
@@ -183,6 +198,22 @@
         return undefined;
     }
 
+    private findTransactionRefusal(transaction: StoreTransaction): StoreRefusal | undefined {
+        const { conditions, writes } = transaction;
+        if (writes.some(({ leaseId }) => leaseId !== undefined && !this.leases.has(leaseId))) {
+            return StoreRefusal.noLease;
+        }
+        if (
+            conditions.some(({ key, revision }) => (this.entries.get(key)?.record.revision ?? 0) !== revision)
+        ) {
+            return StoreRefusal.conflict;
+        }
+        if (writes.some(({ value }) => Buffer.byteLength(value) > this.valueLimit)) {
+            return StoreRefusal.tooLarge;
+        }
+        return undefined;
+    }
+
     private put(key: string, value: string | undefined, leaseId: string | undefined): number {
         const revision = ++this.revision;
         if (value === undefined) {
--- a/src/stand-ins/store-stand-in.ts
+++ b/src/stand-ins/store-stand-in.ts
@@ -1,7 +1,7 @@
 /** The stand-in store, serving on loopback. */
 import type { Clock } from "../common/clock.js";
 import { HttpStatus } from "../process/platform/json-answer.js";
-import { grantSchema, swapSchema } from "../process/platform/schemas.js";
+import { grantSchema, swapSchema, transactionSchema } from "../process/platform/schemas.js";
 import type { StoreAnswer } from "../process/ports/index.js";
 import { buildJsonReply, parseJsonBody, startHttpStandIn } from "./http-stand-in.js";
 import type { RunningStandIn, StandInAddress, StandInReply, StandInRoute } from "./http-stand-in.js";
@@ -49,6 +49,14 @@
                 return swap.success ? convertAnswer(model.swap(swap.data)) : INVALID;
             },
         },
+        {
+            method: "POST",
+            path: "/v1/transactions",
+            handle: ({ body }) => {
+                const transaction = transactionSchema.safeParse(parseJsonBody(body));
+                return transaction.success ? convertAnswer(model.transact(transaction.data)) : INVALID;
+            },
+        },
         {
             method: "POST",
             path: "/v1/leases",
@@ -84,7 +92,11 @@
         case "done":
             return buildJsonReply(HttpStatus.done, { value: answer.value });
         case "refused":
-            return buildJsonReply(HttpStatus.refused, { reason: answer.reason, current: answer.current });
+            return buildJsonReply(HttpStatus.refused, {
+                reason: answer.reason,
+                current: answer.current,
+                standing: answer.standing,
+            });
         case "unavailable":
             return { status: HttpStatus.unavailable, body: answer.message };
         case "unknown":
--- a/src/test/fakes/fake-store-port.ts
+++ b/src/test/fakes/fake-store-port.ts
@@ -7,6 +7,7 @@
     StorePort,
     StoreRecord,
     StoreSwap,
+    StoreTransaction,
 } from "../../process/ports/index.js";
 import type { StoreModel } from "../../stand-ins/index.js";
 import type { CallPath } from "./call-path.js";
@@ -34,6 +35,10 @@
         return this.request(() => this.model.swap(swap), timeout);
     }
 
+    transact(transaction: StoreTransaction, timeout: Millis): Promise<StoreAnswer<number>> {
+        return this.request(() => this.model.transact(transaction), timeout);
+    }
+
     grantLease(ttl: Millis, timeout: Millis): Promise<StoreAnswer<string>> {
         return this.request(() => this.model.grantLease(ttl), timeout);
     }
