--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -149,7 +149,7 @@
         }
         switch (value.kind) {
             case "call":
-                void this.answer(value.id, value.body);
+                void this.replyToCall(value.id, value.body);
                 return;
             case "answer":
                 this.settle(value.id, { kind: "answered", body: value.body });
@@ -160,7 +160,7 @@
         }
     }
 
-    private async answer(id: number, body: unknown): Promise<void> {
+    private async replyToCall(id: number, body: unknown): Promise<void> {
         const answer = await this.owner.handleCall(body);
         this.send({ kind: "answer", id, body: answer });
     }
--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -13,7 +13,7 @@
 /** A node that can ask. */
 export interface AdviceCaller {
     readonly nodeName: string;
-    advise(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
+    requestPermits(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
 }
 
 /** A question that waits or is under way. */
@@ -74,7 +74,7 @@
     }
 
     /** Takes a question. */
-    ask(question: AdviceQuestion): void {
+    enqueue(question: AdviceQuestion): void {
         const index = this.waiting.findIndex(other => other.priority > question.priority);
         this.waiting.splice(index < 0 ? this.waiting.length : index, 0, question);
         this.dispatch();
@@ -124,7 +124,7 @@
         state.underWay += 1;
         state.busyUntil = begin + took;
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
-        const answer = await state.caller.advise(question.step, question.workerIds, timeout);
+        const answer = await state.caller.requestPermits(question.step, question.workerIds, timeout);
         state.underWay -= 1;
         if (answer.kind !== "done") {
             state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -97,13 +97,13 @@
         const placements = this.placeTasks(step, tasks, candidates, permits);
         const isWhole = placements.length === tasks.length;
         if (step.spec.isGang && !isWhole) {
-            this.keepOrReturn(step, placements);
+            this.settleBlockedGang(step, placements);
         }
         else {
-            this.startOrAsk(urgency, placements, permits);
+            this.startOrRequest(urgency, placements, permits);
         }
         if (!isWhole && permits !== undefined && !permits.isAsking) {
-            this.askForUnknown(urgency, suitable, permits);
+            this.requestUnknown(urgency, suitable, permits);
         }
     }
 
@@ -143,7 +143,7 @@
             if (!isWithin(step.spec.demand, free) || this.isAtLimit(step, worker)) {
                 continue;
             }
-            const score = this.scoreWorker(step, task, worker, free, permits);
+            const score = this.computeScore(step, task, worker, free, permits);
             if (score < bestScore) {
                 best = worker;
                 bestScore = score;
@@ -153,7 +153,7 @@
     }
 
     /** Lower is better. */
-    private scoreWorker(
+    private computeScore(
         step: Step,
         task: Task,
         worker: WorkerState,
@@ -174,7 +174,7 @@
         return score;
     }
 
-    private startOrAsk(
+    private startOrRequest(
         urgency: Urgency,
         placements: readonly Placement[],
         permits: StepPermits | undefined,
@@ -199,7 +199,7 @@
     }
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
-    private keepOrReturn(step: Step, placements: readonly Placement[]): void {
+    private settleBlockedGang(step: Step, placements: readonly Placement[]): void {
         if (placements.length > 0 && this.keepingGangs < MAX_KEEPING_GANGS) {
             this.keepingGangs += 1;
             return;
@@ -209,7 +209,7 @@
         }
     }
 
-    private askForUnknown(
+    private requestUnknown(
         urgency: Urgency,
         suitable: readonly WorkerState[],
         permits: StepPermits,
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -90,7 +90,7 @@
         this.callSince = clock.now();
         while (!this.closed) {
             const answer = await this.call(() => this.options.port.transact(transaction, this.timeout.get()));
-            const result = this.judge(answer, writes);
+            const result = this.decideResult(answer, writes);
             if (result !== undefined) {
                 this.callSince = undefined;
                 return result;
@@ -103,7 +103,7 @@
         return { kind: "abandoned" };
     }
 
-    private judge(
+    private decideResult(
         answer: StoreAnswer<number>,
         writes: readonly TransactionWrite[],
     ): GuardedResult | undefined {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -273,7 +273,7 @@
     private sweepMember(member: Member, now: Millis): void {
         const { state, session } = member;
         if (!state.isReachable && now > session.getLeaseEnd() && state.runs.size > 0) {
-            this.loseRuns(state, "lease ran out");
+            this.expireRuns(state, "lease ran out");
         }
         const { unlistedSince } = member;
         const isGone = unlistedSince !== undefined && now - unlistedSince > UNLISTED_GRACE_MS;
@@ -282,7 +282,7 @@
         }
     }
 
-    private loseRuns(state: WorkerState, reason: string): void {
+    private expireRuns(state: WorkerState, reason: string): void {
         this.context.log.warn("CR1614", "runsLost", { workerId: state.id, runs: state.runs.size, reason });
         for (const run of [...state.runs.values()]) {
             state.removeRun(run.task, run.run);
@@ -295,7 +295,7 @@
         const { state, session } = member;
         this.context.log.info("workerRemoved", { workerId: state.id, reason });
         if (state.runs.size > 0) {
-            this.loseRuns(state, reason);
+            this.expireRuns(state, reason);
         }
         session.close();
         this.members.delete(state.id);
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -180,8 +180,8 @@
             getPermits: step => this.getPermits(step),
             now: begin,
         });
-        this.starter.begin(plan.starts);
-        plan.wishes.forEach(wish => this.askAdvice(wish));
+        this.starter.startAll(plan.starts);
+        plan.wishes.forEach(wish => this.requestPermits(wish));
         metrics.time("plan.took", clock.now() - begin);
     }
 
@@ -208,7 +208,7 @@
         return created;
     }
 
-    private askAdvice({ urgency, workerIds }: PermitWish): void {
+    private requestPermits({ urgency, workerIds }: PermitWish): void {
         const { step, queue } = urgency;
         const permits = this.getPermits(step);
         if (queue.advice === undefined) {
@@ -216,7 +216,7 @@
         }
         permits.isAsking = true;
         const { advice } = queue;
-        this.advice.ask({
+        this.advice.enqueue({
             step: step.name,
             workerIds,
             policy: advice,
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -36,7 +36,7 @@
     ) {}
 
     /** Begins planned starts. All members of a gang get the same run number. */
-    begin(starts: readonly PlannedStart[]): void {
+    startAll(starts: readonly PlannedStart[]): void {
         const gangRuns = new Map<Step, number>();
         for (const start of starts) {
             const { step, task } = start;
--- a/src/process/leader/worker-health.ts
+++ b/src/process/leader/worker-health.ts
@@ -48,11 +48,11 @@
         score.failuresInARow += 1;
         this.scores.set(state, score);
         if (score.failuresInARow >= MAX_FAILURES_IN_A_ROW) {
-            this.avoid(state, score);
+            this.ejectWorker(state, score);
         }
     }
 
-    private avoid(state: WorkerState, score: Score): void {
+    private ejectWorker(state: WorkerState, score: Score): void {
         const { clock, log, metrics } = this.context;
         state.avoidedUntil = clock.now() + score.pauseMs;
         log.warn("CR1615", "workerAvoided", {
--- /dev/null
+++ b/src/process/node/caller-way.ts
@@ -0,0 +1,81 @@
+/** A caller's request on its way to the leader, through changes of the leader. */
+import { sleep } from "../../common/clock.js";
+import type { Clock, Millis } from "../../common/clock.js";
+import type { NodeLink } from "../../connection/node-link.js";
+import { RefusalReason } from "../leader/requests.js";
+import type { CallerReply, CallerRequest } from "../leader/requests.js";
+import type { LeaderSeat } from "./leader-seat.js";
+import type { NodeAnswer, NodeCall } from "./messages.js";
+
+/** How the leader is reached from a node now. */
+export interface WayToLeader {
+    readonly clock: Clock;
+    /** Whether any configuration has been seen. */
+    readonly hasConfig: () => boolean;
+    /** Set where this node leads. */
+    readonly getSeat: () => LeaderSeat | undefined;
+    /** Set where this node follows; the leader has this node's configuration. */
+    readonly getLink: () => NodeLink | undefined;
+}
+
+/** Time that a request waits for a leader before it is refused: a take-over usually takes less. */
+const LEADER_PATIENCE_MS: Millis = 700;
+const RETRY_MS: Millis = 40;
+/** When a caller may come back: take-overs after a silent death take up to this long. */
+const NO_LEADER_RETRY_MS: Millis = 1_000;
+
+/**
+ * Answers a request. Every request is idempotent, so one whose answer was lost is sent again to the next leader.
+ *
+ * @remarks Failure guarded against: a caller is told "refused" although the leader that died had accepted its job. A
+ * request that any leader may have acted on is never refused here; at the end of its time it ends as unknown.
+ * @param way - How the leader is reached.
+ * @param request - What is asked.
+ * @param patience - Milliseconds that the caller waits.
+ */
+export async function serveCaller(
+    way: WayToLeader,
+    request: CallerRequest,
+    patience: Millis,
+): Promise<CallerReply> {
+    const { clock } = way;
+    const begin = clock.now();
+    let mayHaveRun = false;
+    while (clock.now() - begin < patience) {
+        if (!way.hasConfig()) {
+            return { kind: "refused", reason: RefusalReason.noConfig, retryAfterMs: NO_LEADER_RETRY_MS };
+        }
+        const reply = await tryServe(way, request, patience - (clock.now() - begin));
+        if (reply !== undefined && reply.kind !== "unknown") {
+            return reply;
+        }
+        mayHaveRun ||= reply?.kind === "unknown";
+        if (!mayHaveRun && clock.now() - begin > LEADER_PATIENCE_MS) {
+            return { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
+        }
+        await sleep(clock, RETRY_MS);
+    }
+    return { kind: "unknown", message: "no leader has answered in time" };
+}
+
+/** Tries once; undefined means that no leader was asked. */
+async function tryServe(
+    way: WayToLeader,
+    request: CallerRequest,
+    remaining: Millis,
+): Promise<CallerReply | undefined> {
+    const seat = way.getSeat();
+    if (seat !== undefined) {
+        return seat.serve(request);
+    }
+    const link = way.getLink();
+    if (link === undefined) {
+        return undefined;
+    }
+    const answer = await link.call({ kind: "serve", request } satisfies NodeCall, remaining);
+    if (answer.kind === "lost") {
+        return { kind: "unknown", message: answer.message };
+    }
+    const body = answer.body as NodeAnswer;
+    return body.kind === "served" ? body.reply : undefined;
+}
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -7,18 +7,20 @@
 import type { Millis } from "../../common/clock.js";
 import { sleep } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
-import { RefusalReason } from "../leader/requests.js";
 import type { CallerReply, CallerRequest } from "../leader/requests.js";
 import { claimLeadership, readLeader } from "../leadership/leader-record.js";
 import type { LeaderView } from "../leadership/leader-record.js";
 import type { SourceHandle } from "../ports/cluster-sources.js";
 import type { AdvicePort } from "../ports/task-worker-port.js";
-import { dialLeader } from "./leader-dialer.js";
+import { serveCaller } from "./caller-way.js";
+import type { WayToLeader } from "./caller-way.js";
+import { connectToLeader } from "./leader-dialer.js";
 import type { LeaderLink } from "./leader-dialer.js";
 import { LeaderSeat } from "./leader-seat.js";
 import type { LeadingParts } from "./leader-seat.js";
 import { LinkServer } from "./link-server.js";
 import type { InboundLink } from "./link-server.js";
+import { addRemoteCaller } from "./remote-advice.js";
 
 import type { NodeAnswer, NodeCall, NodeNote, StatusNote } from "./messages.js";
 
@@ -47,10 +49,6 @@
 const UNREACHABLE_CLAIM_MS: Millis = 2_500;
 /** A leader whose writes go unanswered for this long is replaced by a node that the store answers. */
 const STORE_AWAY_CLAIM_MS: Millis = 700;
-/** Time that a request waits for a leader before it is refused: a take-over usually takes less. */
-const LEADER_PATIENCE_MS: Millis = 700;
-const SERVE_RETRY_MS: Millis = 40;
-const NO_LEADER_RETRY_MS: Millis = 1_000;
 const FOLLOW_CHECK_MS: Millis = 200;
 
 /** The node; see the module comment. */
@@ -98,26 +96,8 @@
      * @param request - What is asked.
      * @param patience - Milliseconds that the caller waits.
      */
-    async serve(request: CallerRequest, patience: Millis): Promise<CallerReply> {
-        const { clock, config } = this.options;
-        const begin = clock.now();
-        let mayHaveRun = false;
-        while (clock.now() - begin < patience) {
-            const remaining = patience - (clock.now() - begin);
-            if (config.get().version === 0) {
-                return { kind: "refused", reason: RefusalReason.noConfig, retryAfterMs: NO_LEADER_RETRY_MS };
-            }
-            const reply = await this.tryServe(request, remaining);
-            if (reply !== undefined && reply.kind !== "unknown") {
-                return reply;
-            }
-            mayHaveRun ||= reply?.kind === "unknown";
-            if (!mayHaveRun && clock.now() - begin > LEADER_PATIENCE_MS) {
-                return { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
-            }
-            await sleep(clock, SERVE_RETRY_MS);
-        }
-        return { kind: "unknown", message: "no leader has answered in time" };
+    serve(request: CallerRequest, patience: Millis): Promise<CallerReply> {
+        return serveCaller(this.buildWay(), request, patience);
     }
 
     /** First step of a shutdown: the leadership goes to another node; callers are still answered. */
@@ -128,7 +108,7 @@
             return;
         }
         const heir = [...this.server.links].find(inbound => inbound.status?.isDraining === false);
-        await seat.resign("this node shuts down");
+        await seat.leave("this node shuts down");
         heir?.link.note({ kind: "handover", epoch: seat.claim.epoch } satisfies NodeNote);
     }
 
@@ -168,7 +148,7 @@
         const { name, clock, random } = this.options;
         if (this.isDraining) {
             // A node that leaves still follows, so that its last callers are answered.
-            return record === undefined ? undefined : this.follow(view);
+            return record === undefined ? undefined : this.connectAndFollow(view);
         }
         if (record === undefined) {
             await sleep(clock, this.options.claimDelayMs + random.pickInt(CLAIM_SPREAD_MS));
@@ -180,28 +160,28 @@
         if (this.handoverEpoch === record.epoch) {
             return "the leader handed over";
         }
-        return this.follow(view);
+        return this.connectAndFollow(view);
     }
 
-    private async follow(view: LeaderView): Promise<string | undefined> {
+    private async connectAndFollow(view: LeaderView): Promise<string | undefined> {
         const { clock } = this.options;
         const address = view.record?.address ?? "";
-        const result = await dialLeader(address, clock, {
+        const result = await connectToLeader(address, clock, {
             buildStatus: () => this.buildStatus(),
             handleCall: body => this.handleCall(body),
             handleNote: (link, note) => this.handleLeaderNote(link, note),
         });
         if (result.kind !== "up") {
-            return this.isDraining ? undefined : this.judgeUnreachable(view, result.kind);
+            return this.isDraining ? undefined : this.decideOnUnreachable(view, result.kind);
         }
         this.refusals = 0;
-        const reason = await this.followLink(result.link, view);
+        const reason = await this.followLeader(result.link, view);
         this.leaderLink = undefined;
         return this.isDraining ? undefined : reason;
     }
 
     /** Decides on a leader that cannot be reached: dead, silent beyond its lease, or cut off from this node only. */
-    private judgeUnreachable(view: LeaderView, kind: "refused" | "silent"): string | undefined {
+    private decideOnUnreachable(view: LeaderView, kind: "refused" | "silent"): string | undefined {
         const now = this.options.clock.now();
         this.unreachableSince ??= now;
         this.refusals = kind === "refused" ? this.refusals + 1 : 0;
@@ -219,7 +199,7 @@
     }
 
     /** Stays with a leader until its link closes, it no longer leads, or this node should take its place. */
-    private async followLink(leaderLink: LeaderLink, view: LeaderView): Promise<string | undefined> {
+    private async followLeader(leaderLink: LeaderLink, view: LeaderView): Promise<string | undefined> {
         const { clock, log } = this.options;
         const epoch = view.record?.epoch ?? 0;
         this.leaderLink = leaderLink;
@@ -290,53 +270,36 @@
         const { advicePort, name } = this.options;
         seat.addCaller({
             nodeName: name,
-            advise: (step, workerIds, timeout) => advicePort.advise(step, workerIds, timeout),
+            requestPermits: (step, workerIds, timeout) => advicePort.requestPermits(step, workerIds, timeout),
         });
         for (const inbound of this.server.links) {
-            this.addInboundCaller(seat, inbound);
+            addRemoteCaller(seat, inbound);
         }
     }
 
-    private addInboundCaller(seat: LeaderSeat, inbound: InboundLink): void {
-        const nodeName = inbound.status?.nodeName;
-        if (nodeName === undefined) {
-            return;
-        }
-        seat.addCaller({
-            nodeName,
-            advise: async (step, workerIds, timeoutMs) => {
-                const call: NodeCall = { kind: "advise", step, workerIds, timeoutMs };
-                const answer = await inbound.link.call(call, timeoutMs);
-                if (answer.kind === "lost") {
-                    return { kind: "failed", message: answer.message };
+    /** How callers' requests reach the leader from here, at the moment that each is tried. */
+    private buildWay(): WayToLeader {
+        return {
+            clock: this.options.clock,
+            hasConfig: () => this.options.config.get().version > 0,
+            getSeat: () => this.seat,
+            getLink: () => {
+                if (this.leaderLink !== undefined) {
+                    this.forwardConfig(this.leaderLink);
                 }
-                const body = answer.body as NodeAnswer;
-                return body.kind === "advised" ? body.answer : { kind: "failed", message: body.kind };
+                return this.leaderLink?.link;
             },
-        });
-    }
-
-    private async tryServe(request: CallerRequest, remaining: Millis): Promise<CallerReply | undefined> {
-        if (this.seat !== undefined) {
-            return this.seat.serve(request);
-        }
-        const { leaderLink } = this;
-        if (leaderLink === undefined) {
-            return undefined;
-        }
-        this.passConfig(leaderLink);
-        const answer = await leaderLink.link.call({ kind: "serve", request } satisfies NodeCall, remaining);
-        if (answer.kind === "lost") {
-            return { kind: "unknown", message: answer.message };
-        }
-        const body = answer.body as NodeAnswer;
-        return body.kind === "served" ? body.reply : undefined;
+        };
     }
 
     private async handleCall(body: unknown): Promise<NodeAnswer> {
         const call = body as NodeCall;
         if (call.kind === "advise") {
-            const answer = await this.options.advicePort.advise(call.step, call.workerIds, call.timeoutMs);
+            const answer = await this.options.advicePort.requestPermits(
+                call.step,
+                call.workerIds,
+                call.timeoutMs,
+            );
             return { kind: "advised", answer };
         }
         const { seat } = this;
@@ -357,7 +320,7 @@
             inbound.link.note({ kind: "config", config: config.get() } satisfies NodeNote);
         }
         if (this.seat !== undefined && !this.knownCallers.has(inbound)) {
-            this.addInboundCaller(this.seat, inbound);
+            addRemoteCaller(this.seat, inbound);
         }
         this.knownCallers.add(inbound);
     }
@@ -380,12 +343,12 @@
                 link.link.close("it handed over");
                 return;
             case "status":
-                this.passConfig(link);
+                this.forwardConfig(link);
         }
     }
 
     /** Gives the leader a configuration that it does not have: it decides for all nodes. */
-    private passConfig(link: LeaderLink): void {
+    private forwardConfig(link: LeaderLink): void {
         const config = this.options.config.get();
         const known = link.status?.configVersion;
         if (known !== undefined && known < config.version) {
--- a/src/process/node/leader-dialer.ts
+++ b/src/process/node/leader-dialer.ts
@@ -46,7 +46,7 @@
  * @param clock - For the timeout and the link.
  * @param owner - Told of what arrives.
  */
-export function dialLeader(address: string, clock: Clock, owner: LeaderLinkOwner): Promise<DialResult> {
+export function connectToLeader(address: string, clock: Clock, owner: LeaderLinkOwner): Promise<DialResult> {
     const separator = address.lastIndexOf(":");
     const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
     return new Promise(resolve => {
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -115,7 +115,7 @@
     }
 
     /** Gives the leadership up: what was decided becomes durable first, if that is quick. */
-    async resign(reason: string): Promise<void> {
+    async leave(reason: string): Promise<void> {
         const { clock } = this.parts;
         if (this.leader !== undefined) {
             await Promise.race([this.leader.flush(), sleep(clock, FLUSH_MS)]);
--- a/src/process/ports/task-worker-port.ts
+++ b/src/process/ports/task-worker-port.ts
@@ -147,5 +147,5 @@
      * @param step - Name of the step.
      * @param workerIds - At most 100.
      */
-    advise(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
+    requestPermits(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
 }
--- a/src/process/sinks/text-metrics.ts
+++ b/src/process/sinks/text-metrics.ts
@@ -16,52 +16,56 @@
 const MAX_SERIES = 1_000;
 
 /** Metrics kept in memory. */
-export class TextMetrics implements Metrics {
-    private readonly counters = new Map<string, number>();
-    private readonly gauges = new Map<string, number>();
-    private readonly histograms = new Map<string, Histogram>();
-
-    count(name: string, value = 1, tags?: Readonly<Record<string, string>>): void {
-        const key = formatSeries(name, tags);
-        if (this.counters.has(key) || this.counters.size < MAX_SERIES) {
-            this.counters.set(key, (this.counters.get(key) ?? 0) + value);
-        }
-    }
+export interface TextMetrics extends Metrics {
+    /** Renders all series, one a line: name with tags, and value; times in milliseconds. */
+    render(): string;
+}
 
-    gauge(name: string, value: number, tags?: Readonly<Record<string, string>>): void {
-        const key = formatSeries(name, tags);
-        if (this.gauges.has(key) || this.gauges.size < MAX_SERIES) {
-            this.gauges.set(key, value);
-        }
-    }
+/** @returns Metrics that start at nothing. */
+export function createTextMetrics(): TextMetrics {
+    const counters = new Map<string, number>();
+    const gauges = new Map<string, number>();
+    const histograms = new Map<string, Histogram>();
+    return {
+        count(name, value = 1, tags) {
+            const key = formatSeries(name, tags);
+            putBounded(counters, key, (counters.get(key) ?? 0) + value);
+        },
+        gauge: (name, value, tags) => putBounded(gauges, formatSeries(name, tags), value),
+        time(name, milliseconds, tags) {
+            const micros = Math.round(milliseconds * MICROS_PER_MILLI);
+            const limited = Math.min(HISTOGRAM_OPTIONS.highestTrackableValue, Math.max(1, micros));
+            findHistogram(histograms, formatSeries(name, tags))?.recordValue(limited);
+        },
+        render: () => renderAll([...counters, ...gauges], histograms),
+    };
+}
 
-    time(name: string, milliseconds: number, tags?: Readonly<Record<string, string>>): void {
-        const micros = Math.round(milliseconds * MICROS_PER_MILLI);
-        const limited = Math.min(HISTOGRAM_OPTIONS.highestTrackableValue, Math.max(1, micros));
-        this.getHistogram(formatSeries(name, tags))?.recordValue(limited);
+function putBounded(series: Map<string, number>, key: string, value: number): void {
+    if (series.has(key) || series.size < MAX_SERIES) {
+        series.set(key, value);
     }
+}
 
-    /** Renders all series, one a line: name with tags, and value; times in milliseconds. */
-    render(): string {
-        const lines: string[] = [];
-        for (const [key, value] of [...this.counters, ...this.gauges]) {
-            lines.push(`${key} ${value}`);
-        }
-        for (const [key, histogram] of this.histograms) {
-            lines.push(...renderHistogram(key, histogram));
-        }
-        return `${lines.sort().join("\n")}\n`;
+function findHistogram(histograms: Map<string, Histogram>, key: string): Histogram | undefined {
+    const known = histograms.get(key);
+    if (known !== undefined || histograms.size >= MAX_SERIES) {
+        return known;
     }
+    const created = build(HISTOGRAM_OPTIONS);
+    histograms.set(key, created);
+    return created;
+}
 
-    private getHistogram(key: string): Histogram | undefined {
-        const known = this.histograms.get(key);
-        if (known !== undefined || this.histograms.size >= MAX_SERIES) {
-            return known;
-        }
-        const created = build(HISTOGRAM_OPTIONS);
-        this.histograms.set(key, created);
-        return created;
+function renderAll(
+    values: readonly (readonly [string, number])[],
+    histograms: ReadonlyMap<string, Histogram>,
+): string {
+    const lines = values.map(([key, value]) => `${key} ${value}`);
+    for (const [key, histogram] of histograms) {
+        lines.push(...renderHistogram(key, histogram));
     }
+    return `${lines.sort().join("\n")}\n`;
 }
 
 function renderHistogram(key: string, histogram: Histogram): readonly string[] {
