Leases of silent workers run out; unknown runs take all free room; tests of leaders under faults

Cause 1: each report request to a silent worker carried a new lease, and since a request without an answer may be carried out, the lease's end moved on for ever: tasks of a worker that was cut off were never started elsewhere (test: 'runs the tasks of a worker that is cut off again only when its lease has run out', failed first). Requests after a failure carry no lease now. Ruled out: a double start by a late order (the order's own deadline holds, test kept).

--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -160,7 +160,9 @@
     private async requestReport(sentAt: Millis): Promise<void> {
         const { port, worker, epoch, leaseMs } = this.options;
         const now = this.estimateWorkerNow();
-        const workerDeadline = now === undefined ? undefined : Math.floor(now + leaseMs);
+        // A request without an answer may still be carried out. If each one extended the lease, the lease of a worker
+        // that went silent would never surely run out, and its tasks would wait for it for ever.
+        const workerDeadline = now === undefined || this.failures > 0 ? undefined : Math.floor(now + leaseMs);
         // Until the clock is known the answer is wanted at once, and an unsure worker is asked for a sign of life.
         const waitMs = now === undefined || this.failures > 0 ? 0 : REPORT_WAIT_MS;
         if (workerDeadline !== undefined) {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,6 +1,6 @@
 /** The workers of a leader: their registrations, sessions and runs, and what reports mean for tasks. */
 import type { Millis } from "../../common/clock.js";
-import { NO_RESOURCES } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
 import { computeLeaseBound, WorkerSession } from "../dispatch/worker-session.js";
 import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
@@ -242,7 +242,8 @@
             task: running.task,
             run: running.run,
             step: found?.step.name ?? "",
-            demand: found?.step.spec.demand ?? NO_RESOURCES,
+            // What a job needed is no longer known once it has ended: the run may fill all that seems free.
+            demand: found?.step.spec.demand ?? takeAll(state.free),
             phase: RunPhase.running,
             settledAfter: workerNow,
             wasSeen: true,
@@ -341,6 +342,15 @@
     return unconfirmedMs + computeLeaseBound(leaseMs);
 }
 
+/** All that is free; nothing in a dimension that is overdrawn. */
+function takeAll(free: Resources): Resources {
+    return {
+        cpuMillis: Math.max(0, free.cpuMillis),
+        memoryMib: Math.max(0, free.memoryMib),
+        accelerators: Math.max(0, free.accelerators),
+    };
+}
+
 function buildInheritedRun({ step, task }: FoundTask, now: Millis): RunRecord {
     return {
         task: task.name,
--- /dev/null
+++ b/src/test/leader/leader-cell.ts
@@ -0,0 +1,269 @@
+/** Leaders, one after the other or side by side, over one store and a few workers, with everything observed. */
+import assert from "node:assert/strict";
+import type { Millis } from "../../common/clock.js";
+import { createRandom } from "../../common/random.js";
+import { isWithin } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
+import type { JobSpec, StepSpec } from "../../process/jobs/job-spec.js";
+import { GuardedStore } from "../../process/journal/guarded-store.js";
+import { loadJournal } from "../../process/journal/load-journal.js";
+import { MAX_UNCONFIRMED_MS } from "../../process/leader/authority.js";
+import { computeInheritedLeaseMs } from "../../process/leader/fleet.js";
+import { Leader } from "../../process/leader/leader.js";
+import type { CallerReply } from "../../process/leader/requests.js";
+import { LeaderLease } from "../../process/leadership/leader-lease.js";
+import { claimLeadership, readLeader } from "../../process/leadership/leader-record.js";
+import type { WorkerRecord } from "../../process/ports/task-worker-port.js";
+import { StoreModel, TaskWorkerModel } from "../../stand-ins/index.js";
+import type { TaskBehavior } from "../../stand-ins/index.js";
+import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
+import { CallPath } from "../fakes/call-path.js";
+import { FakeClock } from "../fakes/fake-clock.js";
+import { FakeStorePort } from "../fakes/fake-store-port.js";
+import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
+import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
+import type { FakeLog } from "../fakes/fake-telemetry.js";
+import { PausableClock } from "../fakes/pausable-clock.js";
+
+export const CORE: Resources = { cpuMillis: 1_000, memoryMib: 1_024, accelerators: 0 };
+export const WORKER_CAPACITY: Resources = { cpuMillis: 4_000, memoryMib: 8_192, accelerators: 0 };
+export const HOST = "jobs.example";
+export const PREFIX = "/batch/";
+export const LEASE_MS: Millis = 4_500;
+const LATENCY_MS: Millis = 1;
+const CALL_MS: Millis = 500;
+
+/** Queue that the cell's jobs go to. */
+export const QUEUE: QueueConfig = {
+    name: "batch",
+    host: HOST,
+    pathPrefix: PREFIX,
+    pool: "pool",
+    priority: 1,
+    maxAttempts: 3,
+    stretch: 3,
+    targetMs: 1_000,
+    advice: undefined,
+};
+
+/** Builds a step; only what matters to a test is given. */
+export function makeStep(change: Partial<StepSpec> = {}): StepSpec {
+    return {
+        taskCount: 1,
+        demand: CORE,
+        estimateMs: 1_000,
+        after: [],
+        savesCheckpoints: false,
+        isGang: false,
+        prefersOneRack: false,
+        requiredLabel: undefined,
+        dataRack: undefined,
+        maxPerWorker: undefined,
+        isLongRunning: false,
+        fillsSpareCpu: false,
+        ...change,
+    };
+}
+
+/** Builds a job of steps. */
+export function makeSpec(...steps: readonly Partial<StepSpec>[]): JobSpec {
+    return { payload: "work", steps: steps.map(makeStep), repeat: undefined };
+}
+
+/** Returns the id of the n-th job of a test. */
+export function makeJobId(number: number): string {
+    return number.toString(16).padStart(16, "0");
+}
+
+/** A leader under test with its ways to the store and to workers. */
+export interface TestLeader {
+    readonly leader: Leader;
+    readonly epoch: number;
+    readonly clock: PausableClock;
+    readonly storePath: CallPath;
+    readonly workers: FakeTaskWorkers;
+    readonly log: FakeLog;
+    /** Why it was told that another leads; empty while it was not. */
+    readonly deposed: string[];
+}
+
+/** A run that a worker began. */
+export interface SeenStart {
+    readonly task: string;
+    readonly run: number;
+    readonly workerId: string;
+    readonly at: Millis;
+}
+
+/** The cell; see the module comment. */
+export class LeaderCell {
+    readonly clock = new FakeClock();
+    readonly store = new StoreModel(this.clock);
+    readonly starts: SeenStart[] = [];
+    /** What no promise allows: two runs of a task at once, a worker over its capacity. */
+    readonly faults: string[] = [];
+    private readonly running = new Map<string, string>();
+    private readonly models = new Map<string, TaskWorkerModel>();
+    private readonly records = new Map<string, WorkerRecord>();
+    private readonly random = createRandom(7);
+    config: ClusterConfig = {
+        version: 1,
+        queues: [QUEUE],
+        pools: [{ name: "pool", checksAdmission: false, maxConnections: 64 }],
+        maxBodyBytes: 262_144,
+    };
+    getBehavior: (task: string, run: number) => TaskBehavior = () => ({
+        demand: CORE,
+        runMs: 1_000,
+        end: "done",
+    });
+
+    /** @param workerCount - Workers `w1` to `wN`, each at an address of its own. */
+    constructor(workerCount: number) {
+        for (let number = 1; number <= workerCount; number++) {
+            this.addWorker(`w${number}`, `10.0.0.${number}:80`);
+        }
+    }
+
+    /** Adds a worker, or another life at the address of one. */
+    addWorker(workerId: string, address: string): void {
+        this.models.get(address)?.kill();
+        this.models.set(
+            address,
+            new TaskWorkerModel({
+                clock: this.clock,
+                workerId,
+                capacity: WORKER_CAPACITY,
+                clockOffset: 50_000,
+                getBehavior: (task, run) => this.getBehavior(task, run),
+                handleStart: (task, run, used) => this.observeStart(workerId, task, run, used),
+                handleEnd: (task, run) => this.observeEnd(workerId, task, run),
+            }),
+        );
+        this.records.set(workerId, {
+            workerId,
+            address,
+            pool: "pool",
+            failureDomain: "a",
+            capacity: WORKER_CAPACITY,
+            labels: [],
+            rack: undefined,
+            isDraining: false,
+        });
+    }
+
+    /** Removes a worker from the list; it may go on. */
+    removeFromList(workerId: string): void {
+        this.records.delete(workerId);
+    }
+
+    getModel(address: string): TaskWorkerModel {
+        const model = this.models.get(address);
+        assert(model !== undefined);
+        return model;
+    }
+
+    /** Claims the leadership and loads the journal. */
+    async startLeader(wasHandedOver = false): Promise<TestLeader> {
+        const clock = new PausableClock(this.clock);
+        const storePath = this.createPath(clock);
+        const port = new FakeStorePort(this.store, storePath);
+        const log = createFakeLog(true);
+        const deposed: string[] = [];
+        const view = await this.clock.wait(readLeader(port, CALL_MS), CALL_MS);
+        assert(view !== undefined);
+        const own = { nodeName: `node-${view.revision}`, address: "", life: `life-${view.revision}` };
+        const claim = await this.clock.wait(claimLeadership(port, view, own, CALL_MS), CALL_MS);
+        assert(claim.kind === "won");
+        const context = { port, clock, log, isOver: () => false };
+        const loaded = await this.clock.wait(loadJournal(context), CALL_MS);
+        assert(loaded !== undefined);
+        const metrics = createFakeMetrics();
+        const store = new GuardedStore({ port, clock, log, metrics, leaderRevision: claim.revision });
+        const workers = new FakeTaskWorkers(
+            address => this.models.get(address),
+            () => this.createPath(clock),
+        );
+        function handleDeposed(reason: string): void {
+            deposed.push(reason);
+            lease.close();
+            leader.close();
+        }
+        const lease = new LeaderLease({
+            port,
+            clock,
+            life: own.life,
+            leaderRevision: claim.revision,
+            getLastContact: () => store.getLastContact(),
+            observeContact: sentAt => store.observeContact(sentAt),
+            handleDeposed,
+        });
+        const leader = new Leader({
+            clock,
+            log,
+            metrics,
+            epoch: claim.epoch,
+            store,
+            loaded,
+            workerPort: workers,
+            leaseMs: LEASE_MS,
+            inheritedLeaseEnd: clock.now() +
+                computeInheritedLeaseMs(LEASE_MS, wasHandedOver ? 0 : MAX_UNCONFIRMED_MS),
+            getConfig: () => this.config,
+            handleDeposed,
+        });
+        leader.setWorkers(new Map(this.records));
+        return { leader, epoch: claim.epoch, clock, storePath, workers, log, deposed };
+    }
+
+    /** Shows a leader the worker list as it is now. */
+    refreshWorkers({ leader }: TestLeader): void {
+        leader.setWorkers(new Map(this.records));
+    }
+
+    /** Hands a job in and waits for the answer. */
+    submit({ leader }: TestLeader, number: number, spec: JobSpec): Promise<CallerReply> {
+        const path = `${PREFIX}${makeJobId(number)}`;
+        return this.clock.wait(leader.serve({ kind: "submit", host: HOST, path, spec }), CALL_MS * 8);
+    }
+
+    /** Asks for a job's state. */
+    show({ leader }: TestLeader, number: number): Promise<CallerReply> {
+        const path = `${PREFIX}${makeJobId(number)}`;
+        return this.clock.wait(leader.serve({ kind: "show", host: HOST, path }), CALL_MS);
+    }
+
+    /** Cancels a job. */
+    cancel({ leader }: TestLeader, number: number): Promise<CallerReply> {
+        const path = `${PREFIX}${makeJobId(number)}`;
+        return this.clock.wait(leader.serve({ kind: "cancel", host: HOST, path }), CALL_MS * 8);
+    }
+
+    /** Counts the runs that began of a job's tasks. */
+    countStarts(number: number): number {
+        return this.starts.filter(start => start.task.startsWith(makeJobId(number))).length;
+    }
+
+    private createPath(clock: PausableClock): CallPath {
+        return new CallPath(this.clock, clock, { latencyMs: LATENCY_MS, random: this.random });
+    }
+
+    private observeStart(workerId: string, task: string, run: number, used: Resources): void {
+        this.starts.push({ task, run, workerId, at: this.clock.now() });
+        const other = this.running.get(task);
+        if (other !== undefined) {
+            this.faults.push(`${task} runs on ${other} and on ${workerId}`);
+        }
+        if (!isWithin(used, WORKER_CAPACITY)) {
+            this.faults.push(`${workerId} is over its capacity`);
+        }
+        this.running.set(task, workerId);
+    }
+
+    private observeEnd(workerId: string, task: string, run: number): void {
+        if (this.running.get(task) === workerId) {
+            this.running.delete(task);
+        }
+        void run;
+    }
+}
--- /dev/null
+++ b/src/test/leader/worker-faults_test.ts
@@ -0,0 +1,119 @@
+/** Workers that are silent, cut off, reborn, or carry orders out late. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
+
+const FIRST = "10.0.0.1:80";
+
+describe("a leader whose workers fail", () => {
+    it("waits for an order without an answer before it starts the task elsewhere", async () => {
+        // A caller's task seems to hang for a second. The order to start it reaches its worker, the answer is lost,
+        // and the worker runs it. Cause of a double run: the task is given to another worker at once.
+        const cell = new LeaderCell(2);
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        leader.workers.getPath(FIRST).planNext({ kind: "dropAnswer" });
+        leader.workers.getPath("10.0.0.2:80").planNext({ kind: "dropAnswer" });
+        await cell.submit(leader, 1, makeSpec({}));
+        await cell.clock.step(4_000);
+        assert.equal(cell.starts.length, 1);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("is not harmed by an order that is carried out seconds late", async () => {
+        // A task runs twice at once. Its order is held up for three seconds, the leader starts it elsewhere, and the
+        // first worker then begins it too. The order's own deadline on the worker's clock prevents it.
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 6_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        leader.workers.getPath(FIRST).plan({ kind: "delayRequest", ms: 3_000 }, {
+            kind: "delayRequest",
+            ms: 3_000,
+        });
+        leader.workers.getPath("10.0.0.2:80").plan({ kind: "delayRequest", ms: 3_000 });
+        await cell.submit(leader, 1, makeSpec({ taskCount: 2 }));
+        await cell.clock.step(15_000);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("runs the tasks of a worker that is cut off again only when its lease has run out", async () => {
+        // A worker is cut off and runs on. Its tasks must end there, by the lease, before they start elsewhere: a
+        // caller's paid run would run twice at the same time.
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({ taskCount: 8 }));
+        await cell.clock.step(500);
+        const before = cell.starts.length;
+        leader.workers.getPath(FIRST).faults.unreachable = true;
+        await cell.clock.step(3_500);
+        assert.equal(cell.starts.length, before);
+        cell.addWorker("w3", "10.0.0.3:80");
+        cell.refreshWorkers(leader);
+        await cell.clock.step(3_500);
+        assert.equal(cell.starts.length, before + 4);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("takes a new life at a worker's address as the end of the earlier one", async () => {
+        // A worker's process crashes and starts again within a second. Its tasks are gone for sure, so they start
+        // again at once and do not wait for the lease.
+        const cell = new LeaderCell(1);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({ taskCount: 3 }));
+        await cell.clock.step(500);
+        cell.addWorker("w9", FIRST);
+        cell.removeFromList("w1");
+        cell.refreshWorkers(leader);
+        await cell.clock.step(2_000);
+        assert.equal(cell.starts.length, 6);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("keeps new work from a worker that fails everything", async () => {
+        // A worker fails all that it starts within 20 ms, so it always has room, draws all work in, and jobs fail that
+        // could have been done.
+        const cell = new LeaderCell(3);
+        const failing = new Set(["w1"]);
+        cell.getBehavior = (task, run) => {
+            const worker = cell.starts.find(start => start.task === task && start.run === run)?.workerId;
+            return {
+                demand: CORE,
+                runMs: 300,
+                end: worker !== undefined && failing.has(worker) ? "failed" : "done",
+            };
+        };
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        for (let number = 1; number <= 40; number++) {
+            await cell.submit(leader, number, makeSpec({}));
+        }
+        await cell.clock.step(6_000);
+        for (let number = 1; number <= 40; number++) {
+            assert.deepEqual(await cell.show(leader, number), { kind: "state", phase: "completed" });
+        }
+    });
+});
+
+describe("a leader that gets no orders through", () => {
+    it("stops the other members of a gang of which one could not be started", async () => {
+        // The members that run wait in vain for the one whose worker cannot be reached, and hold their room meanwhile.
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        leader.workers.getPath(FIRST).planNext({ kind: "refuseConnection" });
+        await cell.submit(leader, 1, makeSpec({ taskCount: 8, isGang: true }));
+        await cell.clock.step(3_000);
+        const runs = new Set(cell.starts.slice(-8).map(start => start.run));
+        assert.equal(runs.size, 1);
+        assert.equal(cell.getModel(FIRST).listRunning().length, 4);
+        assert.deepEqual(cell.faults, []);
+    });
+});
