--- a/eslint.config.js
+++ b/eslint.config.js
@@ -56,7 +56,7 @@
         },
     },
     {
-        files: ["src/test/**/*.ts"],
+        files: ["src/test/**/*.ts", "platform/test/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off", "max-lines": ["error", { max: 600 }] },
     },
     {
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,5 +1,5 @@
 /**
- * Runs every test file below `src/test` with Node's own test runner, each file in a process of its own.
+ * Runs every test file below `src/test` and `platform/test` with Node's own test runner, each file in a process of its own.
  *
  * @remarks Arguments, if any, are substrings: only the files whose path contains one of them run.
  * Files named by a line of `KNOWN-RED.txt` are left out here and run apart by `.ci/run`.
@@ -9,6 +9,7 @@
 import { spec } from "node:test/reporters";
 
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
+const TEST_FOLDERS = ["src/test", "platform/test"];
 const wantsKnownRed = process.argv.includes("--known-red");
 const filters = process.argv.slice(2).filter(argument => !argument.startsWith("--"));
 
@@ -18,14 +19,14 @@
     }
     return readFileSync(KNOWN_RED_FILE, "utf8")
         .split("\n")
-        .filter(line => line.startsWith("src/test/"))
+        .filter(line => TEST_FOLDERS.some(folder => line.startsWith(`${folder}/`)))
         .map(line => line.split(/[\s:]/)[0]);
 }
 
 function listTestFiles() {
     const knownRed = listKnownRed();
-    return readdirSync("src/test", { recursive: true })
-        .map(name => `src/test/${name}`)
+    return TEST_FOLDERS
+        .flatMap(folder => readdirSync(folder, { recursive: true }).map(name => `${folder}/${name}`))
         .filter(name => name.endsWith("_test.ts"))
         .filter(name => knownRed.includes(name) === wantsKnownRed)
         .filter(name => filters.length === 0 || filters.some(filter => name.includes(filter)))
--- /dev/null
+++ b/src/test/node/cluster-node_test.ts
@@ -0,0 +1,134 @@
+/** Nodes that find, follow and replace a leader. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { waitUntil } from "../fakes/wait-until.js";
+import { makeSpec, QUEUE } from "../leader/leader-cell.js";
+import { CALL_MS, makeAddress, makeConfig, NodeCell } from "./node-cell.js";
+import type { TestNode } from "./node-cell.js";
+
+async function startNodes(cell: NodeCell, count: number): Promise<readonly TestNode[]> {
+    const nodes: TestNode[] = [];
+    for (let number = 1; number <= count; number++) {
+        nodes.push(await cell.startNode(`node-${number}`));
+        await waitUntil(() => nodes.at(-1)?.node.isReady() === true, `node ${number} is ready`);
+    }
+    return nodes;
+}
+
+function hasLine(node: TestNode | undefined, event: string): boolean {
+    return node?.log.lines.some(line => line.event === event) === true;
+}
+
+describe("ClusterNode", () => {
+    it("answers callers at every node, and each knows every job", async () => {
+        const cell = new NodeCell();
+        const [first, second] = await startNodes(cell, 2);
+        const accepted = await second?.node.serve(
+            { kind: "submit", ...makeAddress(1), spec: makeSpec({}) },
+            CALL_MS,
+        );
+        assert.deepEqual(accepted, { kind: "accepted" });
+        await waitUntil(() => cell.starts.length === 1, "the task has started");
+        const shown = await first?.node.serve({ kind: "show", ...makeAddress(1) }, CALL_MS);
+        assert.equal(shown?.kind, "state");
+        await cell.close();
+    });
+
+    it("hands the leadership over when it shuts down, and goes on answering", async () => {
+        // A node is shut down while callers hold open connections to it. What they ask in its last seconds must still
+        // be answered, by the node that leads then.
+        const cell = new NodeCell();
+        const [first, second] = await startNodes(cell, 2);
+        await first?.node.startDraining();
+        assert.equal(first?.node.isReady(), false);
+        const reply = await first?.node.serve(
+            { kind: "submit", ...makeAddress(1), spec: makeSpec({}) },
+            CALL_MS,
+        );
+        assert.deepEqual(reply, { kind: "accepted" });
+        assert.ok(hasLine(second, "leadershipWon"));
+        await cell.close();
+    });
+
+    it("takes over from a leader that can no longer reach the store", async () => {
+        // The store turns the leader's VM away and serves the others. Callers must not be refused for as long as that
+        // lasts.
+        const cell = new NodeCell();
+        const [first, second] = await startNodes(cell, 2);
+        if (first !== undefined) {
+            first.storePath.faults.unreachable = true;
+        }
+        void first?.node.serve({ kind: "submit", ...makeAddress(1), spec: makeSpec({}) }, CALL_MS);
+        await waitUntil(() => hasLine(second, "leadershipReady"), "the second node leads");
+        const reply = await second?.node.serve(
+            { kind: "submit", ...makeAddress(2), spec: makeSpec({}) },
+            CALL_MS,
+        );
+        assert.deepEqual(reply, { kind: "accepted" });
+        await waitUntil(() => hasLine(first, "leadershipOver"), "the first node knows");
+        await cell.close();
+    });
+
+    it("takes over from a leader whose port no longer answers", async () => {
+        const cell = new NodeCell();
+        const [first, second] = await startNodes(cell, 2);
+        first?.node.close();
+        const reply = await second?.node.serve(
+            { kind: "submit", ...makeAddress(1), spec: makeSpec({}) },
+            CALL_MS,
+        );
+        assert.deepEqual(reply, { kind: "accepted" });
+        await cell.close();
+    });
+
+    it("lets the leader know a newer configuration before a request that needs it", async () => {
+        // The operator adds a queue. A node that has seen it must not answer "no such queue" because its leader, whose
+        // watch is late, has not.
+        const cell = new NodeCell(makeConfig(1, { queues: [] }));
+        const first = await cell.startNode("node-1");
+        await waitUntil(() => first.node.isReady(), "the first node is ready");
+        const second = await cell.startNode("node-2", makeConfig(2));
+        await waitUntil(() => second.node.isReady(), "the second node is ready");
+        const reply = await second.node.serve(
+            { kind: "submit", ...makeAddress(1), spec: makeSpec({}) },
+            CALL_MS,
+        );
+        assert.deepEqual(reply, { kind: "accepted" });
+        assert.equal(first.config.get().version, 2);
+        await cell.close();
+    });
+
+    it("never goes back to an older configuration", async () => {
+        const cell = new NodeCell(makeConfig(5));
+        const node = await cell.startNode("node-1");
+        node.config.accept(makeConfig(4, { queues: [] }), "a copy that lags");
+        assert.equal(node.config.get().queues.length, 1);
+        await cell.close();
+    });
+
+    it("refuses callers while it knows no configuration", async () => {
+        const cell = new NodeCell(makeConfig(0));
+        const { node } = await cell.startNode("node-1");
+        const reply = await node.serve({ kind: "show", ...makeAddress(1) }, CALL_MS);
+        assert.equal(reply.kind, "refused");
+        assert.equal(node.isReady(), false);
+        await cell.close();
+    });
+
+    it("spreads questions to the advice service over all nodes", async () => {
+        // The service serves one call at a time for each calling VM: one caller alone falls behind for ever.
+        const advice = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
+        const cell = new NodeCell(makeConfig(1, { queues: [{ ...QUEUE, advice }] }));
+        const nodes = await startNodes(cell, 3);
+        const submitted = Array.from({ length: 12 }, (...[, number]) => {
+            return nodes[0]?.node.serve(
+                { kind: "submit", ...makeAddress(number + 1), spec: makeSpec({}) },
+                CALL_MS,
+            );
+        });
+        await Promise.all(submitted);
+        await waitUntil(() => cell.starts.length === 12, "all tasks have started");
+        assert.ok(nodes.every(node => node.asked.length > 0));
+        await cell.close();
+    });
+});
--- /dev/null
+++ b/src/test/node/node-cell.ts
@@ -0,0 +1,142 @@
+/** Nodes with real links on loopback, over one store and workers without I/O. */
+import { randomInt } from "node:crypto";
+import { systemClock } from "../../common/clock.js";
+import type { Millis } from "../../common/clock.js";
+import { createRandom, makeUniqueId } from "../../common/random.js";
+import { ClusterNode } from "../../process/node/cluster-node.js";
+import { ConfigHolder } from "../../process/node/config-holder.js";
+import type { ConfigSource, WorkerSource } from "../../process/ports/cluster-sources.js";
+import type { AdviceAnswer } from "../../process/ports/task-worker-port.js";
+import { StoreModel, TaskWorkerModel } from "../../stand-ins/index.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
+import { CallPath } from "../fakes/call-path.js";
+import { FakeStorePort } from "../fakes/fake-store-port.js";
+import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
+import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
+import type { FakeLog } from "../fakes/fake-telemetry.js";
+import { PausableClock } from "../fakes/pausable-clock.js";
+import { CORE, HOST, makeJobId, PREFIX, QUEUE, WORKER_CAPACITY } from "../leader/leader-cell.js";
+
+export const CALL_MS: Millis = 8_000;
+const MAX_LEASE_MS: Millis = 10_000;
+const WORKER_ADDRESS = "10.0.0.1:80";
+
+/** A node under test. */
+export interface TestNode {
+    readonly node: ClusterNode;
+    readonly config: ConfigHolder;
+    readonly storePath: CallPath;
+    readonly log: FakeLog;
+    /** Steps that this node asked the advice service about. */
+    readonly asked: string[];
+}
+
+/** The cell; see the module comment. */
+export class NodeCell {
+    readonly store = new StoreModel(systemClock);
+    readonly starts: string[] = [];
+    private readonly nodes: TestNode[] = [];
+    private readonly random = createRandom(5);
+    private readonly model = new TaskWorkerModel({
+        clock: systemClock,
+        workerId: "w1",
+        capacity: WORKER_CAPACITY,
+        getBehavior: () => ({ demand: CORE, runMs: 50, end: "done" }),
+        handleStart: task => this.starts.push(task),
+    });
+
+    /**
+     * @param config - Seen by every node, where the node's own does not differ.
+     */
+    constructor(private readonly config: ClusterConfig = makeConfig(1)) {}
+
+    /** Starts a node. */
+    async startNode(name: string, config: ClusterConfig = this.config): Promise<TestNode> {
+        const clock = new PausableClock(systemClock);
+        const storePath = this.createPath(clock);
+        const log = createFakeLog(true);
+        const holder = new ConfigHolder(log);
+        const asked: string[] = [];
+        const node = new ClusterNode({
+            name,
+            host: "127.0.0.1",
+            port: 0,
+            clock: systemClock,
+            log,
+            metrics: createFakeMetrics(),
+            random: this.random,
+            life: makeUniqueId(createRandom(randomInt(2 ** 31))),
+            storePort: new FakeStorePort(this.store, storePath),
+            config: holder,
+            configSource: buildConfigSource(config),
+            workerSource: buildWorkerSource(),
+            workerPort: new FakeTaskWorkers(() => this.model, () => this.createPath(clock)),
+            advicePort: {
+                requestPermits(step): Promise<AdviceAnswer> {
+                    asked.push(step);
+                    return Promise.resolve({ kind: "done", permits: [{ workerId: "w1", token: "permit" }] });
+                },
+            },
+            maxLeaseMs: MAX_LEASE_MS,
+            claimDelayMs: 0,
+        });
+        await node.open();
+        const started = { node, config: holder, storePath, log, asked };
+        this.nodes.push(started);
+        return started;
+    }
+
+    /** Closes all nodes that are still open. */
+    async close(): Promise<void> {
+        await Promise.all(this.nodes.map(({ node }) => node.startDraining()));
+        this.nodes.forEach(({ node }) => node.close());
+    }
+
+    private createPath(clock: PausableClock): CallPath {
+        return new CallPath(systemClock, clock, { latencyMs: 1, random: this.random });
+    }
+}
+
+/** Builds a configuration with the usual queue. */
+export function makeConfig(version: number, change: Partial<ClusterConfig> = {}): ClusterConfig {
+    return {
+        version,
+        queues: [QUEUE],
+        pools: [{ name: "pool", checksAdmission: false, maxConnections: 64 }],
+        maxBodyBytes: 262_144,
+        ...change,
+    };
+}
+
+/** Returns the address of the n-th job. */
+export function makeAddress(number: number): { host: string; path: string; } {
+    return { host: HOST, path: `${PREFIX}${makeJobId(number)}` };
+}
+
+function buildConfigSource(config: ClusterConfig): ConfigSource {
+    return {
+        follow(accept) {
+            accept(config);
+            return { stop: () => undefined };
+        },
+    };
+}
+
+function buildWorkerSource(): WorkerSource {
+    return {
+        follow(accept) {
+            const record = {
+                workerId: "w1",
+                address: WORKER_ADDRESS,
+                pool: "pool",
+                failureDomain: "a",
+                capacity: WORKER_CAPACITY,
+                labels: [],
+                rack: undefined,
+                isDraining: false,
+            };
+            accept(new Map([[record.workerId, record]]));
+            return { stop: () => undefined };
+        },
+    };
+}
