Ends are waited for before a worker is looked at again; a write is tried again beside the try under way

Cause 2: when the store turned slow each write was given up at 120 ms, 240 ms and 480 ms before one could be answered.

--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -8,6 +8,7 @@
 import type { Clock, Millis } from "../../common/clock.js";
 import { OrderRefusal } from "../ports/task-worker-port.js";
 import type {
+    EndedRun,
     RunOrder,
     StartOrder,
     TaskWorkerPort,
@@ -19,8 +20,11 @@
 
 /** What a session tells the leader. */
 export interface SessionListener {
-    /** A report; the first one of a session shows what earlier leaders left there. */
-    handleReport(report: WorkerReport, isFirst: boolean): void;
+    /**
+     * A report; the first one of a session shows what earlier leaders left there.
+     * @param ended - Its ends that no earlier report of the session held.
+     */
+    handleReport(report: WorkerReport, ended: readonly EndedRun[], isFirst: boolean): void;
     /** Whether the worker can be given work has changed. */
     handleReachable(isReachable: boolean): void;
     /** This life is over: another one answers at its address. */
@@ -55,6 +59,8 @@
  * ends a second of a worker, as measured on a calm day, an end is known 35 ms later on average.
  */
 const REPORT_GAP_MS: Millis = 150;
+/** Longest wait for ends to be durable before the lease is renewed without it. */
+const DURABLE_WAIT_MS: Millis = 700;
 /** Time for the answer on top of what the worker may wait: one way is under 4 ms, a busy worker takes longer. */
 const ANSWER_MARGIN_MS: Millis = 500;
 const RETRY_PAUSE_MS: Millis = 100;
@@ -76,7 +82,11 @@
 /** A session; see the module comment. */
 export class WorkerSession {
     /** Highest end that is durable. */
-    seenEnd = 0;
+    private seenEnd = 0;
+    /** Highest end that the listener was told of. */
+    private handledEnd = 0;
+    /** Lets the loop go on once the ends that it was told of are durable. */
+    private wakeDurable: () => void = () => undefined;
     private offset: Millis | undefined;
     private leaseEnd: Millis;
     private lastWorkerNow: Millis = 0;
@@ -109,16 +119,26 @@
                 continue;
             }
             const sentAt = clock.now();
+            const hasClock = this.offset !== undefined;
             await this.requestReport(sentAt);
             if (!this.closed && this.failures > 0) {
                 await sleep(clock, RETRY_PAUSE_MS);
             }
-            else if (!this.closed && this.seenEnd > 0) {
+            else if (!this.closed && hasClock) {
+                await this.waitForEnds();
                 await sleep(clock, Math.max(0, sentAt + REPORT_GAP_MS - clock.now()));
             }
         }
     }
 
+    /** Takes in that ends up to a number are durable: the worker may forget them. */
+    acceptDurable(number: number): void {
+        this.seenEnd = Math.max(this.seenEnd, number);
+        if (this.seenEnd >= this.handledEnd) {
+            this.wakeDurable();
+        }
+    }
+
     /** Ends the session. */
     close(): void {
         if (!this.closed) {
@@ -143,6 +163,22 @@
         return this.order("stop", () => port.stop(worker, { ...order, epoch }, ORDER_TIMEOUT_MS));
     }
 
+    /**
+     * Waits until the ends of the last report are durable.
+     *
+     * @remarks A worker answers at once while it has ends that it may not forget. Asked again before that, it is asked
+     * every few milliseconds for as long as the store takes, which used up the leader's processor time.
+     */
+    private async waitForEnds(): Promise<void> {
+        if (this.seenEnd >= this.handledEnd) {
+            return;
+        }
+        const durable = new Promise<void>(resolve => {
+            this.wakeDurable = resolve;
+        });
+        await Promise.race([durable, sleep(this.options.clock, DURABLE_WAIT_MS)]);
+    }
+
     private async order(
         name: string,
         send: () => Promise<WorkerAnswer<Millis>>,
@@ -195,9 +231,11 @@
             listener.handleSuspended(offset - this.offset);
         }
         this.offset = offset;
-        const { isFirst } = this;
+        const { isFirst, handledEnd } = this;
         this.isFirst = false;
-        listener.handleReport(report, isFirst);
+        this.handledEnd = Math.max(handledEnd, report.ended.at(-1)?.number ?? 0);
+        const ended = report.ended.filter(end => end.number > handledEnd);
+        listener.handleReport(report, ended, isFirst);
         this.setReachable(true);
     }
 
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -7,7 +7,13 @@
  */
 import type { Clock, Millis } from "../../common/clock.js";
 import { sleep } from "../../common/clock.js";
-import type { StoreAnswer, StoreCondition, StorePort, TransactionWrite } from "../ports/index.js";
+import type {
+    StoreAnswer,
+    StoreCondition,
+    StorePort,
+    StoreTransaction,
+    TransactionWrite,
+} from "../ports/index.js";
 import { CallTimeout } from "../store/call-timeout.js";
 import type { Log, Metrics } from "../telemetry.js";
 import { LEADER_KEY } from "./keys.js";
@@ -34,14 +40,28 @@
 }
 
 /**
- * First timeout of a write. The store answers in 7 to 14 ms as measured; a lost answer costs this long, and a slow
- * store is learnt by doubling.
+ * First time after which a write without an answer is tried again beside the try under way. The store answers in 7 to
+ * 14 ms as measured; a lost answer costs this long, and a slow store is learnt by doubling.
  */
-const SHORTEST_TIMEOUT_MS: Millis = 120;
+const SHORTEST_TIMEOUT_MS: Millis = 100;
+/** Time after which a try is given up: four answers of a slow spell. A store that was silent is back at most this late. */
+const TRY_LIMIT_MS: Millis = 1_000;
+/** Tries of one write that may be open at once. */
+const MAX_OPEN_TRIES = 3;
 /** Pause after the store said that it is busy or away; doubles up to the longest. */
 const SHORTEST_PAUSE_MS: Millis = 25;
 const LONGEST_PAUSE_MS: Millis = 200;
 
+interface PreparedTry {
+    readonly write: TransactionWrite;
+    readonly transaction: StoreTransaction;
+}
+
+interface EndedTry {
+    readonly answer: StoreAnswer<number>;
+    readonly write: TransactionWrite;
+}
+
 /** The store under the leader's guard. */
 export class GuardedStore {
     private readonly timeout = new CallTimeout(SHORTEST_TIMEOUT_MS);
@@ -92,21 +112,47 @@
     ): Promise<GuardedResult> {
         const { leaderRevision, clock } = this.options;
         const guard = { key: LEADER_KEY, revision: leaderRevision };
-        let pause = SHORTEST_PAUSE_MS;
-        const call = { since: clock.now() };
-        this.underWay.add(call);
-        while (!this.closed) {
+        const pursuit = { since: clock.now() };
+        this.underWay.add(pursuit);
+        const result = await this.retryUntilKnown(() => {
             const write = buildWrite();
-            const transaction = { conditions: [guard, ...conditions], writes: [write], removals: [] };
             observeTry("sent");
-            const answer = await this.call(() => this.options.port.transact(transaction, this.timeout.get()));
-            const result = this.decideResult(answer, write);
+            return {
+                write,
+                transaction: { conditions: [guard, ...conditions], writes: [write], removals: [] },
+            };
+        }, () => observeTry("unwritten"));
+        this.underWay.delete(pursuit);
+        return result;
+    }
+
+    /**
+     * Tries until one try shows the end. A try without an answer is not given up when the next one begins: a store
+     * that has turned slow answers the first, and one that lost the answer answers the second.
+     */
+    private async retryUntilKnown(
+        prepareTry: () => PreparedTry,
+        handleUnwritten: () => void,
+    ): Promise<GuardedResult> {
+        const { clock } = this.options;
+        const open = new Set<Promise<EndedTry>>();
+        let pause = SHORTEST_PAUSE_MS;
+        while (!this.closed) {
+            if (open.size < MAX_OPEN_TRIES) {
+                this.startTry(prepareTry(), open);
+            }
+            const hedge = this.timeout.get();
+            const ended = await Promise.race([...open, sleep(clock, hedge)]);
+            if (typeof ended !== "object") {
+                this.timeout.observeTimeout(hedge);
+                continue;
+            }
+            const result = this.decideResult(ended.answer, ended.write);
             if (result !== undefined) {
-                this.underWay.delete(call);
                 return result;
             }
-            if (answer.kind === "unavailable") {
-                observeTry("unwritten");
+            if (ended.answer.kind === "unavailable") {
+                handleUnwritten();
                 await sleep(clock, pause);
                 pause = Math.min(LONGEST_PAUSE_MS, pause * 2);
             }
@@ -114,6 +160,16 @@
         return { kind: "abandoned" };
     }
 
+    private startTry({ write, transaction }: PreparedTry, open: Set<Promise<EndedTry>>): void {
+        const attempt = this.call(() => this.options.port.transact(transaction, TRY_LIMIT_MS)).then(
+            answer => {
+                open.delete(attempt);
+                return { answer, write };
+            },
+        );
+        open.add(attempt);
+    }
+
     private decideResult(
         answer: StoreAnswer<number>,
         write: TransactionWrite,
@@ -138,7 +194,6 @@
     private async call(send: () => Promise<StoreAnswer<number>>): Promise<StoreAnswer<number>> {
         const { clock, metrics } = this.options;
         const sentAt = clock.now();
-        const limit = this.timeout.get();
         const answer = await send();
         const took = clock.now() - sentAt;
         metrics.time("store.write", took);
@@ -146,9 +201,6 @@
             this.timeout.observeAnswer(took);
             this.lastContact = sentAt;
         }
-        else if (answer.kind === "unknown" && took >= limit) {
-            this.timeout.observeTimeout(limit);
-        }
         if (answer.kind === "unknown" || answer.kind === "unavailable") {
             metrics.count("store.failures", 1, { kind: answer.kind });
         }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -150,7 +150,7 @@
             leaseMs: context.leaseMs,
             inheritedLeaseEnd: this.inherited.has(record.workerId) ? context.inheritedLeaseEnd : -Infinity,
             listener: {
-                handleReport: (report, isFirst) => this.handleReport(member, report, isFirst),
+                handleReport: (report, ended, isFirst) => this.handleReport(member, report, ended, isFirst),
                 handleReachable: isReachable => this.handleReachable(state, isReachable),
                 handleReplaced: () => this.removeMember(member, "replaced"),
                 handleFenced: () => context.handleDeposed("a worker follows a later leader"),
@@ -184,13 +184,15 @@
         this.context.authority.observeSuspension();
     }
 
-    private handleReport(member: Member, report: WorkerReport, isFirst: boolean): void {
+    private handleReport(
+        member: Member,
+        report: WorkerReport,
+        ended: readonly EndedRun[],
+        isFirst: boolean,
+    ): void {
         const { state, session } = member;
-        const listed = new Set<string>();
-        for (const ended of report.ended) {
-            listed.add(makeRunKey(ended.task, ended.run));
-            this.acceptEnd(state, session, ended);
-        }
+        const listed = new Set(report.ended.map(({ task, run }) => makeRunKey(task, run)));
+        ended.forEach(end => this.acceptEnd(state, end));
         for (const running of report.running) {
             listed.add(makeRunKey(running.task, running.run));
             this.acceptRunning(state, running, report.workerNow);
@@ -199,21 +201,16 @@
         if (isComplete) {
             this.settleAbsent(state, listed, report.workerNow);
         }
-        const lastEnd = report.ended.at(-1)?.number ?? 0;
-        if (lastEnd > session.seenEnd) {
-            this.context.runWhenCommitted(() => {
-                session.seenEnd = Math.max(session.seenEnd, lastEnd);
-            });
+        const lastEnd = report.ended.at(-1)?.number;
+        if (lastEnd !== undefined) {
+            this.context.runWhenCommitted(() => session.acceptDurable(lastEnd));
         }
-        if (isFirst || report.ended.length > 0) {
+        if (isFirst || ended.length > 0) {
             this.context.requestPass();
         }
     }
 
-    private acceptEnd(state: WorkerState, session: WorkerSession, ended: EndedRun): void {
-        if (ended.number <= session.seenEnd) {
-            return;
-        }
+    private acceptEnd(state: WorkerState, ended: EndedRun): void {
         const record = state.removeRun(ended.task, ended.run);
         const checkpoint = ended.checkpoint === "" ? record?.checkpoint ?? "" : ended.checkpoint;
         this.ends.recordEnd({ state, task: ended.task, run: ended.run, end: ended.end, checkpoint });
--- a/src/test/fakes/fake-task-workers.ts
+++ b/src/test/fakes/fake-task-workers.ts
@@ -14,6 +14,8 @@
 
 /** One leader's access to the workers. */
 export class FakeTaskWorkers implements TaskWorkerPort {
+    /** Report requests so far. */
+    reports = 0;
     private readonly paths = new Map<string, CallPath>();
 
     /**
@@ -45,6 +47,7 @@
         request: ReportRequest,
         timeout: Millis,
     ): Promise<WorkerAnswer<WorkerReport>> {
+        this.reports += 1;
         return this.request(worker, timeout, model => model.report(request));
     }
 
--- a/src/test/leader/worker-faults_test.ts
+++ b/src/test/leader/worker-faults_test.ts
@@ -101,6 +101,23 @@
     });
 });
 
+describe("a leader whose store is slow", () => {
+    it("does not ask a worker again and again while an end becomes durable", async () => {
+        // The store takes a second to answer. A worker whose end may not be forgotten yet answers every request at
+        // once, and the leader used up its processor time with hundreds of them a second; all else became slow.
+        const cell = new LeaderCell(1);
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({}));
+        await cell.clock.step(900);
+        leader.storePath.faults.slowMs = 500;
+        const before = leader.workers.reports;
+        await cell.clock.step(1_500);
+        assert.ok(leader.workers.reports - before < 12, `${leader.workers.reports - before} requests`);
+        assert.equal(leader.log.lines.filter(line => line.event === "runEnded").length, 1);
+    });
+});
+
 describe("a leader that gets no orders through", () => {
     it("stops the other members of a gang of which one could not be started", async () => {
         // The members that run wait in vain for the one whose worker cannot be reached, and hold their room meanwhile.
