--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -51,8 +51,7 @@
 /** An answer within this time shows that the store is not slow for everybody. */
 const QUICK_ANSWER_MS: Millis = 150;
 /** How often a leader without answers tells its followers, and how often they look. */
-const SILENCE_NOTE_MS: Millis = 100;
-const FOLLOW_CHECK_MS: Millis = 100;
+const SILENCE_CHECK_MS: Millis = 100;
 
 /** The node; see the module comment. */
 export class ClusterNode {
@@ -206,11 +205,11 @@
             log.warn("CR1632", "leaderLost", { epoch, message });
         });
         while (!isClosed && !this.closed) {
-            await Promise.race([leaderLink.closed, sleep(clock, FOLLOW_CHECK_MS)]);
+            await Promise.race([leaderLink.closed, sleep(clock, SILENCE_CHECK_MS)]);
             if (leaderLink.status?.leadsEpoch !== undefined) {
                 this.reach.observeLeader();
             }
-            const hasLeft = leaderLink.status?.leadsEpoch !== epoch && clock.now() - begin > FOLLOW_CHECK_MS;
+            const hasLeft = leaderLink.status?.leadsEpoch !== epoch && clock.now() - begin > SILENCE_CHECK_MS;
             if (this.handoverEpoch === epoch || hasLeft) {
                 leaderLink.link.close("it no longer leads");
                 return this.handoverEpoch === epoch ? "the leader handed over" : undefined;
@@ -322,6 +321,7 @@
     private publishMembers(): void {
         const others = [...this.server.links].flatMap(inbound => inbound.status?.address ?? []);
         const addresses = [...new Set([this.address, ...others])];
+        this.peers.setAddresses(addresses);
         this.server.links.forEach(({ link }) => link.note({ kind: "members", addresses } satisfies NodeNote));
     }
 
@@ -333,7 +333,7 @@
         if (seat.getStoreSilenceMs() > STORE_SILENCE_MS) {
             this.server.links.forEach(({ link }) => link.note(this.buildStatus()));
         }
-        this.options.clock.schedule(SILENCE_NOTE_MS, () => this.noteSilence(seat));
+        this.options.clock.schedule(SILENCE_CHECK_MS, () => this.noteSilence(seat));
     }
 
     private findHint(): LeaderHint | undefined {
