--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -30,7 +30,7 @@
 }
 
 /** Time between the beginnings of two records: each is a priced call, and each step of a job waits for one. */
-const RECORD_GAP_MS: Millis = 15;
+const RECORD_GAP_MS: Millis = 25;
 /** Time for which events of one moment are gathered when the journal is idle. */
 const GATHER_MS: Millis = 2;
 /** Records after which a snapshot begins. */
@@ -41,7 +41,7 @@
 const MAX_EVENTS = 256;
 /**
  * Records under way at once. A store that answers in 250 ms, as measured in its slow spells, still takes a record every
- * 15 ms; with one at a time an acceptance, an assignment and an end took 1.1 s together, twice a short job's slack.
+ * 25 ms; with one at a time an acceptance, an assignment and an end took 1.1 s together, twice a short job's slack.
  */
 const MAX_IN_FLIGHT = 16;
 /**
