Run times and worker speeds are learnt; permits of the gang that waits for room are kept fresh

Cause 2: workers differ in speed, and short jobs that landed on slow ones were late. Change: all allowed workers are asked for again at once, ahead of time for the gang that keeps room; estimates are corrected by a line learnt for each queue; workers on which runs take longer than expected are chosen later.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -97,10 +97,10 @@
         const placements = this.placeTasks(step, tasks, candidates, permits);
         const isWhole = placements.length === tasks.length;
         if (step.spec.isGang && !isWhole) {
-            this.settleBlockedGang(step, placements, candidates);
+            this.settleBlockedGang(urgency, placements, candidates, permits);
         }
         else {
-            this.startOrRequest(urgency, placements, permits);
+            this.startOrRequest(urgency, placements, candidates, permits);
         }
         if (!isWhole && permits?.canAsk(this.input.now) === true) {
             this.requestUnknown(urgency, suitable, permits);
@@ -162,6 +162,7 @@
     ): number {
         const { demand, dataRack } = step.spec;
         let score = (free.cpuMillis - demand.cpuMillis) / worker.record.capacity.cpuMillis;
+        score += SLOWNESS_WEIGHT * worker.getSlowness(this.input.now);
         if (task.failedOn.has(worker.id)) {
             score += FAILED_HERE_PENALTY;
         }
@@ -177,6 +178,7 @@
     private startOrRequest(
         urgency: Urgency,
         placements: readonly Placement[],
+        candidates: readonly WorkerState[],
         permits: StepPermits | undefined,
     ): void {
         const { step } = urgency;
@@ -191,22 +193,51 @@
         if (!step.spec.isGang || lacking.length === 0) {
             this.starts.push(...found.filter(start => start.permit !== undefined));
         }
-        if (lacking.length > 0 && permits.canAsk(this.input.now)) {
-            const wanted = step.spec.isGang ? found : lacking;
-            const workerIds = [...new Set(wanted.map(start => start.worker.id))].slice(0, MAX_ASKED_WORKERS);
-            this.wishes.push({ urgency, workerIds });
+        if (lacking.length > 0) {
+            this.refreshPermits(urgency, candidates, permits);
+        }
+    }
+
+    /**
+     * Asks again for the workers whose permit has run out, the emptiest first. All of them, not only those chosen now:
+     * by the time of the answer others may have taken that room, and most of the service's time goes to a question as
+     * such.
+     */
+    private refreshPermits(
+        urgency: Urgency,
+        candidates: readonly WorkerState[],
+        permits: StepPermits,
+    ): void {
+        const expired = candidates.filter(worker =>
+            permits.getUsable(worker.id, this.input.now) === undefined
+        );
+        if (expired.length > 0 && permits.canAsk(this.input.now)) {
+            this.wishes.push({ urgency, workerIds: this.listEmptiest(expired) });
         }
     }
 
+    private listEmptiest(workers: readonly WorkerState[]): readonly string[] {
+        return [...workers]
+            .sort((left, right) => this.getFree(right).cpuMillis - this.getFree(left).cpuMillis)
+            .slice(0, MAX_ASKED_WORKERS)
+            .map(worker => worker.id);
+    }
+
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
     private settleBlockedGang(
-        step: Step,
+        urgency: Urgency,
         placements: readonly Placement[],
         candidates: readonly WorkerState[],
+        permits: StepPermits | undefined,
     ): void {
+        const { step } = urgency;
         const mayKeep = placements.length > 0 && this.keepingGangs < MAX_KEEPING_GANGS;
         if (mayKeep && canEverHold(step, candidates)) {
             this.keepingGangs += 1;
+            if (permits !== undefined) {
+                // Its room may come free at any moment, and must not stand idle for as long as a question takes.
+                this.refreshPermits(urgency, candidates, permits);
+            }
             return;
         }
         for (const { worker } of placements) {
@@ -219,12 +250,9 @@
         suitable: readonly WorkerState[],
         permits: StepPermits,
     ): void {
-        const unknown = suitable
-            .filter(worker => permits.isUnknown(worker.id))
-            .sort((left, right) => this.getFree(right).cpuMillis - this.getFree(left).cpuMillis)
-            .slice(0, MAX_ASKED_WORKERS);
+        const unknown = suitable.filter(worker => permits.isUnknown(worker.id));
         if (unknown.length > 0) {
-            this.wishes.push({ urgency, workerIds: unknown.map(worker => worker.id) });
+            this.wishes.push({ urgency, workerIds: this.listEmptiest(unknown) });
         }
     }
 
@@ -252,6 +280,11 @@
 /** Weights in units of a whole worker's processors: a worker that failed the task is the last choice. */
 const FAILED_HERE_PENALTY = 4;
 const FAR_DATA_PENALTY = 2;
+/**
+ * Workers differ in speed by up to 1.6 to 1 for good, and by 5 to 1 in slow spells; a worker that takes twice as long is
+ * chosen only where others would be left with a hole of two thirds of their processors.
+ */
+const SLOWNESS_WEIGHT = 1;
 /** A permit that has to be asked for again costs a question of up to half a second. */
 const EXPIRED_PERMIT_PENALTY = 1;
 
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -1,6 +1,7 @@
 /** In which order waiting steps get room. */
 import type { Millis } from "../../common/clock.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
+import { computeChainMs } from "../jobs/job-spec.js";
 import type { Step } from "../jobs/job.js";
 
 /** Place of a step in the order; lower goes first, field by field. */
@@ -30,13 +31,20 @@
  * @param step - A step with something to start.
  * @param queue - Its queue.
  * @param wallNow - Wall-clock time.
+ * @param predictMs - What to expect of an estimate; the estimate itself where left out.
  */
-export function rankStep(step: Step, queue: QueueConfig, wallNow: number): Urgency {
+export function rankStep(
+    step: Step,
+    queue: QueueConfig,
+    wallNow: number,
+    predictMs: (estimateMs: Millis) => Millis = estimate => estimate,
+): Urgency {
     const { job } = step;
     const begin = Math.max(job.acceptedAt, step.occurrence.dueAt);
-    const objective = computeObjectiveMs(queue, job.chainMs);
+    const chainMs = computeChainMs(step.occurrence.steps.map(other => other.spec), predictMs);
+    const objective = computeObjectiveMs(queue, chainMs);
     const dueAt = begin + objective;
-    const endAt = wallNow + step.spec.estimateMs;
+    const endAt = wallNow + predictMs(step.spec.estimateMs);
     if (endAt <= dueAt) {
         return { step, queue, lateness: 0, dueAt };
     }
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -30,11 +30,18 @@
     settledAfter: Millis;
     /** Whether the worker ever said that it runs. */
     wasSeen: boolean;
+    /** Whether an earlier leader ordered it. */
+    readonly isInherited: boolean;
     checkpoint: string;
     /** When it was ordered, on our clock. */
     orderedAt: Millis;
 }
 
+/** Share of a new sample in a worker's speed: single run times are off by a factor of 1.6. */
+const SPEED_GAIN = 0.15;
+/** Slow spells last for seconds; without new samples half of what was learnt is forgotten in this time. */
+const SLOWNESS_HALF_LIFE_MS: Millis = 10_000;
+
 /** Returns the key of a run. A task may have an older run on a worker that is out of reach. */
 export function makeRunKey(task: string, run: number): string {
     return `${task}#${run}`;
@@ -54,6 +61,8 @@
     isReachable = false;
     /** Whether it stands in the worker list. */
     isListed = true;
+    private slowness = 0;
+    private slownessAt: Millis = 0;
     /** Until when, on our clock, it gets no new work because it refused or failed some. */
     avoidedUntil: Millis = -Infinity;
 
@@ -66,6 +75,17 @@
         return this.record.workerId;
     }
 
+    /** Takes in how a run's time compares with what was expected of it: the logarithm of the ratio. */
+    observeSpeed(logRatio: number, now: Millis): void {
+        this.slowness = this.getSlowness(now) * (1 - SPEED_GAIN) + logRatio * SPEED_GAIN;
+        this.slownessAt = now;
+    }
+
+    /** Returns the logarithm of how much longer runs take here than elsewhere; it fades while nothing ends here. */
+    getSlowness(now: Millis): number {
+        return this.slowness * 0.5 ** ((now - this.slownessAt) / SLOWNESS_HALF_LIFE_MS);
+    }
+
     /** Tells whether it may be given new work. */
     isUsable(now: Millis): boolean {
         return this.isReachable && this.isListed && !this.record.isDraining && now >= this.avoidedUntil;
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -4,7 +4,7 @@
  */
 import { JobPhase, RunEnd } from "./job-events.js";
 import type { JobAccepted, JobClosed, JobEvent, RunAssigned, RunEnded } from "./job-events.js";
-import { computeChainMs, formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
+import { formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
 import type { JobSpec } from "./job-spec.js";
 import { isStepRunnable, TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
@@ -250,7 +250,6 @@
         occurrences: new Map(),
         nextOccurrence: 0,
         hasStarted: false,
-        chainMs: computeChainMs(event.spec.steps),
     };
 }
 
--- a/src/process/jobs/job-spec.ts
+++ b/src/process/jobs/job-spec.ts
@@ -79,14 +79,18 @@
 const TASK_NAME_PATTERN = /^([^.]+)\.(\d{1,9})\.(\d{1,9})\.(\d{1,9})$/;
 
 /**
- * Computes the longest chain of a job's steps by the caller's estimates.
+ * Computes the longest chain of a job's steps.
  * @param steps - The steps; `after` names earlier ones only.
+ * @param predictMs - What to expect of a caller's estimate.
  */
-export function computeChainMs(steps: readonly StepSpec[]): Millis {
+export function computeChainMs(
+    steps: readonly StepSpec[],
+    predictMs: (estimateMs: Millis) => Millis,
+): Millis {
     const ends: Millis[] = [];
     for (const step of steps) {
         const begin = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
-        ends.push(begin + step.estimateMs);
+        ends.push(begin + predictMs(step.estimateMs));
     }
     return Math.max(0, ...ends);
 }
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -1,5 +1,4 @@
 /** The state of one job: occurrences, steps and tasks. Changed only through {@link JobBook}. */
-import type { Millis } from "../../common/clock.js";
 import type { JobPhase } from "./job-events.js";
 import type { JobSpec, StepSpec } from "./job-spec.js";
 
@@ -74,8 +73,6 @@
     nextOccurrence: number;
     /** Whether a run was ever assigned. */
     hasStarted: boolean;
-    /** Longest chain of work by the estimates. */
-    readonly chainMs: Millis;
 }
 
 /** Tells whether all steps that a step depends on are done. */
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -1,5 +1,6 @@
 /** What the end of a run means: for its task, its gang, its job, and for the worker that ran it. */
 import type { Millis } from "../../common/clock.js";
+import type { RunTimeModel } from "../dispatch/run-time-model.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
 import { isJobDone } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -16,6 +17,8 @@
     readonly run: number;
     readonly end: RunEnd;
     readonly checkpoint: string;
+    /** Time since it was ordered; left out where this leader did not order it. */
+    readonly ranMs?: Millis;
 }
 
 /** Told of runs that have to end. */
@@ -28,8 +31,11 @@
     private readonly health: WorkerHealth;
     private stopper: RunStopper | undefined;
 
-    /** @param context - Shared parts. */
-    constructor(private readonly context: LeaderContext) {
+    /**
+     * @param context - Shared parts.
+     * @param runTimes - Learns from runs that end as done.
+     */
+    constructor(private readonly context: LeaderContext, private readonly runTimes: RunTimeModel) {
         this.health = new WorkerHealth(context);
     }
 
@@ -60,6 +66,9 @@
         if (notice.state !== undefined) {
             this.health.observeEnd(notice.state, found.task, notice.end);
         }
+        if (notice.end === RunEnd.done && notice.ranMs !== undefined && found.task.checkpoint === "") {
+            this.observeRunTime(step, notice.ranMs, notice.state);
+        }
         const { task, run, end, checkpoint } = notice;
         context.record({ type: "ended", task, run, end, checkpoint });
         if (step.spec.isGang && end === RunEnd.notRun) {
@@ -69,6 +78,13 @@
         context.requestPass();
     }
 
+    private observeRunTime(step: Step, ranMs: Millis, state: WorkerState | undefined): void {
+        const { queue } = step.job;
+        const expected = this.runTimes.estimate(queue, step.spec.estimateMs);
+        state?.observeSpeed(Math.log(Math.max(1, ranMs) / Math.max(1, expected)), this.context.clock.now());
+        this.runTimes.observe(queue, step.spec.estimateMs, ranMs);
+    }
+
     /** Stops everything that a job has on workers. */
     stopJob(job: Job): void {
         for (const occurrence of job.occurrences.values()) {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -213,7 +213,10 @@
     private acceptEnd(state: WorkerState, ended: EndedRun): void {
         const record = state.removeRun(ended.task, ended.run);
         const checkpoint = ended.checkpoint === "" ? record?.checkpoint ?? "" : ended.checkpoint;
-        this.ends.recordEnd({ state, task: ended.task, run: ended.run, end: ended.end, checkpoint });
+        const ranMs = record === undefined || record.isInherited ?
+            undefined :
+            this.context.clock.now() - record.orderedAt;
+        this.ends.recordEnd({ state, task: ended.task, run: ended.run, end: ended.end, checkpoint, ranMs });
     }
 
     private acceptRunning(state: WorkerState, running: RunningRun, workerNow: Millis): void {
@@ -244,6 +247,7 @@
             phase: RunPhase.running,
             settledAfter: workerNow,
             wasSeen: true,
+            isInherited: true,
             checkpoint: running.checkpoint,
             orderedAt: this.context.clock.now(),
         };
@@ -358,6 +362,7 @@
         // The first report carries the new epoch, so orders of earlier leaders have no effect after it.
         settledAfter: 0,
         wasSeen: false,
+        isInherited: true,
         checkpoint: task.checkpoint,
         orderedAt: now,
     };
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -6,6 +6,7 @@
 import { StepPermits } from "../dispatch/permits.js";
 import { planStarts } from "../dispatch/planner.js";
 import type { PermitWish } from "../dispatch/planner.js";
+import { RunTimeModel } from "../dispatch/run-time-model.js";
 import { rankStep } from "../dispatch/urgency.js";
 import type { Urgency } from "../dispatch/urgency.js";
 import type { Step } from "../jobs/job.js";
@@ -56,6 +57,7 @@
     private readonly fleet: Fleet;
     private readonly desk: JobDesk;
     private readonly starter: Starter;
+    private readonly runTimes = new RunTimeModel();
     private readonly permits = new Map<Step, StepPermits>();
     private passTimer: Timer | undefined;
     private sweepTimer: Timer | undefined;
@@ -66,7 +68,7 @@
         this.context = this.buildContext();
         this.journal = this.buildJournal();
         this.advice = new AdviceDesk(options.clock);
-        this.ends = new EndDesk(this.context);
+        this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
         this.desk = new JobDesk(this.context, this.journal, this.ends);
@@ -187,7 +189,8 @@
         for (const step of this.options.loaded.book.listRunnable()) {
             const queue = queues.get(step.job.queue);
             if (queue !== undefined) {
-                ranked.push(rankStep(step, queue, wallNow));
+                const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
+                ranked.push(rankStep(step, queue, wallNow, predict));
             }
         }
         return ranked;
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -59,6 +59,7 @@
             phase: RunPhase.reserved,
             settledAfter: Infinity,
             wasSeen: false,
+            isInherited: false,
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
         };
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -115,6 +115,7 @@
                     phase: "running",
                     settledAfter: 0,
                     wasSeen: true,
+                    isInherited: false,
                     checkpoint: "",
                     orderedAt: 0,
                 });
@@ -131,6 +132,18 @@
             workers: makeWorkers(4, 4),
             starts: ["1>w1"],
         },
+        {
+            name: "avoids a worker on which runs take longer",
+            jobs: [{ step: { demand: makeDemand(2) } }],
+            workers: (() => {
+                const workers = makeWorkers(3, 4);
+                for (let sample = 0; sample < 10; sample++) {
+                    workers[0]?.observeSpeed(Math.log(5), NOW);
+                }
+                return workers;
+            })(),
+            starts: ["0>w2"],
+        },
         {
             name: "keeps to the limit of tasks for each worker",
             jobs: [{ step: { demand: makeDemand(1), taskCount: 4, maxPerWorker: 1 } }],
