--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -64,7 +64,9 @@
         }
         const { step } = found;
         if (notice.state !== undefined) {
-            this.health.observeEnd(notice.state, found.task, notice.end);
+            const { end, ranMs } = notice;
+            const orderedAt = ranMs === undefined ? undefined : context.clock.now() - ranMs;
+            this.health.observeEnd(notice.state, { job: step.job, end, orderedAt });
         }
         if (notice.end === RunEnd.done && notice.ranMs !== undefined && found.task.checkpoint === "") {
             this.observeRunTime(step, notice.ranMs, notice.state);
