--- a/src/process/node/caller-way.ts
+++ b/src/process/node/caller-way.ts
@@ -55,7 +55,9 @@
         }
         await sleep(clock, RETRY_MS);
     }
-    return { kind: "unknown", message: "no leader has answered in time" };
+    return mayHaveRun ?
+        { kind: "unknown", message: "no leader has answered in time" } :
+        { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
 }
 
 /** Tries once; undefined means that no leader was asked. */
--- a/src/test/node/cluster-node_test.ts
+++ b/src/test/node/cluster-node_test.ts
@@ -154,6 +154,16 @@
         await cell.close();
     });
 
+    it("refuses a request that no leader was asked about, however little time its caller has", async () => {
+        // A caller with 100 ms left asked a node and got "nobody knows" within 4 ms, though nobody had been asked. After
+        // that answer it may not ask again for work that must not run twice.
+        const cell = new NodeCell();
+        const [node] = await startNodes(cell, 1);
+        const reply = await node?.node.serve({ kind: "submit", ...makeAddress(1), spec: makeSpec({}) }, -50);
+        assert.equal(reply?.kind, "refused");
+        await cell.close();
+    });
+
     it("spreads questions to the advice service over all nodes", async () => {
         // The service serves one call at a time for each calling VM: one caller alone falls behind for ever.
         const advice = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
