A job whose acceptance is withdrawn gives its reservations back

Room was reserved for a job before its acceptance was durable; the acceptance was withdrawn in an outage, the caller handed the job in again, and its task got the same name and run number. Ruled out: a late order (both runs were answered within 22 ms, on one worker).

--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -58,7 +58,7 @@
 }
 
 /** A record that was sent. */
-interface FlyingRecord {
+interface SentRecord {
     readonly sequence: number;
     entries: readonly Entry[];
     isDurable: boolean;
@@ -70,7 +70,7 @@
 export class Journal {
     private queue: Entry[] = [];
     /** Records under way, or durable while one before them is not, by sequence. */
-    private inFlight: FlyingRecord[] = [];
+    private inFlight: SentRecord[] = [];
     /** Last record that was sent. */
     private sentSequence: number;
     private timer: Timer | undefined;
@@ -178,7 +178,7 @@
         }
         this.lastBegun = this.options.clock.now();
         this.sentSequence += 1;
-        const record: FlyingRecord = { sequence: this.sentSequence, entries, isDurable: false, openTries: 0 };
+        const record: SentRecord = { sequence: this.sentSequence, entries, isDurable: false, openTries: 0 };
         this.inFlight.push(record);
         this.scheduleRecord();
         const { epoch } = this.options;
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -24,6 +24,8 @@
 /** Told of runs that have to end. */
 export interface RunStopper {
     stopTask(workerId: string, task: string, run: number): void;
+    /** Gives back the room of a run that was never ordered. */
+    releaseTask(workerId: string, task: string, run: number): void;
 }
 
 /** The desk; see the module comment. */
@@ -94,6 +96,24 @@
         }
     }
 
+    /**
+     * Gives back what was reserved for a job whose acceptance is withdrawn.
+     *
+     * @remarks Failure guarded against: the caller hands the refused job in again, its task gets the same name and run
+     * number, and the end of the first reservation is taken for the end of the new run, which is then started twice.
+     */
+    releaseJob(job: Job): void {
+        for (const occurrence of job.occurrences.values()) {
+            for (const step of occurrence.steps) {
+                for (const { state, workerId, name, run } of step.tasks) {
+                    if (state === TaskState.assigned && workerId !== undefined) {
+                        this.stopper?.releaseTask(workerId, name, run);
+                    }
+                }
+            }
+        }
+    }
+
     /** A gang whose start failed in part would hold its room until the others give up waiting. */
     private stopGang(step: Step, run: number): void {
         if (step.tasks.some(task => task.state === TaskState.assigned && task.run === run)) {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -119,6 +119,11 @@
         }
     }
 
+    /** Gives back the room of a run that was never ordered. */
+    releaseTask(workerId: string, task: string, run: number): void {
+        this.findState(workerId)?.removeRun(task, run);
+    }
+
     /** Ends all sessions. */
     close(): void {
         this.closed = true;
--- a/src/process/leader/job-desk.ts
+++ b/src/process/leader/job-desk.ts
@@ -54,6 +54,10 @@
             return;
         }
         this.journal.withdrawAcceptances(jobId => {
+            const job = this.context.book.get(jobId);
+            if (job !== undefined) {
+                this.ends.releaseJob(job);
+            }
             this.context.book.dropUncommitted(jobId);
             this.finishWaiting(jobId, buildStoreAway());
         });
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -74,6 +74,9 @@
     private async order(start: PlannedStart, record: RunRecord): Promise<void> {
         const { worker, step, permit } = start;
         const { context } = this;
+        if (worker.getRun(record.task, record.run) !== record) {
+            return;
+        }
         const session = this.fleet.findSession(worker.id);
         const workerNow = session?.estimateWorkerNow();
         const payload = step.job.spec?.payload;
--- a/src/test/leader/take-overs_test.ts
+++ b/src/test/leader/take-overs_test.ts
@@ -1,7 +1,7 @@
 /** Leaders that die, stand still or lose the store, and those that follow them. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, makeJobId, makeSpec } from "./leader-cell.js";
 
 const FIRST = "10.0.0.1:80";
 
@@ -121,6 +121,37 @@
         });
     }
 
+    it("starts each job once that was refused and is handed in again", async () => {
+        // The store is away; jobs are refused after room was reserved for them. Their callers come again as the store
+        // returns. The end of the first reservation was taken for the end of the new run, and tasks ran twice at once
+        // (day `store`, seed 235791680809 on one deployment, 553265937142 on the other).
+        const cell = new LeaderCell(12);
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        leader.storePath.faults.unreachable = true;
+        const numbers = Array.from({ length: 40 }, (...[, index]) => index + 1);
+        const replies = new Map<number, string>();
+        const submit = (number: number): void => {
+            const path = `/batch/${makeJobId(number)}`;
+            void leader.leader.serve({ kind: "submit", host: "jobs.example", path, spec: makeSpec({}) })
+                .then(reply => replies.set(number, reply.kind));
+        };
+        for (const number of numbers) {
+            submit(number);
+            await cell.clock.step(20);
+        }
+        await cell.clock.step(500);
+        leader.storePath.faults.unreachable = false;
+        for (let tries = 0; tries < 400; tries++) {
+            numbers.filter(number => replies.get(number) === "refused").forEach(submit);
+            await cell.clock.step(5);
+        }
+        await cell.clock.step(4_000);
+        assert.deepEqual(cell.faults, []);
+        assert.deepEqual(numbers.filter(number => replies.get(number) !== "accepted"), []);
+        assert.equal(cell.starts.length, numbers.length);
+    });
+
     it("keeps what runs alive through an outage", async () => {
         const cell = new LeaderCell(1);
         cell.getBehavior = () => ({ demand: CORE, runMs: 9_000, end: "done" });
