The test of refused jobs that come again brings the double start about

With a store that answers slowly after its outage, jobs are accepted again while the first reservations are not settled yet.

--- a/src/test/leader/take-overs_test.ts
+++ b/src/test/leader/take-overs_test.ts
@@ -142,6 +142,7 @@
         }
         await cell.clock.step(500);
         leader.storePath.faults.unreachable = false;
+        leader.storePath.faults.slowMs = 150;
         for (let tries = 0; tries < 400; tries++) {
             numbers.filter(number => replies.get(number) === "refused").forEach(submit);
             await cell.clock.step(5);
