--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -50,7 +50,7 @@
 }
 
 /** Returns how long the service takes for a question. */
-export function estimateAdviceMs(policy: AdvicePolicy, workers: number): Millis {
+function estimateAdviceMs(policy: AdvicePolicy, workers: number): Millis {
     return policy.decideMs + policy.perWorkerMs * workers;
 }
 
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -47,7 +47,7 @@
 }
 
 /** Workers that one question may name. */
-export const MAX_ASKED_WORKERS = 100;
+const MAX_ASKED_WORKERS = 100;
 /**
  * Gangs without enough room that keep what they could use. One drains workers for the most urgent; with more, room
  * for several gangs stands idle at once.
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -18,7 +18,7 @@
 const LATE_FACTOR = 3;
 
 /** Returns the time from acceptance within which a job is to be done. */
-export function computeObjectiveMs(queue: QueueConfig, chainMs: Millis): Millis {
+function computeObjectiveMs(queue: QueueConfig, chainMs: Millis): Millis {
     return queue.stretch * chainMs + queue.targetMs;
 }
 
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -58,7 +58,7 @@
 export interface Job {
     readonly id: string;
     readonly queue: string;
-    /** Undefined once the job has ended: only its end is kept. */
+    /** Undefined once the job has ended, of which only the end is kept, or its acceptance was withdrawn. */
     spec: JobSpec | undefined;
     /** Wall-clock time of its acceptance. */
     readonly acceptedAt: number;
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -78,7 +78,7 @@
     for (const { id, queue, at, phase, endedAt } of stored.ended) {
         const spec: JobSpec = { payload: "", steps: [], repeat: undefined };
         const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
-        book.restore({ ...job, spec: undefined, phase, endedAt, isEndDurable: true });
+        book.restore({ ...job, spec: undefined, phase, endedAt });
     }
     for (const entry of stored.open) {
         book.restore(rebuildOpenJob(entry));
--- a/src/process/journal/keys.ts
+++ b/src/process/journal/keys.ts
@@ -1,7 +1,7 @@
 /** Keys of the store that the leader writes. */
 
 /** All keys of this system begin with it. */
-export const KEY_PREFIX = "cactusrack/";
+const KEY_PREFIX = "cactusrack/";
 
 /** The two keys of the leader, so that one listing shows both. */
 export const LEADER_PREFIX = `${KEY_PREFIX}leader/`;
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -51,7 +51,7 @@
 }
 
 /** Lists a prefix, trying again until the store answers. */
-export async function listPrefix(
+async function listPrefix(
     context: LoadContext,
     prefix: string,
 ): Promise<readonly StoreRecord[] | undefined> {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,4 +1,5 @@
 /** The workers of a leader: their registrations, sessions and runs, and what reports mean for tasks. */
+import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import type { Resources } from "../../common/resources.js";
 import { computeLeaseBound, WorkerSession } from "../dispatch/worker-session.js";
@@ -336,9 +337,7 @@
             if (answer.kind === "done") {
                 run.settledAfter = Math.min(run.settledAfter, answer.value);
             }
-            await new Promise<void>(resolve => {
-                clock.schedule(STOP_RETRY_MS, resolve);
-            });
+            await sleep(clock, STOP_RETRY_MS);
         }
     }
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -1,6 +1,6 @@
 /** One leadership: everything that decides, from the take-over until another node leads. */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
-import type { ClusterConfig } from "../../version/cluster-config.js";
+import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
 import { AdviceDesk } from "../dispatch/advice-desk.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { StepPermits } from "../dispatch/permits.js";
@@ -58,6 +58,8 @@
     private readonly desk: JobDesk;
     private readonly starter: Starter;
     private readonly runTimes = new RunTimeModel();
+    private indexedConfig: ClusterConfig | undefined;
+    private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
     private readonly permits = new Map<Step, StepPermits>();
     private passTimer: Timer | undefined;
     private sweepTimer: Timer | undefined;
@@ -127,7 +129,7 @@
             leaseMs: options.leaseMs,
             inheritedLeaseEnd: options.inheritedLeaseEnd,
             getConfig: options.getConfig,
-            findQueueByName: name => options.getConfig().queues.find(queue => queue.name === name),
+            findQueueByName: name => this.findQueueByName(name),
             record: (event, handleCommitted) => {
                 if (!this.closed) {
                     options.loaded.book.apply(event);
@@ -140,6 +142,16 @@
         };
     }
 
+    /** Looked up for every waiting step of a pass and every end, among up to hundreds of queues. */
+    private findQueueByName(name: string): QueueConfig | undefined {
+        const config = this.options.getConfig();
+        if (config !== this.indexedConfig) {
+            this.indexedConfig = config;
+            this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]));
+        }
+        return this.queuesByName.get(name);
+    }
+
     private buildJournal(): Journal {
         const { options } = this;
         return new Journal({
@@ -184,10 +196,9 @@
 
     private rankWaiting(): readonly Urgency[] {
         const wallNow = this.options.clock.wallNow();
-        const queues = new Map(this.options.getConfig().queues.map(queue => [queue.name, queue]));
         const ranked: Urgency[] = [];
         for (const step of this.options.loaded.book.listRunnable()) {
-            const queue = queues.get(step.job.queue);
+            const queue = this.context.findQueueByName(step.job.queue);
             if (queue !== undefined) {
                 const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
                 ranked.push(rankStep(step, queue, wallNow, predict));
@@ -209,7 +220,8 @@
     private requestPermits({ urgency, workerIds }: PermitWish): void {
         const { step, queue } = urgency;
         const permits = this.getPermits(step);
-        if (queue.advice === undefined) {
+        // A step may want permits renewed and new workers named in the same pass: one question at a time.
+        if (queue.advice === undefined || permits.isAsking) {
             return;
         }
         permits.isAsking = true;
@@ -219,7 +231,7 @@
             workerIds,
             policy: advice,
             priority: queue.priority,
-            isWanted: () => !this.closed && step.job.endedAt === 0 && step.waiting > 0,
+            isWanted: () => !this.closed && step.job.spec !== undefined && step.waiting > 0,
             settle: (answer, askedAt) => {
                 permits.isAsking = false;
                 this.acceptAdvice(step, permits, workerIds, answer, askedAt, advice.validMs);
@@ -286,7 +298,7 @@
 
     private dropOldPermits(): void {
         for (const step of this.permits.keys()) {
-            if (step.job.endedAt !== 0) {
+            if (step.job.spec === undefined) {
                 this.permits.delete(step);
             }
         }
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -23,8 +23,6 @@
     noLeader: "noLeader",
     /** No configuration has been seen yet. */
     noConfig: "noConfig",
-    /** The job could not be done in time. */
-    overloaded: "overloaded",
 } as const;
 export type RefusalReason = (typeof RefusalReason)[keyof typeof RefusalReason];
 
--- a/src/process/leadership/leader-lease.ts
+++ b/src/process/leadership/leader-lease.ts
@@ -1,4 +1,5 @@
 /** The lease by which the store tells other nodes that it still hears the leader. */
+import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 import { ALIVE_KEY, LEADER_KEY } from "../journal/keys.js";
 import type { StorePort } from "../ports/index.js";
@@ -55,9 +56,7 @@
             if (clock.now() - this.options.getLastContact() > CHECK_AFTER_MS && !this.closed) {
                 await this.check();
             }
-            await new Promise<void>(resolve => {
-                clock.schedule(RENEW_MS, resolve);
-            });
+            await sleep(clock, RENEW_MS);
         }
     }
 
--- a/src/process/node/config-holder.ts
+++ b/src/process/node/config-holder.ts
@@ -3,7 +3,7 @@
 import type { Log } from "../telemetry.js";
 
 /** Version 0, before the operator has put any in force. */
-export const EMPTY_CONFIG: ClusterConfig = { version: 0, queues: [], pools: [], maxBodyBytes: 262_144 };
+const EMPTY_CONFIG: ClusterConfig = { version: 0, queues: [], pools: [], maxBodyBytes: 262_144 };
 
 /**
  * Holds the configuration.
--- a/src/process/store/prefix-follower.ts
+++ b/src/process/store/prefix-follower.ts
@@ -41,7 +41,6 @@
     private position: number | undefined;
     private listTimeout = LIST_TIMEOUT_MS;
     private isAway = false;
-    private lastContact: Millis | undefined;
 
     constructor(private readonly options: PrefixFollowerOptions) {}
 
@@ -49,11 +48,7 @@
     async run(): Promise<void> {
         const { clock, pauseMs } = this.options;
         while (!this.stopped) {
-            const sentAt = clock.now();
             const ok = this.position === undefined ? await this.list() : await this.poll(this.position);
-            if (ok) {
-                this.lastContact = sentAt;
-            }
             this.reportChange(ok);
             await sleep(clock, ok ? pauseMs : RETRY_PAUSE_MS);
         }
@@ -63,11 +58,6 @@
         this.stopped = true;
     }
 
-    /** Returns the sending time of the last call that was answered. */
-    getLastContact(): Millis | undefined {
-        return this.lastContact;
-    }
-
     private async list(): Promise<boolean> {
         const { port, prefix, listener } = this.options;
         const answer = await port.list(prefix, this.listTimeout);
