--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -11,7 +11,7 @@
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import type { Step } from "../../process/jobs/job.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
-import { makeJobId, makeSpec, QUEUE } from "../leader/leader-cell.js";
+import { makeJobId, makeSpec, makeWorkerRecord, QUEUE } from "../leader/leader-cell.js";
 
 const ADVICE = { decideMs: 10, perWorkerMs: 1, validMs: 2_000 };
 const NOW = 10_000;
@@ -29,16 +29,13 @@
 
 function makeWorkers(...cores: readonly number[]): readonly WorkerState[] {
     return cores.map((count, index) =>
-        new WorkerState({
-            workerId: `w${index + 1}`,
-            address: "",
-            pool: "pool",
-            failureDomain: "a",
-            capacity: { ...makeDemand(count), memoryMib: 65_536 },
-            labels: index % 2 === 0 ? ["even"] : ["odd"],
-            rack: `r${index + 1}`,
-            isDraining: false,
-        })
+        new WorkerState(
+            makeWorkerRecord(`w${index + 1}`, {
+                capacity: { ...makeDemand(count), memoryMib: 65_536 },
+                labels: index % 2 === 0 ? ["even"] : ["odd"],
+                rack: `r${index + 1}`,
+            }),
+        )
     );
 }
 
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -70,6 +70,21 @@
     return { payload: "work", steps: steps.map(makeStep), repeat: undefined };
 }
 
+/** Builds a worker's registration; only what matters to a test is given. */
+export function makeWorkerRecord(workerId: string, change: Partial<WorkerRecord> = {}): WorkerRecord {
+    return {
+        workerId,
+        address: "",
+        pool: "pool",
+        failureDomain: "a",
+        capacity: WORKER_CAPACITY,
+        labels: [],
+        rack: undefined,
+        isDraining: false,
+        ...change,
+    };
+}
+
 /** Returns the id of the n-th job of a test. */
 export function makeJobId(number: number): string {
     return number.toString(16).padStart(16, "0");
@@ -140,16 +155,7 @@
                 handleEnd: (task, run) => this.observeEnd(workerId, task, run),
             }),
         );
-        this.records.set(workerId, {
-            workerId,
-            address,
-            pool: "pool",
-            failureDomain: "a",
-            capacity: WORKER_CAPACITY,
-            labels: [],
-            rack: undefined,
-            isDraining: false,
-        });
+        this.records.set(workerId, makeWorkerRecord(workerId, { address }));
     }
 
     /** Removes a worker from the list; it may go on. */
@@ -221,10 +227,14 @@
         leader.setWorkers(new Map(this.records));
     }
 
+    /** Hands a job in; the caller moves time on. */
+    send({ leader }: TestLeader, number: number, spec: JobSpec): Promise<CallerReply> {
+        return leader.serve({ kind: "submit", host: HOST, path: `${PREFIX}${makeJobId(number)}`, spec });
+    }
+
     /** Hands a job in and waits for the answer. */
-    submit({ leader }: TestLeader, number: number, spec: JobSpec): Promise<CallerReply> {
-        const path = `${PREFIX}${makeJobId(number)}`;
-        return this.clock.wait(leader.serve({ kind: "submit", host: HOST, path, spec }), CALL_MS * 8);
+    submit(leader: TestLeader, number: number, spec: JobSpec): Promise<CallerReply> {
+        return this.clock.wait(this.send(leader, number, spec), CALL_MS * 8);
     }
 
     /** Asks for a job's state. */
--- a/src/test/leader/random-runs_test.ts
+++ b/src/test/leader/random-runs_test.ts
@@ -9,7 +9,7 @@
 import { createRandom } from "../../common/random.js";
 import type { Random } from "../../common/random.js";
 import type { CallerReply } from "../../process/leader/requests.js";
-import { CORE, LeaderCell, makeJobId, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
 import type { TestLeader } from "./leader-cell.js";
 
 const SEEDS = 60;
@@ -76,9 +76,9 @@
             { taskCount, isGang },
             ...(this.random.pickInt(3) === 0 ? [{ after: [0] }] : []),
         );
-        const path = `/batch/${makeJobId(number)}`;
-        void this.leader?.leader.serve({ kind: "submit", host: "jobs.example", path, spec })
-            .then(reply => this.replies.set(number, reply));
+        if (this.leader !== undefined) {
+            void this.cell.send(this.leader, number, spec).then(reply => this.replies.set(number, reply));
+        }
     }
 
     private breakWorker(): void {
--- a/src/test/leader/take-overs_test.ts
+++ b/src/test/leader/take-overs_test.ts
@@ -1,7 +1,7 @@
 /** Leaders that die, stand still or lose the store, and those that follow them. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { CORE, LeaderCell, makeJobId, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
 
 const FIRST = "10.0.0.1:80";
 
@@ -101,13 +101,7 @@
                 leader.storePath.planNext({ kind: "dropRequest" });
             }
             leader.storePath.faults.unreachable = !isFirstLost;
-            const path = "/batch/00000000000000a1";
-            const submitted = leader.leader.serve({
-                kind: "submit",
-                host: "jobs.example",
-                path,
-                spec: makeSpec({}),
-            });
+            const submitted = cell.send(leader, 1, makeSpec({}));
             await cell.clock.step(20);
             leader.storePath.faults.unreachable = true;
             await cell.clock.step(1_500);
@@ -132,9 +126,7 @@
         const numbers = Array.from({ length: 40 }, (...[, index]) => index + 1);
         const replies = new Map<number, string>();
         const submit = (number: number): void => {
-            const path = `/batch/${makeJobId(number)}`;
-            void leader.leader.serve({ kind: "submit", host: "jobs.example", path, spec: makeSpec({}) })
-                .then(reply => replies.set(number, reply.kind));
+            void cell.send(leader, number, makeSpec({})).then(reply => replies.set(number, reply.kind));
         };
         for (const number of numbers) {
             submit(number);
--- a/src/test/leader/worker-health_test.ts
+++ b/src/test/leader/worker-health_test.ts
@@ -8,22 +8,13 @@
 import { WorkerHealth } from "../../process/leader/worker-health.js";
 import { FakeClock } from "../fakes/fake-clock.js";
 import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
-import { makeJobId, makeSpec, WORKER_CAPACITY } from "./leader-cell.js";
+import { makeJobId, makeSpec, makeWorkerRecord } from "./leader-cell.js";
 
 /** What ended: `d` for done, `f` for failed, on a worker, of a job, ordered at an instant. */
 type End = readonly [outcome: "d" | "f", worker: number, job: number, orderedAt: number];
 
 function makeWorker(number: number): WorkerState {
-    return new WorkerState({
-        workerId: `w${number}`,
-        address: "",
-        pool: "pool",
-        failureDomain: "a",
-        capacity: WORKER_CAPACITY,
-        labels: [],
-        rack: undefined,
-        isDraining: false,
-    });
+    return new WorkerState(makeWorkerRecord(`w${number}`));
 }
 
 function makeJob(number: number): Job {
--- a/src/test/node/node-cell.ts
+++ b/src/test/node/node-cell.ts
@@ -15,7 +15,15 @@
 import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
 import type { FakeLog } from "../fakes/fake-telemetry.js";
 import { PausableClock } from "../fakes/pausable-clock.js";
-import { CORE, HOST, makeJobId, PREFIX, QUEUE, WORKER_CAPACITY } from "../leader/leader-cell.js";
+import {
+    CORE,
+    HOST,
+    makeJobId,
+    makeWorkerRecord,
+    PREFIX,
+    QUEUE,
+    WORKER_CAPACITY,
+} from "../leader/leader-cell.js";
 
 export const CALL_MS: Millis = 8_000;
 const MAX_LEASE_MS: Millis = 10_000;
@@ -125,16 +133,7 @@
 function buildWorkerSource(): WorkerSource {
     return {
         follow(accept) {
-            const record = {
-                workerId: "w1",
-                address: WORKER_ADDRESS,
-                pool: "pool",
-                failureDomain: "a",
-                capacity: WORKER_CAPACITY,
-                labels: [],
-                rack: undefined,
-                isDraining: false,
-            };
+            const record = makeWorkerRecord("w1", { address: WORKER_ADDRESS });
             accept(new Map([[record.workerId, record]]));
             return { stop: () => undefined };
         },
