A large write over a narrow link ends; larger nodes offer to lead until they do

leaderState says storeAway from 50 s to the end, nothing was started. Ruled out: the store (it answered others), the advice service (answers until the stall).

- The limit of a try doubles with each try that ends without an answer, up to 8 s (test "ends a write that takes longer than the first tries may", fails before).
- Offers are repeated every second; no test of its own.

--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -44,8 +44,13 @@
  * 14 ms as measured; a lost answer costs this long, and a slow store is learnt by doubling.
  */
 const SHORTEST_TIMEOUT_MS: Millis = 100;
-/** Time after which a try is given up: four answers of a slow spell. A store that was silent is back at most this late. */
+/**
+ * Time after which the first tries of a write are given up: four answers of a slow spell. A store that was silent is back
+ * at most this late. It doubles with each try that ends so: given up after the same time for ever, a write that takes
+ * longer, as over a narrow link, would never end, and the leader would take the store for away.
+ */
 const TRY_LIMIT_MS: Millis = 1_000;
+const LONGEST_TRY_LIMIT_MS: Millis = 8_000;
 /** Tries of one write that may be open at once. */
 const MAX_OPEN_TRIES = 3;
 /** Pause after the store said that it is busy or away; doubles up to the longest. */
@@ -152,9 +157,10 @@
         const { clock } = this.options;
         const open = new Set<Promise<EndedTry>>();
         let pause = SHORTEST_PAUSE_MS;
+        let limit = TRY_LIMIT_MS;
         while (!this.closed) {
             if (open.size < MAX_OPEN_TRIES) {
-                this.startTry(prepareTry(), open);
+                this.startTry(prepareTry(), open, limit);
             }
             const hedge = this.timeout.get();
             const ended = await Promise.race([...open, sleep(clock, hedge)]);
@@ -166,6 +172,9 @@
             if (result !== undefined) {
                 return result;
             }
+            if (ended.answer.kind === "unknown") {
+                limit = Math.min(LONGEST_TRY_LIMIT_MS, limit * 2);
+            }
             if (ended.answer.kind === "unavailable") {
                 handleUnwritten();
                 await sleep(clock, pause);
@@ -175,8 +184,12 @@
         return { kind: "abandoned" };
     }
 
-    private startTry({ write, transaction }: PreparedTry, open: Set<Promise<EndedTry>>): void {
-        const attempt = this.call(() => this.options.port.transact(transaction, TRY_LIMIT_MS)).then(
+    private startTry(
+        { write, transaction }: PreparedTry,
+        open: Set<Promise<EndedTry>>,
+        limit: Millis,
+    ): void {
+        const attempt = this.call(() => this.options.port.transact(transaction, limit)).then(
             answer => {
                 open.delete(attempt);
                 return { answer, write };
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -36,8 +36,11 @@
 const GATHER_MS: Millis = 2;
 /** Records after which a snapshot begins. */
 const SNAPSHOT_EVERY = RING_SLOTS / 2;
-/** Characters of one part of a snapshot: under the store's limit of a megabyte with room for wide characters. */
-const SNAPSHOT_PART_LENGTH = 300_000;
+/**
+ * Characters of one part of a snapshot. A part is 80 KB on its way, which the narrowest links of 7 Mbit/s carry in 92 ms,
+ * beside records and reports; with 400 KB and three tries at once a part took longer than its tries may.
+ */
+const SNAPSHOT_PART_LENGTH = 60_000;
 /** Events of one record. */
 const MAX_EVENTS = 256;
 /**
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -36,6 +36,7 @@
 
 /** How often the leader's state is looked at. */
 const LOOK_MS: Millis = 100;
+const OFFER_EVERY_MS: Millis = 1_000;
 /** Time for the look at the store before an offer. */
 const OFFER_LOOK_MS: Millis = 500;
 
@@ -43,7 +44,7 @@
 export class LeaderFollower {
     private link: LeaderLink | undefined;
     private handoverEpoch: number | undefined;
-    private offeredEpoch: number | undefined;
+    private offeredAt: Millis = -Infinity;
 
     constructor(private readonly options: LeaderFollowerOptions) {}
 
@@ -128,15 +129,18 @@
         return undefined;
     }
 
-    /** Offers to lead in place of a leader on a much smaller VM, once for each leader. */
+    /** Offers to lead in place of a leader on a much smaller VM, again and again: one that still loads takes none. */
     private async offerToLead(leaderLink: LeaderLink, epoch: number, followedMs: Millis): Promise<void> {
         const { options } = this;
         const { status } = leaderLink;
-        const isOffered = this.offeredEpoch === epoch || options.isDraining();
-        if (isOffered || status === undefined || !shouldOffer(options.cores, status.cores, followedMs)) {
+        const isOffered = options.clock.now() - this.offeredAt < OFFER_EVERY_MS;
+        if (
+            isOffered || options.isDraining() || status === undefined ||
+            !shouldOffer(options.cores, status.cores, followedMs)
+        ) {
             return;
         }
-        this.offeredEpoch = epoch;
+        this.offeredAt = options.clock.now();
         const askedAt = options.clock.now();
         const view = await readLeader(options.storePort, OFFER_LOOK_MS);
         if (view?.record?.epoch === epoch && isQuickLook(options.clock.now() - askedAt)) {
