--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -86,9 +86,9 @@
     /**
      * Takes a question: the queue that goes first, then steps that have had no answer, then short questions.
      *
-     * @remarks Short questions first, whatever their queue, was tried: all jobs of the last queue were in time then, with
-     * slack to spare, and filled the room that large gangs of the queue before it needed; work as a whole earned 0.82 of
-     * its worth in place of 0.86.
+     * @remarks Were short questions to go first whatever their queue, all jobs of the last queue would be in time with
+     * slack to spare, and fill the room that large gangs of the queue before it need: work as a whole earns 0.82 of its
+     * worth then, and 0.86 in this order.
      */
     enqueue(question: AdviceQuestion): void {
         const index = this.waiting.findIndex(other => compareQuestions(question, other) < 0);
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -65,7 +65,7 @@
 const RENEWAL_SHARE = 0.5;
 /**
  * Gangs without enough room that keep what they could use. One drains workers for the most urgent; with more, room for
- * several gangs stands idle at once: with four in a pool of 246, work earned 0.82 of its worth in place of 0.86.
+ * several gangs stands idle at once: with four in a pool of 246, work earns 0.82 of its worth, and 0.86 with one.
  */
 const MAX_KEEPING_GANGS = 1;
 /** Workers for each gang that has less urgent work stopped: its room is whole within half a second. */
