--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -161,7 +161,11 @@
 
     /** Sends an order to start a run. */
     start(order: Omit<StartOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
-        const { port, worker, epoch } = this.options;
+        const { port, worker, epoch, clock } = this.options;
+        // The order's deadline is a lease too: a worker that goes silent before a report request has renewed one runs the
+        // task until then, and must not be taken for free of it.
+        const lifeMs = order.workerDeadline - (this.estimateWorkerNow() ?? order.workerDeadline);
+        this.leaseEnd = Math.max(this.leaseEnd, clock.now() + computeLeaseBound(lifeMs));
         return this.order(
             "start",
             () => this.sendTwice(() => port.start(worker, { ...order, epoch }, ORDER_TIMEOUT_MS)),
--- a/src/process/leadership/inherited-leases.ts
+++ b/src/process/leadership/inherited-leases.ts
@@ -36,7 +36,8 @@
     computeEnd(adoptedBy: number | undefined): Millis {
         const { epoch, wasHandedOver, begin, history, leaseMs, unconfirmedMs } = this.options;
         const lastHolder = adoptedBy ?? epoch - 1;
-        const wasGivenUp = wasHandedOver && lastHolder === epoch - 1;
+        // Snapshots leave out adoptions of idle workers, so one of which nothing is known may be an earlier leader's.
+        const wasGivenUp = wasHandedOver && adoptedBy === epoch - 1;
         const lostAt = history.findLossTime(lastHolder, begin);
         return lostAt + (wasGivenUp ? 0 : unconfirmedMs) + computeLeaseBound(leaseMs);
     }
--- a/src/test/leader/inherited-leases_test.ts
+++ b/src/test/leader/inherited-leases_test.ts
@@ -56,6 +56,13 @@
             wasHandedOver: true,
             end: BEGIN + LEASE_BOUND,
         },
+        {
+            name: "counts all after a hand-over where the last leader of the worker is not known",
+            seen: [[4, 10_000], [5, BEGIN]],
+            adoptedBy: undefined,
+            wasHandedOver: true,
+            end: BEGIN + UNCONFIRMED_MS + LEASE_BOUND,
+        },
         {
             name: "counts all for an earlier leader that did not give up",
             seen: [[4, 55_000], [5, BEGIN]],
