The soak uses the project's names of tasks, phases and one clock

formatTaskName in place of a second format of task names, JobPhase in place of a list of its own, isFinal for both that asked, sleep and systemClock in place of node:timers and performance. A comment that described something else is gone. Checks are the same.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,6 +1,7 @@
 /** Callers that hand jobs in, ask for them and cancel some, over connections that they keep while the node lives. */
-import { setTimeout as pause } from "node:timers/promises";
+import { sleep, systemClock } from "../../src/common/clock.js";
 import type { Random } from "../../src/common/random.js";
+import { isFinal } from "./checker.js";
 import type { ShownState, SoakChecker } from "./checker.js";
 import type { JobSource, SoakJob } from "./job-source.js";
 
@@ -59,10 +60,10 @@
      * @param limitMs - When to give up.
      */
     async settle(limitMs: number): Promise<void> {
-        const begin = performance.now();
-        while (this.open.size > 0 && performance.now() - begin < limitMs) {
+        const begin = systemClock.now();
+        while (this.open.size > 0 && systemClock.now() - begin < limitMs) {
             await Promise.all([...this.open].map(jobId => this.checkJob(jobId)));
-            await pause(SETTLE_LOOK_MS);
+            await sleep(systemClock, SETTLE_LOOK_MS);
         }
     }
 
@@ -75,10 +76,10 @@
                 await this.cancel(job.id);
             }
             for (let looks = 0; looks < MAX_LOOKS && this.open.has(job.id); looks++) {
-                await pause(LOOK_MS);
+                await sleep(systemClock, LOOK_MS);
                 await this.checkJob(job.id);
             }
-            await pause(random.pickInt(PAUSE_SPREAD_MS));
+            await sleep(systemClock, random.pickInt(PAUSE_SPREAD_MS));
         }
     }
 
@@ -91,7 +92,7 @@
                 this.open.add(job.id);
                 return;
             }
-            await pause(RETRY_MS);
+            await sleep(systemClock, RETRY_MS);
         }
     }
 
@@ -102,7 +103,7 @@
             return;
         }
         checker.observeState(jobId, state);
-        if (state === "completed" || state === "failed" || state === "cancelled") {
+        if (isFinal(state)) {
             this.open.delete(jobId);
         }
     }
--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -8,8 +8,8 @@
 import type { Clock, Millis } from "../../src/common/clock.js";
 import { isWithin } from "../../src/common/resources.js";
 import type { Resources } from "../../src/common/resources.js";
-import type { RunEnd } from "../../src/process/jobs/job-events.js";
-import { parseTaskName } from "../../src/process/jobs/job-spec.js";
+import type { JobPhase, RunEnd } from "../../src/process/jobs/job-events.js";
+import { formatTaskName, parseTaskName } from "../../src/process/jobs/job-spec.js";
 import type { StepSpec, TaskRef } from "../../src/process/jobs/job-spec.js";
 import type { JobSource } from "./job-source.js";
 
@@ -42,12 +42,12 @@
 }
 
 /** What a caller was told of a job. */
-export type ShownState = "queued" | "running" | "completed" | "failed" | "cancelled" | "unknownJob";
+export type ShownState = JobPhase | "unknownJob";
+/** States after which nothing changes any more. */
+type FinalState = Extract<JobPhase, "completed" | "failed" | "cancelled">;
 
 /** A task may still be started for this long after its job's cancellation was acknowledged: orders are under way. */
 const CANCEL_LIMIT_MS: Millis = 4_000;
-/** An end whose durability the worker has heard of is known to the leader that wrote it; others learn it by loading. */
-const FINAL_STATES: readonly ShownState[] = ["completed", "failed", "cancelled"];
 
 interface JobEvidence {
     accepted: boolean;
@@ -59,7 +59,7 @@
     starts: number;
     /** Tasks that have ended as done, by name. */
     readonly done: Set<string>;
-    finalState: ShownState | undefined;
+    finalState: FinalState | undefined;
 }
 
 /** The checker; see the module comment. */
@@ -120,7 +120,7 @@
         if (job.finalState !== undefined && state !== job.finalState) {
             this.report("trueState", `job ${jobId} was ${job.finalState} and is shown as ${state}`);
         }
-        if (FINAL_STATES.includes(state)) {
+        if (isFinal(state)) {
             this.checkFinal(jobId, job, state);
             job.finalState = state;
         }
@@ -181,7 +181,7 @@
             this.report("neverAgain", `${task} was started on ${workerId} after its end was durable`);
         }
         const limit = step.maxPerWorker ?? Infinity;
-        const siblings = Array.from({ length: step.taskCount }, (...[, index]) => formatSibling(ref, index))
+        const siblings = listTaskNames(ref, step)
             .filter(name => this.running.get(name)?.has(workerId) === true);
         if (siblings.length > limit) {
             this.report(
@@ -205,7 +205,7 @@
         }
     }
 
-    private checkFinal(jobId: string, job: JobEvidence, state: ShownState): void {
+    private checkFinal(jobId: string, job: JobEvidence, state: FinalState): void {
         const known = this.jobs.find(jobId);
         const steps = known?.spec.steps ?? [];
         const isDone = steps.every((...[, number]) => this.isStepDone(jobId, number));
@@ -213,7 +213,7 @@
             completed: isDone,
             failed: known?.isHopeless === true,
             cancelled: job.cancelSentAt !== undefined,
-        }[state as "completed" | "failed" | "cancelled"];
+        }[state];
         if (!isTrue && job.finalState === undefined) {
             this.report("trueState", `job ${jobId} is shown as ${state} without cause`);
         }
@@ -226,10 +226,7 @@
         if (step === undefined || done === undefined) {
             return false;
         }
-        const names = Array.from(
-            { length: step.taskCount },
-            (...[, index]) => formatSibling({ jobId, occurrence: 0, step: number, index: 0 }, index),
-        );
+        const names = listTaskNames({ jobId, occurrence: 0, step: number }, step);
         return step.isGang ? names.some(name => done.has(name)) : names.every(name => done.has(name));
     }
 
@@ -257,6 +254,12 @@
     }
 }
 
-function formatSibling(ref: TaskRef, index: number): string {
-    return `${ref.jobId}.${ref.occurrence}.${ref.step}.${index}`;
+/** Tells whether a state is the last one. */
+export function isFinal(state: ShownState): state is FinalState {
+    return state === "completed" || state === "failed" || state === "cancelled";
+}
+
+/** Names the tasks of a step. */
+function listTaskNames(ref: Omit<TaskRef, "index">, step: StepSpec): readonly string[] {
+    return Array.from({ length: step.taskCount }, (...[, index]) => formatTaskName({ ...ref, index }));
 }
--- a/bench/soak/node-process.ts
+++ b/bench/soak/node-process.ts
@@ -4,7 +4,7 @@
 import { createWriteStream } from "node:fs";
 import type { WriteStream } from "node:fs";
 import { createInterface } from "node:readline";
-import { setTimeout as pause } from "node:timers/promises";
+import { sleep, systemClock } from "../../src/common/clock.js";
 
 /** Where a process answers; known from its first lines. */
 export interface NodePorts {
@@ -80,7 +80,7 @@
 
     private start(): void {
         this.lives += 1;
-        this.startedAt = performance.now();
+        this.startedAt = systemClock.now();
         this.isEndExpected = false;
         this.hasExited = false;
         const child = spawn(process.execPath, [this.command.program], {
@@ -105,14 +105,14 @@
 
     private async handleExit(code: unknown, signal: unknown): Promise<void> {
         this.ports = undefined;
-        const isTooEarly = signal === "SIGHUP" && performance.now() - this.startedAt < RUNTIME_START_MS;
+        const isTooEarly = signal === "SIGHUP" && systemClock.now() - this.startedAt < RUNTIME_START_MS;
         if (!this.isEndExpected && !isTooEarly && !this.closed) {
             this.ownEnds.push(
                 `${this.name}, life ${this.lives}: code ${String(code)}, signal ${String(signal)}`,
             );
         }
         this.hasExited = true;
-        await pause(RESTART_MS);
+        await sleep(systemClock, RESTART_MS);
         if (!this.closed) {
             this.start();
         }
--- a/bench/soak/scene.ts
+++ b/bench/soak/scene.ts
@@ -1,11 +1,10 @@
 /** Puts a run together: the platform's stand-ins, proxies in front of them, and the nodes' processes. */
 import { mkdirSync } from "node:fs";
-import { setTimeout as pause } from "node:timers/promises";
 import { Agent } from "undici";
 import { CallerClient } from "../../platform/stand-ins/caller-client.js";
 import { STAND_IN_QUEUES, StandInPlatform } from "../../platform/stand-ins/stand-in-platform.js";
 import type { StandInWorker } from "../../platform/stand-ins/stand-in-platform.js";
-import { systemClock } from "../../src/common/clock.js";
+import { sleep, systemClock } from "../../src/common/clock.js";
 import { createRandom } from "../../src/common/random.js";
 import type { CallerWay } from "./callers.js";
 import { SoakChecker } from "./checker.js";
@@ -108,12 +107,12 @@
 }
 
 async function waitForNodes(nodes: readonly SoakNode[]): Promise<void> {
-    const begin = performance.now();
+    const begin = systemClock.now();
     while (nodes.some(({ process }) => process.getCallerAddress() === undefined)) {
-        if (performance.now() - begin > START_LIMIT_MS) {
+        if (systemClock.now() - begin > START_LIMIT_MS) {
             throw new Error("a node did not start in time; see its log in the run's folder");
         }
-        await pause(START_LOOK_MS);
+        await sleep(systemClock, START_LOOK_MS);
     }
 }
 
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -1,5 +1,5 @@
 /** One run of the soak: real processes, callers, faults from a seed, and the verdict. */
-import { setTimeout as pause } from "node:timers/promises";
+import { sleep, systemClock } from "../../src/common/clock.js";
 import type { Random } from "../../src/common/random.js";
 import { SoakCallers } from "./callers.js";
 import type { CallerWay } from "./callers.js";
@@ -74,7 +74,10 @@
         listAddresses: () => scene.nodes.flatMap(({ process }) => process.getCallerAddress() ?? []),
     });
     callers.start(task.callers);
-    await Promise.all([pause(task.lengthMs), ...task.faults.map(fault => runFault(scene, fault))]);
+    await Promise.all([
+        sleep(systemClock, task.lengthMs),
+        ...task.faults.map(fault => runFault(scene, fault)),
+    ]);
     await callers.stop();
     await callers.settle(SETTLE_MS);
     scene.checker.finish();
@@ -101,7 +104,7 @@
     [FaultKind.nodeFrozen]: async (scene, fault) => {
         const { process } = pickTarget(scene.nodes, fault);
         process.sendSignal("SIGSTOP");
-        await pause(fault.forMs);
+        await sleep(systemClock, fault.forMs);
         process.sendSignal("SIGCONT");
     },
     [FaultKind.nodeReloaded]: (scene, fault) => sendSignal(scene, fault, "SIGHUP"),
@@ -131,7 +134,7 @@
 };
 
 async function runFault(scene: SoakScene, fault: PlannedFault): Promise<void> {
-    await pause(fault.atMs);
+    await sleep(systemClock, fault.atMs);
     await HANDLERS[fault.kind](scene, fault);
 }
 
@@ -141,13 +144,13 @@
 
 async function breakPath(path: TcpProxy, kind: PathFault, fault: PlannedFault): Promise<void> {
     path.setFault(kind);
-    await pause(fault.forMs);
+    await sleep(systemClock, fault.forMs);
     path.setFault(PathFault.none);
 }
 
 async function holdFor(fault: PlannedFault, set: (isOn: boolean) => void): Promise<void> {
     set(true);
-    await pause(fault.forMs);
+    await sleep(systemClock, fault.forMs);
     set(false);
 }
 
--- a/bench/soak/tcp-proxy.ts
+++ b/bench/soak/tcp-proxy.ts
@@ -1,7 +1,7 @@
 /** A loopback proxy whose connections misbehave on demand. */
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
-import { setTimeout as pause } from "node:timers/promises";
+import { sleep, systemClock } from "../../src/common/clock.js";
 
 /** What a proxy does to the bytes that pass. */
 export const PathFault = {
@@ -91,7 +91,7 @@
 
     private async forwardChunk(chunk: Buffer, to: Socket, stoppedBy: readonly PathFault[]): Promise<void> {
         if (this.fault === PathFault.delayed) {
-            await pause(HOLD_MS);
+            await sleep(systemClock, HOLD_MS);
         }
         if (!stoppedBy.includes(this.fault) && !to.destroyed) {
             to.write(chunk);
