--- a/src/test/process/home/home-requests_test.ts
+++ b/src/test/process/home/home-requests_test.ts
@@ -2,8 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { HomeReply } from "../../../connection/messages.js";
-import { HomeCell, makeRequest, makeServed, SLICE } from "./home-cell.js";
+import { HomeCell, makeRequest, SLICE } from "./home-cell.js";
 import type { HomeEntry } from "./home-cell.js";
+import { makeServed } from "./scripted-placer.js";
 import type { WriteFault } from "./store-for-home.js";
 
 async function makeCell(): Promise<{ cell: HomeCell; first: HomeEntry; second: HomeEntry; }> {
--- a/src/test/process/home/home-service_test.ts
+++ b/src/test/process/home/home-service_test.ts
@@ -1,7 +1,8 @@
 /** Fairness between teams, hand-over of a slice, and forgetting. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { HomeCell, makeRequest, makeServed, makeSpec, makeSubmit, requireJob, SLICE } from "./home-cell.js";
+import { HomeCell, makeRequest, makeSpec, makeSubmit, requireJob, SLICE } from "./home-cell.js";
+import { makeServed } from "./scripted-placer.js";
 
 async function makeCell(options = {}) {
     const cell = new HomeCell();
