Places of a gang are found once, permits live as long as their step, one walk over a job's steps

- preemption.ts found the next place of every worker anew for each missing member, though only the one taken had changed.
- isStalled made two sets for every worker in every pass, also where too few runs are there to tell anything.
- job-book.ts and end-desk.ts walked occurrences and steps in four places: listSteps.
- The delay of a first claim stands beside the other decisions on VMs of unequal size.
Decisions are the same; the planner's, preemption's, leaders' and nodes' tests pass unchanged.

--- a/src/process/dispatch/preemption.ts
+++ b/src/process/dispatch/preemption.ts
@@ -20,9 +20,11 @@
     readonly forStep: string;
 }
 
-/** Room for one more task on a worker, and what it costs. */
+/** Room for one more task on a worker. */
 interface Place {
     readonly victims: readonly RunRecord[];
+    /** What is free once they have stopped. */
+    readonly free: Resources;
     /** Processors that are stopped, in thousandths. */
     readonly cost: number;
 }
@@ -33,6 +35,8 @@
     /** Runs that may be stopped, the largest first: few stops make much room. */
     private readonly stoppable: RunRecord[];
     private placesLeft: number;
+    /** The next place; undefined if there is no more. */
+    place: Place | undefined;
 
     constructor(readonly slot: Slot, private readonly step: Step, priority: number) {
         this.free = slot.free;
@@ -49,10 +53,18 @@
             }
         }
         this.stoppable.sort((left, right) => right.demand.cpuMillis - left.demand.cpuMillis);
+        this.place = this.findPlace();
     }
 
-    /** Finds the next place; undefined if there is no more. */
-    findPlace(): Place | undefined {
+    /** Takes a place, which is the next one. */
+    take({ victims, free }: Place): void {
+        this.placesLeft -= 1;
+        this.stoppable.splice(0, victims.length);
+        this.free = removeResources(free, this.step.spec.demand);
+        this.place = this.findPlace();
+    }
+
+    private findPlace(): Place | undefined {
         if (this.placesLeft === 0) {
             return undefined;
         }
@@ -66,17 +78,9 @@
             victims.push(run);
         }
         return isWithin(this.step.spec.demand, free) ?
-            { victims, cost: victims.reduce((sum, run) => sum + run.demand.cpuMillis, 0) } :
+            { victims, free, cost: free.cpuMillis - this.free.cpuMillis } :
             undefined;
     }
-
-    /** Takes the place that was found last. */
-    take({ victims }: Place): void {
-        this.placesLeft -= 1;
-        this.stoppable.splice(0, victims.length);
-        const freed = victims.reduce((sum, run) => addResources(sum, run.demand), this.free);
-        this.free = removeResources(freed, this.step.spec.demand);
-    }
 }
 
 /**
@@ -95,27 +99,27 @@
 ): readonly Preemption[] | undefined {
     const grounds = slots.map(slot => new Ground(slot, step, priority));
     const chosen: Preemption[] = [];
-    for (let place = 0; place < missing; place++) {
+    for (let member = 0; member < missing; member++) {
         const best = findCheapest(grounds);
         if (best === undefined) {
             return undefined;
         }
-        const { ground, found } = best;
-        ground.take(found);
+        const { ground, place } = best;
+        ground.take(place);
         const { worker } = ground.slot;
-        chosen.push(...found.victims.map(run => ({ worker, run, forStep: step.name })));
+        chosen.push(...place.victims.map(run => ({ worker, run, forStep: step.name })));
     }
     return chosen;
 }
 
 function findCheapest(
     grounds: readonly Ground[],
-): { readonly ground: Ground; readonly found: Place; } | undefined {
-    let best: { readonly ground: Ground; readonly found: Place; } | undefined;
+): { readonly ground: Ground; readonly place: Place; } | undefined {
+    let best: { readonly ground: Ground; readonly place: Place; } | undefined;
     for (const ground of grounds) {
-        const found = ground.findPlace();
-        if (found !== undefined && found.cost < (best?.found.cost ?? Infinity)) {
-            best = { ground, found };
+        const { place } = ground;
+        if (place !== undefined && place.cost < (best?.place.cost ?? Infinity)) {
+            best = { ground, place };
         }
     }
     return best;
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -54,7 +54,10 @@
     return { step, queue, isRepair, lateness: endAt <= begin + LATE_FACTOR * objective ? 1 : 2, dueAt };
 }
 
-/** Compares two steps: gangs that wait for members first, then on time before late, then the queue's priority, then what is due first. */
+/**
+ * Compares two steps: gangs that wait for members first, then on time before late, then the queue's priority, then what
+ * is due first.
+ */
 export function compareUrgency(left: Urgency, right: Urgency): number {
     return Number(right.isRepair) - Number(left.isRepair) ||
         left.lateness - right.lateness ||
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -117,6 +117,9 @@
      * step are alike, so they count once: a single wrong estimate says nothing about the worker.
      */
     isStalled(now: Millis): boolean {
+        if (this.runs.size < MIN_STALLED_STEPS) {
+            return false;
+        }
         const running = new Set<string>();
         const overdue = new Set<string>();
         for (const run of this.runs.values()) {
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -6,7 +6,7 @@
 import type { JobAccepted, JobClosed, JobEvent, RunAssigned, RunEnded } from "./job-events.js";
 import { formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
 import type { JobSpec } from "./job-spec.js";
-import { isStepRunnable, TaskState } from "./job.js";
+import { isStepRunnable, listSteps, TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
 
 /** A task with the step that it belongs to. */
@@ -41,12 +41,10 @@
 
     /** Lists the tasks that are assigned to workers. */
     *listAssigned(): Iterable<FoundTask> {
-        for (const job of this.open.values()) {
-            for (const occurrence of job.occurrences.values()) {
-                for (const step of occurrence.steps) {
-                    yield* step.tasks
-                        .filter(task => task.state === TaskState.assigned)
-                        .map(task => ({ step, task }));
+        for (const step of this.listOpenSteps()) {
+            for (const task of step.tasks) {
+                if (task.state === TaskState.assigned) {
+                    yield { step, task };
                 }
             }
         }
@@ -81,13 +79,9 @@
 
     /** Lists the steps of open jobs with something to start. */
     *listRunnable(): Iterable<Step> {
-        for (const job of this.open.values()) {
-            for (const occurrence of job.occurrences.values()) {
-                for (const step of occurrence.steps) {
-                    if (step.waiting > 0 && isStepRunnable(step)) {
-                        yield step;
-                    }
-                }
+        for (const step of this.listOpenSteps()) {
+            if (step.waiting > 0 && isStepRunnable(step)) {
+                yield step;
             }
         }
     }
@@ -159,6 +153,12 @@
         this.open.delete(jobId);
     }
 
+    private *listOpenSteps(): Iterable<Step> {
+        for (const job of this.open.values()) {
+            yield* listSteps(job);
+        }
+    }
+
     private applyAccepted(event: JobAccepted): void {
         if (this.jobs.has(event.jobId)) {
             return;
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -80,6 +80,13 @@
     hasStarted: boolean;
 }
 
+/** Lists the steps of a job's occurrences that are due and not done. */
+export function* listSteps(job: Job): Iterable<Step> {
+    for (const occurrence of job.occurrences.values()) {
+        yield* occurrence.steps;
+    }
+}
+
 /** Tells whether all steps that a step depends on are done. */
 export function isStepReady(step: Step): boolean {
     return step.spec.after.every(number => {
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -5,7 +5,7 @@
 import { isJobDone } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Job, Step } from "../jobs/job.js";
-import { TaskState } from "../jobs/job.js";
+import { listSteps, TaskState } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
 import { GangStarts } from "./gang-starts.js";
 import { WorkerHealth } from "./worker-health.js";
@@ -104,8 +104,8 @@
 
     /** Stops everything that a job has on workers. */
     stopJob(job: Job): void {
-        for (const occurrence of job.occurrences.values()) {
-            occurrence.steps.forEach(step => this.stopStep(step));
+        for (const step of listSteps(job)) {
+            this.stopStep(step);
         }
     }
 
@@ -116,12 +116,10 @@
      * number, and the end of the first reservation is taken for the end of the new run, which is then started twice.
      */
     releaseJob(job: Job): void {
-        for (const occurrence of job.occurrences.values()) {
-            for (const step of occurrence.steps) {
-                for (const { state, workerId, name, run } of step.tasks) {
-                    if (state === TaskState.assigned && workerId !== undefined) {
-                        this.stopper?.releaseTask(workerId, name, run);
-                    }
+        for (const step of listSteps(job)) {
+            for (const { state, workerId, name, run } of step.tasks) {
+                if (state === TaskState.assigned && workerId !== undefined) {
+                    this.stopper?.releaseTask(workerId, name, run);
                 }
             }
         }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -73,7 +73,7 @@
     private readonly allowedShares = new AllowedShares();
     private indexedConfig: ClusterConfig | undefined;
     private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
-    private readonly permits = new Map<Step, StepPermits>();
+    private readonly permits = new WeakMap<Step, StepPermits>();
     private passTimer: Timer | undefined;
     private sweepTimer: Timer | undefined;
     private sweeps = 0;
@@ -318,7 +318,6 @@
         this.ends.sweep();
         this.desk.refuseWhileStalled();
         this.openOccurrences();
-        this.dropOldPermits();
         if (this.sweeps % FORGET_EVERY_SWEEPS === 0) {
             this.desk.forgetOld();
         }
@@ -339,14 +338,6 @@
         }
     }
 
-    private dropOldPermits(): void {
-        for (const step of this.permits.keys()) {
-            if (step.job.spec === undefined) {
-                this.permits.delete(step);
-            }
-        }
-    }
-
     private reportState(): void {
         const { clock, log, metrics, epoch } = this.options;
         const now = clock.now();
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -15,7 +15,7 @@
 import type { AdvicePort } from "../ports/task-worker-port.js";
 import { serveCaller } from "./caller-way.js";
 import type { WayToLeader } from "./caller-way.js";
-import { computeClaimDelay, isMuchLarger } from "./larger-node.js";
+import { computeClaimDelay, computeFirstClaimDelay, isMuchLarger } from "./larger-node.js";
 import { LeaderFollower } from "./leader-follower.js";
 import { LeaderReach } from "./leader-reach.js";
 import { LeaderSeat } from "./leader-seat.js";
@@ -48,8 +48,6 @@
 const SILENCE_CHECK_MS: Millis = 100;
 /** Nodes come and go in groups: all of a group are told of in one message to each. */
 const MEMBERS_DELAY_MS: Millis = 250;
-/** A VM with a whole core claims a place that nobody had this much sooner than one with none. */
-const FIRST_CLAIM_DELAY_MS: Millis = 120;
 /** A leader that gave its place to another node claims it back if nobody has led for this long. */
 const HEIR_PATIENCE_MS: Millis = 1_000;
 
@@ -167,8 +165,7 @@
             return record === undefined ? undefined : this.follower.follow(view);
         }
         if (record === undefined) {
-            const smallness = Math.max(0, 1 - this.options.cores);
-            await sleep(clock, smallness * FIRST_CLAIM_DELAY_MS + random.pickInt(CLAIM_SPREAD_MS));
+            await sleep(clock, computeFirstClaimDelay(this.options.cores) + random.pickInt(CLAIM_SPREAD_MS));
             return "nobody leads yet";
         }
         if (this.given?.epoch === record.epoch && clock.now() - this.given.at < HEIR_PATIENCE_MS) {
--- a/src/process/node/larger-node.ts
+++ b/src/process/node/larger-node.ts
@@ -8,6 +8,8 @@
 
 /** A node this many times as large leads better; with less, the change costs more than it brings. */
 const MUCH_LARGER = 1.5;
+/** A VM with a whole core claims a place that nobody had this much sooner than one with none. */
+const FIRST_CLAIM_DELAY_MS: Millis = 120;
 /** Head start of large nodes when a leader is to be replaced: they notice it within 100 ms of each other. */
 const SMALL_NODE_DELAY_MS: Millis = 100;
 /** A leader is left alone for this long: it loads the journal, and a change right after a change helps nobody. */
@@ -18,6 +20,14 @@
     return otherCores >= leaderCores * MUCH_LARGER;
 }
 
+/**
+ * Returns how long a node waits before it claims a place that nobody has had: it has heard of no other node yet.
+ * @param ownCores - Processor time of its VM.
+ */
+export function computeFirstClaimDelay(ownCores: number): Millis {
+    return Math.max(0, 1 - ownCores) * FIRST_CLAIM_DELAY_MS;
+}
+
 /**
  * Returns how long a node waits before it claims a place that is free.
  * @param ownCores - Processor time of its VM.
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -1,7 +1,6 @@
 /** A node's time behind a leader: the link to it, what it tells, and why to claim its place. */
-import type { Millis } from "../../common/clock.js";
 import { sleep } from "../../common/clock.js";
-import type { Clock } from "../../common/clock.js";
+import type { Clock, Millis } from "../../common/clock.js";
 import type { EpochHistory } from "../leadership/epoch-history.js";
 import { readLeader } from "../leadership/leader-record.js";
 import type { LeaderView } from "../leadership/leader-record.js";
