--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -107,8 +107,12 @@
     /** Stops a run wherever it is. */
     stopTask(workerId: string, task: string, run: number): void {
         const state = this.findState(workerId);
-        const record = state?.getRun(task, run);
-        if (state !== undefined && record !== undefined) {
+        if (state === undefined) {
+            this.inherited.requestStop(workerId, task, run);
+            return;
+        }
+        const record = state.getRun(task, run);
+        if (record !== undefined) {
             this.stopRun(state, record);
         }
     }
@@ -158,8 +162,10 @@
             },
         });
         const member: Member = { state, session, unlistedSince: undefined };
-        this.inherited.take(record.workerId).forEach(run => state.addRun(run));
+        const inherited = this.inherited.take(record.workerId);
+        inherited.forEach(run => state.addRun(run));
         this.members.set(record.workerId, member);
+        inherited.filter(run => this.inherited.isUnwanted(run)).forEach(run => this.stopRun(state, run));
         context.log.info("workerAdded", {
             workerId: record.workerId,
             pool: record.pool,
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -1,6 +1,6 @@
 /** Runs that earlier leaders gave to workers of which this one has not heard yet. */
 import type { Millis } from "../../common/clock.js";
-import { RunPhase } from "../dispatch/worker-state.js";
+import { makeRunKey, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import type { FoundTask } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -10,6 +10,8 @@
 /** The runs; see the module comment. */
 export class InheritedRuns {
     private readonly tasks = new Map<string, FoundTask[]>();
+    /** Keys of runs that have to end. */
+    private readonly unwanted = new Set<string>();
 
     /**
      * @param context - Shared parts; its book holds what is assigned.
@@ -27,6 +29,31 @@
         return this.tasks.has(workerId) ? this.computeEnd(workerId) : -Infinity;
     }
 
+    /**
+     * Takes in that a run has to end, though its worker has not been heard yet.
+     *
+     * @remarks Failure guarded against: a caller cancels a job while its worker's registration is away, as for two seconds
+     * after an outage of the store. The job is over, so nothing ever looks at its tasks again, and one that lasts until it is
+     * stopped runs on for ever. The stop is kept here and sent when the worker appears.
+     */
+    requestStop(workerId: string, task: string, run: number): void {
+        if (!this.tasks.has(workerId)) {
+            return;
+        }
+        this.unwanted.add(makeRunKey(task, run));
+        this.context.log.info("stopPostponed", {
+            task,
+            run,
+            workerId,
+            reason: "the worker was not heard yet",
+        });
+    }
+
+    /** Tells whether a run that was taken over has to end. */
+    isUnwanted({ task, run }: RunRecord): boolean {
+        return this.unwanted.has(makeRunKey(task, run));
+    }
+
     /** Hands the runs of a worker over to its session. */
     take(workerId: string): readonly RunRecord[] {
         const found = this.tasks.get(workerId) ?? [];
--- /dev/null
+++ b/src/test/leader/cancellations_test.ts
@@ -0,0 +1,84 @@
+/** Cancelled jobs: what runs of them has to end, whatever a leader knows of the worker when its caller cancels. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
+import type { TestLeader } from "./leader-cell.js";
+
+const ADDRESS = "10.0.0.1:80";
+/** Longest time from when the worker can be reached until the run has to be gone. */
+const STOP_LIMIT_MS = 1_500;
+
+interface Moment {
+    readonly name: string;
+    /** Brings about what the leader knows of the worker when the job is cancelled. */
+    readonly prepare: (cell: LeaderCell) => Promise<TestLeader>;
+    /** Lets the leader reach the worker again. */
+    readonly restore: (cell: LeaderCell, leader: TestLeader) => void;
+}
+
+const MOMENTS: readonly Moment[] = [
+    {
+        name: "the leader has heard the worker",
+        prepare: async cell => {
+            const leader = await cell.startLeader();
+            await cell.clock.step(500);
+            return leader;
+        },
+        restore: () => undefined,
+    },
+    {
+        name: "the worker is not in the list yet",
+        prepare: cell => {
+            cell.removeFromList("w1");
+            return cell.startLeader();
+        },
+        restore: (cell, leader) => {
+            cell.restoreToList("w1", ADDRESS);
+            cell.refreshWorkers(leader);
+        },
+    },
+    {
+        name: "the worker's first report is lost",
+        prepare: async cell => {
+            const leader = await cell.startLeader();
+            leader.workers.getPath(ADDRESS).plan({ kind: "dropRequest" }, { kind: "dropRequest" });
+            return leader;
+        },
+        restore: () => undefined,
+    },
+    {
+        name: "the worker cannot be reached yet",
+        prepare: async cell => {
+            const leader = await cell.startLeader();
+            leader.workers.getPath(ADDRESS).faults.unreachable = true;
+            return leader;
+        },
+        restore: (...[, leader]) => {
+            leader.workers.getPath(ADDRESS).faults.unreachable = false;
+        },
+    },
+];
+
+describe("a cancelled job", () => {
+    for (const { name, prepare, restore } of MOMENTS) {
+        it(`runs nowhere any more, cancelled when ${name}`, async () => {
+            // All nodes lose power while a task runs that lasts until its job is cancelled. The next leader acknowledges
+            // the cancellation before it has heard the worker; the task ran on for ever, as no one was left to stop it.
+            const cell = new LeaderCell(1);
+            cell.getBehavior = () => ({ demand: CORE, runMs: 600_000, end: "done" });
+            const first = await cell.startLeader();
+            await cell.clock.step(100);
+            await cell.submit(first, 1, makeSpec({ isLongRunning: true }));
+            await cell.clock.step(300);
+            assert.equal(cell.getModel(ADDRESS).listRunning().length, 1);
+            first.clock.kill();
+            const second = await prepare(cell);
+            assert.deepEqual(await cell.cancel(second, 1), { kind: "cancelled" });
+            await cell.clock.step(300);
+            restore(cell, second);
+            await cell.clock.step(STOP_LIMIT_MS);
+            assert.deepEqual(cell.getModel(ADDRESS).listRunning(), []);
+            assert.equal(cell.countStarts(1), 1);
+        });
+    }
+});
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -184,6 +184,11 @@
         this.records.delete(workerId);
     }
 
+    /** Puts a worker back into the list. */
+    restoreToList(workerId: string, address: string): void {
+        this.records.set(workerId, makeWorkerRecord(workerId, { address }));
+    }
+
     getModel(address: string): TaskWorkerModel {
         const model = this.models.get(address);
         assert(model !== undefined);
