--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -21,7 +21,10 @@
     readonly task: string;
     readonly run: number;
     readonly step: string;
-    readonly demand: Resources;
+    /** What is kept for it: its need, or all that could be its own where that is not known. */
+    demand: Resources;
+    /** False for a run whose job has ended: what the job needed is not kept. */
+    readonly isDemandKnown: boolean;
     phase: RunPhase;
     /**
      * On the worker's clock: a report from later that does not list the run shows that it is not there and never
@@ -146,14 +149,27 @@
         this.free = removeResources(this.free, run.demand);
     }
 
-    /** Gives a run's room back. */
+    /**
+     * Gives a run's room back.
+     *
+     * @remarks Failure guarded against: two runs of a cancelled job are being stopped, and the first, for which all free
+     * room was kept, ends. The worker seems empty, and new work overloads it until the second has ended too. Runs whose
+     * need is not known keep their room together until the last of them has ended.
+     */
     removeRun(task: string, run: number): RunRecord | undefined {
         const key = makeRunKey(task, run);
         const record = this.runs.get(key);
-        if (record !== undefined) {
-            this.runs.delete(key);
+        if (record === undefined) {
+            return undefined;
+        }
+        this.runs.delete(key);
+        const heir = record.isDemandKnown ? undefined : this.findRunOfUnknownDemand();
+        if (heir === undefined) {
             this.free = addResources(this.free, record.demand);
         }
+        else {
+            heir.demand = addResources(heir.demand, record.demand);
+        }
         return record;
     }
 
@@ -169,4 +185,8 @@
         }
         return count;
     }
+
+    private findRunOfUnknownDemand(): RunRecord | undefined {
+        return [...this.runs.values()].find(run => !run.isDemandKnown);
+    }
 }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -261,8 +261,8 @@
             task: running.task,
             run: running.run,
             step: found?.step.name ?? "",
-            // What a job needed is no longer known once it has ended: the run may fill all that seems free.
             demand: found?.step.spec.demand ?? takeAll(state.free),
+            isDemandKnown: found !== undefined,
             phase: RunPhase.running,
             settledAfter: workerNow,
             wasSeen: true,
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -90,6 +90,7 @@
             run: task.run,
             step: step.name,
             demand: step.spec.demand,
+            isDemandKnown: true,
             phase: RunPhase.ordered,
             // The first report carries the new epoch, so orders of earlier leaders have no effect after it.
             settledAfter: 0,
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -57,6 +57,7 @@
             run,
             step: step.name,
             demand: step.spec.demand,
+            isDemandKnown: true,
             phase: RunPhase.reserved,
             settledAfter: Infinity,
             wasSeen: false,
--- a/src/test/leader/cancellations_test.ts
+++ b/src/test/leader/cancellations_test.ts
@@ -1,7 +1,7 @@
 /** Cancelled jobs: what runs of them has to end, whatever a leader knows of the worker when its caller cancels. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, makeJobId, makeSpec } from "./leader-cell.js";
 import type { TestLeader } from "./leader-cell.js";
 
 const ADDRESS = "10.0.0.1:80";
@@ -60,6 +60,38 @@
 ];
 
 describe("a cancelled job", () => {
+    it("keeps its room until the last of its tasks has stopped", async () => {
+        // A job is cancelled, and the leader is lost before its two tasks are stopped. The next leader finds them running,
+        // does not know any more what they need, and stops them. Once the first had ended the worker seemed empty, and new
+        // work overloaded it while the second was still being stopped.
+        const cell = new LeaderCell(1);
+        const half = { ...CORE, cpuMillis: 2_000 };
+        cell.getBehavior = task => ({
+            demand: task.startsWith(makeJobId(1)) ? half : CORE,
+            runMs: 60_000,
+            end: "done",
+        });
+        const first = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(first, 1, makeSpec({ taskCount: 2, demand: half }));
+        await cell.clock.step(300);
+        first.workers.getPath(ADDRESS).faults.unreachable = true;
+        assert.deepEqual(await cell.cancel(first, 1), { kind: "cancelled" });
+        first.clock.kill();
+        const second = await cell.startLeader();
+        const none = { kind: "delayAnswer", ms: 0 } as const;
+        second.workers.getPath(ADDRESS).plan(none, { kind: "dropRequest" });
+        await cell.submit(second, 2, makeSpec({ taskCount: 4 }));
+        await cell.clock.step(700);
+        assert.equal(
+            cell.getModel(ADDRESS).listRunning().filter(task => task.startsWith(makeJobId(1))).length,
+            1,
+        );
+        await cell.clock.step(2_000);
+        assert.deepEqual(cell.faults, []);
+        assert.equal(cell.countStarts(2), 4);
+    });
+
     for (const { name, prepare, restore } of MOMENTS) {
         it(`runs nowhere any more, cancelled when ${name}`, async () => {
             // All nodes lose power while a task runs that lasts until its job is cancelled. The next leader acknowledges
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -94,6 +94,7 @@
         run: 1,
         step: "x",
         demand: CORE,
+        isDemandKnown: true,
         phase: "running",
         settledAfter: 0,
         wasSeen: true,
