--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -7,6 +7,7 @@
  */
 import type { Clock, Millis } from "../../common/clock.js";
 import { sleep } from "../../common/clock.js";
+import { Signal } from "../../common/signal.js";
 import type {
     StoreAnswer,
     StoreCondition,
@@ -53,9 +54,11 @@
 const LONGEST_TRY_LIMIT_MS: Millis = 8_000;
 /** Tries of one write that may be open at once. */
 const MAX_OPEN_TRIES = 3;
-/** Pause after the store said that it is busy or away; doubles up to the longest. */
+/** Pause of the oldest write after a try that failed; doubles up to the longest, a sixth of a short job's slack. */
 const SHORTEST_PAUSE_MS: Millis = 25;
-const LONGEST_PAUSE_MS: Millis = 200;
+const LONGEST_PAUSE_MS: Millis = 100;
+/** Longest pause of the writes behind it, which otherwise wait until the store answers anything. */
+const BEHIND_PAUSE_MS: Millis = 1_000;
 
 interface PreparedTry {
     readonly write: TransactionWrite;
@@ -67,7 +70,21 @@
     readonly write: TransactionWrite;
 }
 
-/** The store under the leader's guard. */
+/** A write that is being pursued. */
+interface Pursuit {
+    readonly since: Millis;
+    /** When its newest try was sent. */
+    triedAt: Millis;
+}
+
+/**
+ * The store under the leader's guard.
+ *
+ * @remarks Failure guarded against: the store is away for seconds, and each of a dozen waiting records is sent to it again
+ * and again. With connections that are reset at once that was 3,450 calls a second, all priced; with a store that answers
+ * nothing all tries hung on lost connections, and work went on up to 5 s after its return. So while the store answers
+ * nothing only the oldest write is tried again, and any answer, also that of a lease renewal, sends the others.
+ */
 export class GuardedStore {
     private readonly timeout = new CallTimeout(SHORTEST_TIMEOUT_MS);
     private closed = false;
@@ -75,8 +92,9 @@
     private lastContact: Millis;
     /** Arrival of the last answer. */
     private lastAnswerAt: Millis = -Infinity;
-    /** When the writes under way began, oldest first. */
-    private readonly underWay = new Set<{ readonly since: Millis; }>();
+    /** The writes under way, oldest first. */
+    private readonly underWay = new Set<Pursuit>();
+    private answered = new Signal();
 
     /** @param options - Store, clock and guard. */
     constructor(private readonly options: GuardedStoreOptions) {
@@ -93,6 +111,18 @@
         this.lastContact = Math.max(this.lastContact, sentAt);
     }
 
+    /**
+     * Takes in that the store has answered a call, whatever it said.
+     * @param tookMs - Time until the answer.
+     */
+    observeAnswer(tookMs: Millis): void {
+        this.timeout.observeAnswer(tookMs);
+        this.lastAnswerAt = this.options.clock.now();
+        const { answered } = this;
+        this.answered = new Signal();
+        answered.notify();
+    }
+
     /** Returns how long the oldest write under way has been tried; 0 while there is none. */
     getStallMs(): Millis {
         const [oldest] = this.underWay;
@@ -132,9 +162,9 @@
     ): Promise<GuardedResult> {
         const { leaderRevision, clock } = this.options;
         const guard = { key: LEADER_KEY, revision: leaderRevision };
-        const pursuit = { since: clock.now() };
+        const pursuit: Pursuit = { since: clock.now(), triedAt: -Infinity };
         this.underWay.add(pursuit);
-        const result = await this.retryUntilKnown(() => {
+        const result = await this.retryUntilKnown(pursuit, () => {
             const write = buildWrite();
             observeTry("sent");
             return {
@@ -151,6 +181,7 @@
      * that has turned slow answers the first, and one that lost the answer answers the second.
      */
     private async retryUntilKnown(
+        pursuit: Pursuit,
         prepareTry: () => PreparedTry,
         handleUnwritten: () => void,
     ): Promise<GuardedResult> {
@@ -159,31 +190,68 @@
         let pause = SHORTEST_PAUSE_MS;
         let limit = TRY_LIMIT_MS;
         while (!this.closed) {
-            if (open.size < MAX_OPEN_TRIES) {
+            if (open.size === 0 || this.mayTryBeside(pursuit, open.size)) {
+                this.observeSilence(pursuit);
+                pursuit.triedAt = clock.now();
                 this.startTry(prepareTry(), open, limit);
             }
-            const hedge = this.timeout.get();
-            const ended = await Promise.race([...open, sleep(clock, hedge)]);
-            if (typeof ended !== "object") {
-                this.timeout.observeTimeout(hedge);
+            const ended = await Promise.race([...open, this.waitBesideTries(pursuit)]);
+            if (ended === undefined) {
                 continue;
             }
             const result = this.decideResult(ended.answer, ended.write);
             if (result !== undefined) {
                 return result;
             }
-            if (ended.answer.kind === "unknown") {
-                limit = Math.min(LONGEST_TRY_LIMIT_MS, limit * 2);
-            }
             if (ended.answer.kind === "unavailable") {
                 handleUnwritten();
-                await sleep(clock, pause);
-                pause = Math.min(LONGEST_PAUSE_MS, pause * 2);
             }
+            else {
+                limit = Math.min(LONGEST_TRY_LIMIT_MS, limit * 2);
+            }
+            await this.pauseAfterFailure(pursuit, pause);
+            pause = Math.min(LONGEST_PAUSE_MS, pause * 2);
         }
         return { kind: "abandoned" };
     }
 
+    /** Tells whether to try once more while earlier tries are open. */
+    private mayTryBeside(pursuit: Pursuit, openTries: number): boolean {
+        const isOverdue = this.options.clock.now() - pursuit.triedAt >= this.timeout.get();
+        const hasAnsweredSince = this.lastAnswerAt > pursuit.triedAt;
+        return isOverdue && (hasAnsweredSince || this.isOldest(pursuit) && openTries < MAX_OPEN_TRIES);
+    }
+
+    /** A store that has answered nothing since the last try is given more time for the next one. */
+    private observeSilence({ triedAt }: Pursuit): void {
+        if (triedAt > -Infinity && this.lastAnswerAt <= triedAt) {
+            this.timeout.observeTimeout(this.timeout.get());
+        }
+    }
+
+    /** Waits until another try may be due: for the time of an answer, then until the store answers anything. */
+    private async waitBesideTries({ triedAt }: Pursuit): Promise<undefined> {
+        const { clock } = this.options;
+        const leftMs = triedAt + this.timeout.get() - clock.now();
+        await Promise.race([this.answered.wait(), sleep(clock, leftMs > 0 ? leftMs : BEHIND_PAUSE_MS)]);
+        return undefined;
+    }
+
+    /** The oldest write tries again soon; those behind it wait until the store answers. */
+    private async pauseAfterFailure(pursuit: Pursuit, pause: Millis): Promise<void> {
+        const { clock } = this.options;
+        const { answered } = this;
+        await sleep(clock, pause);
+        if (!this.isOldest(pursuit)) {
+            await Promise.race([answered.wait(), sleep(clock, BEHIND_PAUSE_MS)]);
+        }
+    }
+
+    private isOldest(pursuit: Pursuit): boolean {
+        const [oldest] = this.underWay;
+        return oldest === pursuit;
+    }
+
     private startTry(
         { write, transaction }: PreparedTry,
         open: Set<Promise<EndedTry>>,
@@ -226,9 +294,8 @@
         const took = clock.now() - sentAt;
         metrics.time("store.write", took);
         if (answer.kind === "done" || answer.kind === "refused") {
-            this.timeout.observeAnswer(took);
             this.lastContact = Math.max(this.lastContact, sentAt);
-            this.lastAnswerAt = clock.now();
+            this.observeAnswer(took);
         }
         if (answer.kind === "unknown" || answer.kind === "unavailable") {
             metrics.count("store.failures", 1, { kind: answer.kind });
--- a/src/process/leadership/leader-lease.ts
+++ b/src/process/leadership/leader-lease.ts
@@ -8,6 +8,11 @@
 const ALIVE_TTL_MS: Millis = 1_000;
 /** Renewals cost a tenth of a read; three may be lost. */
 const RENEW_MS: Millis = 300;
+/**
+ * Pause after a renewal without an answer, and time after which the next one is sent beside it: a store that was away is
+ * heard of this soon after its return, and all writes that wait go on then.
+ */
+const RENEW_AGAIN_MS: Millis = 100;
 const CALL_TIMEOUT_MS: Millis = 400;
 /** An idle leader looks at its record this long after its last write. */
 const CHECK_AFTER_MS: Millis = 1_000;
@@ -24,6 +29,8 @@
     readonly getLastContact: () => Millis;
     /** Such a call was sent at this instant. */
     readonly observeContact: (sentAt: Millis) => void;
+    /** The store has answered a call, whatever it said, after this time. */
+    readonly observeAnswer: (tookMs: Millis) => void;
     /** The record is another's. */
     readonly handleDeposed: (reason: string) => void;
 }
@@ -31,6 +38,9 @@
 /** Keeps the alive key on a lease for as long as this node leads. */
 export class LeaderLease {
     private leaseId: string | undefined;
+    /** The one under way: of two leases granted side by side the wrong one might be renewed. */
+    private granting: Promise<boolean> | undefined;
+    private isChecking = false;
     private closed = false;
 
     constructor(private readonly options: LeaderLeaseOptions) {
@@ -68,25 +78,42 @@
         const { clock } = this.options;
         while (!this.closed) {
             const sentAt = clock.now();
-            if (this.leaseId === undefined) {
-                await this.grant(sentAt);
-            }
-            else {
-                await this.renew(this.leaseId);
-            }
-            if (clock.now() - this.options.getLastContact() > CHECK_AFTER_MS && !this.closed) {
-                await this.check();
-            }
-            await sleep(clock, RENEW_MS);
+            const isAnswered = await this.ensureLease(sentAt);
+            this.checkIfIdle();
+            await sleep(clock, isAnswered ? RENEW_MS : RENEW_AGAIN_MS);
         }
     }
 
-    private async grant(sentAt: Millis): Promise<void> {
+    /** Looks at the record beside the renewals, which must not wait for a look that is not answered. */
+    private checkIfIdle(): void {
+        const isIdle = this.options.clock.now() - this.options.getLastContact() > CHECK_AFTER_MS;
+        if (isIdle && !this.isChecking && !this.closed) {
+            this.isChecking = true;
+            void this.check().finally(() => {
+                this.isChecking = false;
+            });
+        }
+    }
+
+    /** Takes or renews the lease; tells whether the store has answered soon. */
+    private async ensureLease(sentAt: Millis): Promise<boolean> {
+        const { leaseId } = this;
+        if (leaseId === undefined) {
+            this.granting ??= this.grant(sentAt).finally(() => {
+                this.granting = undefined;
+            });
+        }
+        const call = leaseId === undefined ? this.granting : this.renew(leaseId, sentAt);
+        return await Promise.race([call, sleep(this.options.clock, RENEW_AGAIN_MS)]) ?? false;
+    }
+
+    private async grant(sentAt: Millis): Promise<boolean> {
         const { port, life, leaderRevision } = this.options;
         const granted = await port.grantLease(ALIVE_TTL_MS, CALL_TIMEOUT_MS);
         if (granted.kind !== "done") {
-            return;
+            return false;
         }
+        this.observeAnswer(sentAt);
         const answer = await port.transact(
             {
                 conditions: [{ key: LEADER_KEY, revision: leaderRevision }],
@@ -98,19 +125,29 @@
         if (answer.kind === "done") {
             this.leaseId = granted.value;
             this.options.observeContact(sentAt);
-            return;
+            return true;
         }
         if (answer.kind === "refused" && answer.reason === "conflict" && !this.closed) {
             this.options.handleDeposed("the leader's record has changed");
         }
+        return false;
     }
 
     /** A renewal shows nothing of the record: the lease is this process's own and outlives its leadership. */
-    private async renew(leaseId: string): Promise<void> {
+    private async renew(leaseId: string, sentAt: Millis): Promise<boolean> {
         const answer = await this.options.port.renewLease(leaseId, CALL_TIMEOUT_MS);
-        if (answer.kind === "refused") {
+        if (answer.kind === "refused" && this.leaseId === leaseId) {
             this.leaseId = undefined;
         }
+        const isAnswered = answer.kind === "done" || answer.kind === "refused";
+        if (isAnswered) {
+            this.observeAnswer(sentAt);
+        }
+        return isAnswered;
+    }
+
+    private observeAnswer(sentAt: Millis): void {
+        this.options.observeAnswer(this.options.clock.now() - sentAt);
     }
 
     private async check(): Promise<void> {
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -13,7 +13,7 @@
 import type { LeaderReach } from "./leader-reach.js";
 import type { NodeNote, StatusNote } from "./messages.js";
 import type { PeerBook } from "./peer-book.js";
-import { isQuickLook, shouldReplaceLeader } from "./silenced-leader.js";
+import { isQuickLook, SilencedLeader } from "./silenced-leader.js";
 
 /** What a follower is made from. */
 export interface LeaderFollowerOptions {
@@ -44,8 +44,11 @@
     private link: LeaderLink | undefined;
     private handoverEpoch: number | undefined;
     private offeredAt: Millis = -Infinity;
+    private readonly silenced: SilencedLeader;
 
-    constructor(private readonly options: LeaderFollowerOptions) {}
+    constructor(private readonly options: LeaderFollowerOptions) {
+        this.silenced = new SilencedLeader(options);
+    }
 
     /** Returns the link to the leader while it is up, after giving it a configuration that it lacks. */
     getLink(): LeaderLink | undefined {
@@ -119,7 +122,7 @@
                 leaderLink.link.close("it no longer leads");
                 return this.isHeirOf(epoch) ? "the leader handed over" : undefined;
             }
-            if (!this.options.isDraining() && await shouldReplaceLeader(leaderLink, this.options)) {
+            if (!this.options.isDraining() && await this.silenced.shouldReplace(leaderLink)) {
                 leaderLink.link.close("it cannot reach the store");
                 return "the leader cannot reach the store, this node can";
             }
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -149,6 +149,7 @@
             leaderRevision: claim.revision,
             getLastContact: () => this.store.getLastContact(),
             observeContact: sentAt => this.store.observeContact(sentAt),
+            observeAnswer: tookMs => this.store.observeAnswer(tookMs),
             handleDeposed: reason => this.end(reason),
         });
         this.lease = lease;
--- a/src/process/node/silenced-leader.ts
+++ b/src/process/node/silenced-leader.ts
@@ -24,24 +24,47 @@
 }
 
 /**
- * Decides whether to claim a leader's place although its link is well.
- *
- * @remarks In spells in which the store is slow for everybody, or down, a change of the leader would only add to the
- * trouble: the question here takes as long as the leader's own calls, or fails.
- * @param leaderLink - The link, with the leader's last status.
- * @param parts - The store as seen from here, and the clock.
+ * Time after a look of this node's own that failed or was slow for which the leader keeps its place: the store was away
+ * for this node too. A leader hears of the store's return within 0.2 s and then goes on with all that it holds, while a
+ * new one has to load the journal and to hear every worker first, which takes 0.3 to 0.6 s.
  */
-export async function shouldReplaceLeader(
-    leaderLink: LeaderLink,
-    { storePort, clock }: { readonly storePort: StorePort; readonly clock: Clock; },
-): Promise<boolean> {
-    if (!isLeaderSilenced(leaderLink)) {
-        return false;
+const SHARED_OUTAGE_GRACE_MS: Millis = 700;
+
+/** What deciding about a silenced leader needs. */
+export interface SilencedLeaderOptions {
+    readonly storePort: StorePort;
+    readonly clock: Clock;
+}
+
+/** A follower's looks at the store while its leader gets no answers there. */
+export class SilencedLeader {
+    private lastBadLookAt: Millis = -Infinity;
+
+    constructor(private readonly options: SilencedLeaderOptions) {}
+
+    /**
+     * Decides whether to claim a leader's place although its link is well.
+     *
+     * @remarks In spells in which the store is slow for everybody, or down, a change of the leader would only add to the
+     * trouble: the question here takes as long as the leader's own calls, or fails. Failure guarded against: at the end of
+     * an outage every follower that the store answers a moment before the leader claims its place, and what waits is held
+     * up by a needless take-over.
+     * @param leaderLink - The link, with the leader's last status.
+     */
+    async shouldReplace(leaderLink: LeaderLink): Promise<boolean> {
+        if (!isLeaderSilenced(leaderLink)) {
+            return false;
+        }
+        const { storePort, clock } = this.options;
+        const askedAt = clock.now();
+        const view = await readLeader(storePort, READ_TIMEOUT_MS);
+        const now = clock.now();
+        if (view === undefined || !isQuickLook(now - askedAt)) {
+            this.lastBadLookAt = now;
+            return false;
+        }
+        return now - this.lastBadLookAt > SHARED_OUTAGE_GRACE_MS && isLeaderSilenced(leaderLink);
     }
-    const askedAt = clock.now();
-    const view = await readLeader(storePort, READ_TIMEOUT_MS);
-    const isQuick = view !== undefined && isQuickLook(clock.now() - askedAt);
-    return isQuick && isLeaderSilenced(leaderLink);
 }
 
 function isLeaderSilenced(leaderLink: LeaderLink): boolean {
--- a/src/test/fakes/call-path.ts
+++ b/src/test/fakes/call-path.ts
@@ -25,6 +25,8 @@
 export interface PathFaults {
     /** Nothing passes in either direction; connections fail. */
     unreachable: boolean;
+    /** Connections are reset as soon as a call is sent over them. */
+    resets: boolean;
     /** Added to each direction, in milliseconds. */
     slowMs: Millis;
     /** Shares of calls, from 0 to 1, struck at random. */
@@ -46,6 +48,7 @@
 export class CallPath {
     readonly faults: PathFaults = {
         unreachable: false,
+        resets: false,
         slowMs: 0,
         dropRequestShare: 0,
         dropAnswerShare: 0,
@@ -53,6 +56,8 @@
         delayLimitMs: 0,
     };
     private readonly planned: CallFault[] = [];
+    /** Calls so far. */
+    calls = 0;
 
     /**
      * @param base - The clock of the whole test: what is under way goes on while a member is paused.
@@ -84,6 +89,7 @@
         effect: () => Promise<Value> | Value,
         timeout: Millis,
     ): Promise<CallEnd<Value>> {
+        this.calls += 1;
         const fault = this.planned.shift() ?? this.pickFault();
         if (this.faults.unreachable || fault?.kind === "refuseConnection") {
             return this.finishLater(this.options.latencyMs, {
@@ -91,6 +97,12 @@
                 message: "connection refused",
             });
         }
+        if (this.faults.resets) {
+            return this.finishLater(this.options.latencyMs, {
+                kind: "unknown",
+                message: "connection reset",
+            });
+        }
         return new Promise(resolve => {
             const timer = this.member.schedule(timeout, () => {
                 resolve({ kind: "unknown", message: `no answer within ${timeout} ms` });
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -234,6 +234,7 @@
             leaderRevision: claim.revision,
             getLastContact: () => store.getLastContact(),
             observeContact: sentAt => store.observeContact(sentAt),
+            observeAnswer: tookMs => store.observeAnswer(tookMs),
             handleDeposed,
         });
         const leader = new Leader({
--- /dev/null
+++ b/src/test/node/silenced-leader_test.ts
@@ -0,0 +1,101 @@
+/** When a leader that the store does not answer is replaced by a follower that it answers. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
+import { createRandom } from "../../common/random.js";
+import type { LeaderLink } from "../../process/node/leader-dialer.js";
+import type { StatusNote } from "../../process/node/messages.js";
+import { SilencedLeader } from "../../process/node/silenced-leader.js";
+import { StoreModel } from "../../stand-ins/index.js";
+import { CallPath } from "../fakes/call-path.js";
+import { FakeClock } from "../fakes/fake-clock.js";
+import { FakeStorePort } from "../fakes/fake-store-port.js";
+import { PausableClock } from "../fakes/pausable-clock.js";
+
+interface Case {
+    readonly name: string;
+    /** How long the store has answered the leader nothing. */
+    readonly silenceMs: Millis;
+    /** How long ago the store last failed to answer this follower; undefined where it always did. */
+    readonly ownFailureAgoMs: Millis | undefined;
+    readonly isSlow: boolean;
+    readonly expected: boolean;
+}
+
+const LOOK_LIMIT_MS = 2_000;
+const CASES: readonly Case[] = [
+    {
+        name: "replaces a leader that the store turns away, at once",
+        silenceMs: 450,
+        ownFailureAgoMs: undefined,
+        isSlow: false,
+        expected: true,
+    },
+    {
+        name: "leaves a leader alone that the store answers",
+        silenceMs: 0,
+        ownFailureAgoMs: undefined,
+        isSlow: false,
+        expected: false,
+    },
+    {
+        name: "leaves a leader alone while the store is slow for this node too",
+        silenceMs: 450,
+        ownFailureAgoMs: undefined,
+        isSlow: true,
+        expected: false,
+    },
+    {
+        name: "leaves a leader time when the store has just come back for this node",
+        silenceMs: 4_200,
+        ownFailureAgoMs: 300,
+        isSlow: false,
+        expected: false,
+    },
+    {
+        name: "replaces a leader that hears nothing long after the store came back for this node",
+        silenceMs: 5_200,
+        ownFailureAgoMs: 900,
+        isSlow: false,
+        expected: true,
+    },
+];
+
+function buildLink(storeSilenceMs: Millis): LeaderLink {
+    const status: StatusNote = {
+        kind: "status",
+        nodeName: "leader",
+        address: "",
+        leadsEpoch: 1,
+        leader: undefined,
+        storeSilenceMs,
+        configVersion: 1,
+        cores: 1,
+        isDraining: false,
+    };
+    return { status } as LeaderLink;
+}
+
+describe("a follower of a leader that the store does not answer", () => {
+    for (const { name, silenceMs, ownFailureAgoMs, isSlow, expected } of CASES) {
+        it(name, async () => {
+            const clock = new FakeClock();
+            const path = new CallPath(clock, new PausableClock(clock), {
+                latencyMs: 2,
+                random: createRandom(1),
+            });
+            const silenced = new SilencedLeader({
+                storePort: new FakeStorePort(new StoreModel(clock), path),
+                clock,
+            });
+            const link = buildLink(silenceMs);
+            if (ownFailureAgoMs !== undefined) {
+                path.planNext({ kind: "refuseConnection" });
+                assert.equal(await clock.wait(silenced.shouldReplace(link), LOOK_LIMIT_MS), false);
+                await clock.step(ownFailureAgoMs);
+            }
+            path.faults.slowMs = isSlow ? 200 : 0;
+            assert.equal(await clock.wait(silenced.shouldReplace(link), LOOK_LIMIT_MS), expected);
+        });
+    }
+});
