--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -55,12 +55,12 @@
 
     /** Returns usable workers by pool. */
     collectUsable(now: Millis): ReadonlyMap<string, readonly WorkerState[]> {
-        return this.groupByPool(state => state.isUsable(now));
+        return this.collectByPool(state => state.isUsable(now));
     }
 
     /** Returns workers by pool that this leader may not use yet, as it has not heard them. */
     collectUnheard(): ReadonlyMap<string, readonly WorkerState[]> {
-        return this.groupByPool(state => !state.isAdopted && state.isListed && !state.record.isDraining);
+        return this.collectByPool(state => !state.isAdopted && state.isListed && !state.record.isDraining);
     }
 
     /** Finds a worker's session. */
@@ -123,7 +123,7 @@
         this.members.forEach(({ session }) => session.close());
     }
 
-    private groupByPool(
+    private collectByPool(
         isWanted: (state: WorkerState) => boolean,
     ): ReadonlyMap<string, readonly WorkerState[]> {
         const pools = new Map<string, WorkerState[]>();
