--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -121,6 +121,7 @@
             nodeName: this.options.name,
             address: this.address,
             leadsEpoch: this.seat?.claim.epoch,
+            isLoading: this.seat?.isReady() === false,
             leader: this.findHint(),
             heardEpoch: this.seat?.claim.epoch ?? this.follower.getHeardEpoch(),
             storeSilenceMs: this.seat?.getStoreSilenceMs() ?? 0,
--- a/src/process/node/larger-node.ts
+++ b/src/process/node/larger-node.ts
@@ -5,13 +5,19 @@
  * 0.32 cores of the smallest VMs, whose followers use 0.03. A small node that leads makes every caller wait for it.
  */
 import type { Millis } from "../../common/clock.js";
+import type { StatusNote } from "./messages.js";
 
 /** A node this many times as large leads better; with less, the change costs more than it brings. */
 const MUCH_LARGER = 1.5;
 /** A VM with a whole core claims a place that nobody had this much sooner than one with none. */
 const FIRST_CLAIM_DELAY_MS: Millis = 120;
-/** Head start of large nodes when a leader is to be replaced: they notice it within 100 ms of each other. */
-const SMALL_NODE_DELAY_MS: Millis = 100;
+/**
+ * Head start of large nodes when a leader is to be replaced: nodes notice its silence within a beat of 150 ms of each other
+ * and ask others for as long, and a claim takes 50 ms.
+ */
+const SMALL_NODE_DELAY_MS: Millis = 350;
+/** A large node loads the journal in this time, so that a small one that has not done so is overtaken. */
+const LOADING_PATIENCE_MS: Millis = 300;
 /** A leader is left alone for this long: it loads the journal, and a change right after a change helps nobody. */
 const SETTLE_MS: Millis = 1_000;
 
@@ -46,3 +52,21 @@
 export function shouldOffer(ownCores: number, leaderCores: number, followedMs: Millis): boolean {
     return followedMs > SETTLE_MS && isMuchLarger(ownCores, leaderCores);
 }
+
+/**
+ * Decides whether a follower claims the place of a leader that has not loaded the journal yet.
+ *
+ * @remarks Failure guarded against: a VM with a link of 10 Mbit/s claims first after a loss. The journal of a large cluster
+ * takes longer over that link than a listing may, so it was read again and again: for 10 s on a played day nobody led, while
+ * six large nodes offered to. An offer waits until a leader has loaded; a claim is safe at any time.
+ * @param ownCores - Processor time of its VM.
+ * @param leader - The leader's last status.
+ * @param followedMs - How long it has followed this leader.
+ */
+export function shouldOvertake(
+    ownCores: number,
+    leader: Pick<StatusNote, "cores" | "isLoading">,
+    followedMs: Millis,
+): boolean {
+    return leader.isLoading && followedMs > LOADING_PATIENCE_MS && isMuchLarger(ownCores, leader.cores);
+}
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -7,7 +7,7 @@
 import type { StorePort } from "../ports/index.js";
 import type { Log } from "../telemetry.js";
 import type { ConfigHolder } from "./config-holder.js";
-import { shouldOffer } from "./larger-node.js";
+import { shouldOffer, shouldOvertake } from "./larger-node.js";
 import { connectToLeader } from "./leader-dialer.js";
 import type { LeaderLink } from "./leader-dialer.js";
 import type { LeaderReach } from "./leader-reach.js";
@@ -158,11 +158,21 @@
                 leaderLink.link.close("it cannot reach the store");
                 return "the leader cannot reach the store, this node can";
             }
-            void this.offerToLead(leaderLink, epoch, clock.now() - begin);
+            const followedMs = clock.now() - begin;
+            if (this.mayOvertake(leaderLink, followedMs)) {
+                leaderLink.link.close("a larger node takes its place");
+                return "a much smaller node leads and has not loaded the journal yet";
+            }
+            void this.offerToLead(leaderLink, epoch, followedMs);
         }
         return undefined;
     }
 
+    private mayOvertake({ status }: LeaderLink, followedMs: Millis): boolean {
+        return !this.options.isDraining() && status !== undefined &&
+            shouldOvertake(this.options.cores, status, followedMs);
+    }
+
     /** Offers to lead in place of a leader on a much smaller VM, again and again: one that still loads takes none. */
     private async offerToLead(leaderLink: LeaderLink, epoch: number, followedMs: Millis): Promise<void> {
         const { options } = this;
--- a/src/process/node/messages.ts
+++ b/src/process/node/messages.ts
@@ -35,6 +35,8 @@
     readonly address: string;
     /** Epoch under which this end leads; undefined where it does not. */
     readonly leadsEpoch: number | undefined;
+    /** Whether it leads and has not loaded the journal yet. */
+    readonly isLoading: boolean;
     /** The leader that this end follows, or is; undefined where it knows none. */
     readonly leader: LeaderHint | undefined;
     /** Epoch of the leader that this end is, or has heard within the last third of a second. */
--- a/src/test/node/larger-node_test.ts
+++ b/src/test/node/larger-node_test.ts
@@ -1,7 +1,7 @@
 /** Which node leads where VMs differ in size. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { computeClaimDelay, shouldOffer } from "../../process/node/larger-node.js";
+import { computeClaimDelay, shouldOffer, shouldOvertake } from "../../process/node/larger-node.js";
 import { waitUntil } from "../fakes/wait-until.js";
 import { makeSpec } from "../leader/leader-cell.js";
 import { CALL_MS, makeAddress, makeConfig, NodeCell } from "./node-cell.js";
@@ -22,6 +22,38 @@
         });
     }
 
+    // A small VM leads first after a loss of power and reads the journal for ten seconds over its narrow link; nobody is
+    // served until it has, although a large node that follows would have read it long since.
+    const loads = [
+        { name: "a large node", own: LARGE_CORES, isLoading: true, followedMs: 400, overtakes: true },
+        {
+            name: "a large node that has just come",
+            own: LARGE_CORES,
+            isLoading: true,
+            followedMs: 200,
+            overtakes: false,
+        },
+        {
+            name: "a large node once it has loaded",
+            own: LARGE_CORES,
+            isLoading: false,
+            followedMs: 400,
+            overtakes: false,
+        },
+        {
+            name: "a node of the same size",
+            own: SMALL_CORES,
+            isLoading: true,
+            followedMs: 9_000,
+            overtakes: false,
+        },
+    ];
+    for (const { name, own, isLoading, followedMs, overtakes } of loads) {
+        it(`${overtakes ? "lets" : "keeps"} ${name} ${overtakes ? "overtake" : "behind"} a small leader`, () => {
+            assert.equal(shouldOvertake(own, { cores: SMALL_CORES, isLoading }, followedMs), overtakes);
+        });
+    }
+
     it("makes nobody offer to lead who is hardly larger, or at once", () => {
         assert.equal(shouldOffer(LARGE_CORES, SMALL_CORES, 2_000), true);
         assert.equal(shouldOffer(LARGE_CORES, SMALL_CORES, 500), false);
--- a/src/test/node/silenced-leader_test.ts
+++ b/src/test/node/silenced-leader_test.ts
@@ -67,6 +67,7 @@
         nodeName: "leader",
         address: "",
         leadsEpoch: 1,
+        isLoading: false,
         leader: undefined,
         heardEpoch: 1,
         storeSilenceMs,
