--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -17,6 +17,7 @@
     WorkerReport,
 } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
+import { callTwice } from "./repeated-call.js";
 
 /** What a session tells the leader. */
 export interface SessionListener {
@@ -172,7 +173,7 @@
         this.leaseEnd = Math.max(this.leaseEnd, clock.now() + computeLeaseBound(lifeMs));
         const send = (): Promise<WorkerAnswer<Millis>> =>
             port.start(worker, { ...order, epoch }, ORDER_TIMEOUT_MS);
-        return this.order("start", () => this.sendTwice(send, send, SECOND_TRY_MS));
+        return this.order("start", () => this.callAgainIfSilent(send, send, SECOND_TRY_MS));
     }
 
     /** Sends an order to stop a run. */
@@ -214,45 +215,22 @@
         await Promise.race([durable, sleep(this.options.clock, DURABLE_WAIT_MS)]);
     }
 
-    /**
-     * Makes a call, and once more if no answer comes soon.
-     *
-     * @remarks The failure guarded against: some workers leave a few in a hundred calls unanswered for seconds. One order
-     * is enough to keep a gang of 20 from starting, and one report hides every end on its worker. Calls are idempotent, so
-     * a second try does no harm; that one of two was refused says nothing while the other may have been carried out.
-     * @param send - Makes the first call.
-     * @param sendAgain - Makes the second one.
-     * @param patience - Time for the first answer.
-     */
-    private async sendTwice<Value>(
-        send: () => Promise<WorkerAnswer<Value>>,
+    /** Makes a call, and once more if no answer comes soon. */
+    private callAgainIfSilent<Value>(
+        sendFirst: () => Promise<WorkerAnswer<Value>>,
         sendAgain: () => Promise<WorkerAnswer<Value>>,
-        patience: Millis,
+        patienceMs: Millis,
     ): Promise<WorkerAnswer<Value>> {
         const { clock, listener, metrics } = this.options;
-        const first = send();
-        const early = await Promise.race([first, sleep(clock, patience)]);
-        if (early !== undefined || this.closed) {
-            return early ?? first;
-        }
-        metrics.count("worker.callsRepeated");
-        let hasFirstEnded = false;
-        void first.then(() => hasFirstEnded = true);
-        const second = sendAgain().then(answer => {
-            if (answer.kind === "done" && !hasFirstEnded) {
-                listener.handleLostAnswer();
-            }
-            return answer;
+        return callTwice({
+            clock,
+            sendFirst,
+            sendAgain,
+            patienceMs,
+            isWanted: () => !this.closed,
+            handleRepeated: () => metrics.count("worker.callsRepeated"),
+            handleLostAnswer: () => listener.handleLostAnswer(),
         });
-        const tries = [first, second];
-        const soonest = await Promise.race(tries);
-        if (soonest.kind === "done" || soonest.kind === "replaced") {
-            return soonest;
-        }
-        const answers = await Promise.all(tries);
-        return answers.find(answer => answer.kind === "done") ??
-            answers.find(answer => answer.kind === "unknown") ??
-            soonest;
     }
 
     private async order(
@@ -283,7 +261,7 @@
             this.leaseEnd = Math.max(this.leaseEnd, sentAt + computeLeaseBound(leaseMs));
         }
         const request = { epoch, seenEnd: this.seenEnd, workerDeadline, waitMs };
-        const answer = await this.sendTwice(
+        const answer = await this.callAgainIfSilent(
             () => port.report(worker, request, waitMs + ANSWER_MARGIN_MS),
             // The lease ends when the first request would have it end, so the bound above stays true.
             () => port.report(worker, { ...request, waitMs: 0 }, ANSWER_MARGIN_MS - REPORT_AGAIN_MS),
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -47,6 +47,24 @@
     orderedAt: Millis;
 }
 
+/** What is known of a run when its record is made; the rest is as for a run that was not seen yet. */
+export type NewRun =
+    & Pick<RunRecord, "task" | "run" | "step" | "demand" | "phase" | "settledAfter" | "orderedAt">
+    & Partial<RunRecord>;
+
+/** Builds the record of a run. */
+export function buildRunRecord(run: NewRun): RunRecord {
+    return {
+        isDemandKnown: true,
+        wasSeen: false,
+        isInherited: false,
+        yieldsBelow: undefined,
+        expectedMs: Infinity,
+        checkpoint: "",
+        ...run,
+    };
+}
+
 /** Share of a new sample in a worker's speed: single run times are off by a factor of 1.6. */
 const SPEED_GAIN = 0.15;
 /** Slow spells last for seconds; without new samples half of what was learnt is forgotten in this time. */
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -4,7 +4,7 @@
 import type { Resources } from "../../common/resources.js";
 import { ReportWait } from "../dispatch/report-wait.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
-import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
+import { buildRunRecord, makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
 import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
@@ -12,6 +12,8 @@
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 import { InheritedRuns } from "./inherited-runs.js";
+import { collectByPool } from "./workers-by-pool.js";
+import type { WorkersByPool } from "./workers-by-pool.js";
 
 /** Time between two orders to stop the same run while its end is not listed. */
 const STOP_RETRY_MS: Millis = 400;
@@ -54,13 +56,16 @@
     }
 
     /** Returns usable workers by pool. */
-    collectUsable(now: Millis): ReadonlyMap<string, readonly WorkerState[]> {
-        return this.collectByPool(state => state.isUsable(now));
+    collectUsable(now: Millis): WorkersByPool {
+        return collectByPool(this.listStates(), state => state.isUsable(now));
     }
 
     /** Returns workers by pool that this leader may not use yet, as it has not heard them. */
-    collectUnheard(): ReadonlyMap<string, readonly WorkerState[]> {
-        return this.collectByPool(state => !state.isAdopted && state.isListed && !state.record.isDraining);
+    collectUnheard(): WorkersByPool {
+        return collectByPool(
+            this.listStates(),
+            state => !state.isAdopted && state.isListed && !state.record.isDraining,
+        );
     }
 
     /** Finds a worker's session. */
@@ -123,23 +128,10 @@
         this.members.forEach(({ session }) => session.close());
     }
 
-    private collectByPool(
-        isWanted: (state: WorkerState) => boolean,
-    ): ReadonlyMap<string, readonly WorkerState[]> {
-        const pools = new Map<string, WorkerState[]>();
+    private *listStates(): Iterable<WorkerState> {
         for (const { state } of this.members.values()) {
-            if (!isWanted(state)) {
-                continue;
-            }
-            const pool = pools.get(state.record.pool);
-            if (pool === undefined) {
-                pools.set(state.record.pool, [state]);
-            }
-            else {
-                pool.push(state);
-            }
+            yield state;
         }
-        return pools;
     }
 
     private upsertWorker(record: WorkerRecord): void {
@@ -270,7 +262,7 @@
     /** A run that no task is waiting for: its room is taken until it has ended. */
     private stopForeign(state: WorkerState, running: RunningRun, workerNow: Millis): void {
         const found = this.context.book.findTask(running.task);
-        const record: RunRecord = {
+        const record = buildRunRecord({
             task: running.task,
             run: running.run,
             step: found?.step.name ?? "",
@@ -280,11 +272,9 @@
             settledAfter: workerNow,
             wasSeen: true,
             isInherited: true,
-            yieldsBelow: undefined,
-            expectedMs: Infinity,
             checkpoint: running.checkpoint,
             orderedAt: this.context.clock.now(),
-        };
+        });
         state.addRun(record);
         this.context.log.warn("CR1613", "foreignRunStopped", {
             workerId: state.id,
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -1,6 +1,6 @@
 /** Runs that earlier leaders gave to workers of which this one has not heard yet. */
 import type { Millis } from "../../common/clock.js";
-import { makeRunKey, RunPhase } from "../dispatch/worker-state.js";
+import { buildRunRecord, makeRunKey, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import type { FoundTask } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -85,21 +85,18 @@
     }
 
     private buildRun({ step, task }: FoundTask): RunRecord {
-        return {
+        return buildRunRecord({
             task: task.name,
             run: task.run,
             step: step.name,
             demand: step.spec.demand,
-            isDemandKnown: true,
             phase: RunPhase.ordered,
             // The first report carries the new epoch, so orders of earlier leaders have no effect after it.
             settledAfter: 0,
-            wasSeen: false,
             isInherited: true,
             yieldsBelow: this.context.findYieldLimit(step),
-            expectedMs: Infinity,
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
-        };
+        });
     }
 }
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -2,7 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { StepPermits } from "../dispatch/permits.js";
 import type { PlannedStart } from "../dispatch/planner.js";
-import { RunPhase } from "../dispatch/worker-state.js";
+import { buildRunRecord, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Step } from "../jobs/job.js";
@@ -52,21 +52,18 @@
 
     private assign(start: PlannedStart, run: number): void {
         const { step, task, worker } = start;
-        const record: RunRecord = {
+        const record = buildRunRecord({
             task: task.name,
             run,
             step: step.name,
             demand: step.spec.demand,
-            isDemandKnown: true,
             phase: RunPhase.reserved,
             settledAfter: Infinity,
-            wasSeen: false,
-            isInherited: false,
             yieldsBelow: this.context.findYieldLimit(step),
             expectedMs: this.context.predictRunMs(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
-        };
+        });
         worker.addRun(record);
         this.context.record(
             { type: "assigned", task: task.name, run, workerId: worker.id },
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -4,6 +4,7 @@
 import { createRandom } from "../../common/random.js";
 import { isWithin } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
+import { buildRunRecord, RunPhase } from "../../process/dispatch/worker-state.js";
 import type { RunRecord } from "../../process/dispatch/worker-state.js";
 import type { JobSpec, StepSpec } from "../../process/jobs/job-spec.js";
 import { GuardedStore } from "../../process/journal/guarded-store.js";
@@ -89,22 +90,8 @@
 
 /** Builds a run that a worker has; only what matters to a test is given. */
 export function makeRunRecord(task: string, change: Partial<RunRecord> = {}): RunRecord {
-    return {
-        task,
-        run: 1,
-        step: "x",
-        demand: CORE,
-        isDemandKnown: true,
-        phase: "running",
-        settledAfter: 0,
-        wasSeen: true,
-        isInherited: false,
-        yieldsBelow: undefined,
-        expectedMs: Infinity,
-        checkpoint: "",
-        orderedAt: 0,
-        ...change,
-    };
+    const usual = { run: 1, step: "x", demand: CORE, settledAfter: 0, wasSeen: true, orderedAt: 0 };
+    return buildRunRecord({ ...usual, task, phase: RunPhase.running, ...change });
 }
 
 /** Returns the id of the n-th job of a test. */
