--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -2,6 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
 import { computeChainMs } from "../jobs/job-spec.js";
+import type { StepSpec } from "../jobs/job-spec.js";
 import type { Step } from "../jobs/job.js";
 
 /** Place of a step in the order; lower goes first, field by field. */
@@ -19,9 +20,18 @@
 /** A job is worth something to its caller until this many times its objective has passed. */
 const LATE_FACTOR = 3;
 
-/** Returns the time from acceptance within which a job is to be done. */
-function computeObjectiveMs(queue: QueueConfig, chainMs: Millis): Millis {
-    return queue.stretch * chainMs + queue.targetMs;
+/**
+ * Predicts the time from acceptance within which a job is to be done.
+ * @param steps - Its steps.
+ * @param queue - Its queue.
+ * @param predictMs - What to expect of an estimate.
+ */
+export function predictObjectiveMs(
+    steps: readonly StepSpec[],
+    queue: QueueConfig,
+    predictMs: (estimateMs: Millis) => Millis,
+): Millis {
+    return queue.stretch * computeChainMs(steps, predictMs) + queue.targetMs;
 }
 
 /**
@@ -44,8 +54,7 @@
     const { job, repairRun } = step;
     const isRepair = repairRun !== undefined;
     const begin = Math.max(job.acceptedAt, step.occurrence.dueAt);
-    const chainMs = computeChainMs(step.occurrence.steps.map(other => other.spec), predictMs);
-    const objective = computeObjectiveMs(queue, chainMs);
+    const objective = predictObjectiveMs(step.occurrence.steps.map(other => other.spec), queue, predictMs);
     const dueAt = begin + objective;
     const endAt = wallNow + predictMs(step.spec.estimateMs);
     if (endAt <= dueAt) {
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -1,6 +1,7 @@
 /** What the end of a run means: for its task, its gang, its job, and for the worker that ran it. */
 import type { Millis } from "../../common/clock.js";
 import type { RunTimeModel } from "../dispatch/run-time-model.js";
+import { predictObjectiveMs } from "../dispatch/urgency.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
 import { isJobDone } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -157,10 +158,21 @@
         const { context } = this;
         const at = context.clock.wallNow();
         const tookMs: Millis = at - job.acceptedAt;
-        context.log.info("jobClosed", { jobId: job.id, queue: job.queue, phase, tookMs });
+        const objectiveMs = this.predictObjectiveMs(job);
+        context.log.info("jobClosed", { jobId: job.id, queue: job.queue, phase, tookMs, objectiveMs });
         context.metrics.time("jobs.took", tookMs, { phase });
         context.record({ type: "closed", jobId: job.id, phase, at }, () => {
             job.isEndDurable = true;
         });
     }
+
+    /** What the job's time is to be compared with; undefined where its queue has been removed. */
+    private predictObjectiveMs(job: Job): Millis | undefined {
+        const queue = this.context.findQueueByName(job.queue);
+        if (queue === undefined || job.spec === undefined) {
+            return undefined;
+        }
+        const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
+        return Math.round(predictObjectiveMs(job.spec.steps, queue, predict));
+    }
 }
--- a/src/test/leader/calm_test.ts
+++ b/src/test/leader/calm_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { JobSpec } from "../../process/jobs/job-spec.js";
-import { LeaderCell, makeSpec } from "./leader-cell.js";
+import { LeaderCell, makeSpec, QUEUE } from "./leader-cell.js";
 
 describe("a leader without faults", () => {
     const cases: { name: string; spec: JobSpec; starts: number; withinMs: number; }[] = [
@@ -23,6 +23,16 @@
         },
     ];
     for (const { name, spec, starts, withinMs } of cases) {
+        it("says with a job's end how long it took and what it was to take", async () => {
+            const cell = new LeaderCell(1);
+            const leader = await cell.startLeader();
+            await cell.clock.step(100);
+            await cell.submit(leader, 1, makeSpec({ estimateMs: 1_000 }, { estimateMs: 1_000, after: [0] }));
+            await cell.clock.step(3_000);
+            const closed = leader.log.lines.find(line => line.event === "jobClosed");
+            assert.equal(closed?.fields.objectiveMs, QUEUE.stretch * 2_000 + QUEUE.targetMs);
+        });
+
         it(name, async () => {
             const cell = new LeaderCell(2);
             const leader = await cell.startLeader();
