--- /dev/null
+++ b/bench/losses/job-timeline.ts
@@ -0,0 +1,117 @@
+/** What the lines of all nodes say of each job: when it was accepted, ordered, ended and closed. */
+import type { Millis } from "../../src/common/clock.js";
+import type { LogLine } from "./log-lines.js";
+
+/** One run of a task. */
+export interface RunTimeline {
+    readonly task: string;
+    readonly run: number;
+    readonly orderedAt: number;
+    endedAt: number | undefined;
+    /** How it ended; undefined while that is not known. */
+    end: string | undefined;
+}
+
+/** One step of a job. */
+export interface StepTimeline {
+    readonly name: string;
+    /** When its first answer of the advice service came; undefined where it needed none. */
+    permittedAt: number | undefined;
+    readonly runs: RunTimeline[];
+}
+
+/** One job. */
+export interface JobTimeline {
+    readonly jobId: string;
+    readonly queue: string;
+    readonly acceptedAt: number;
+    readonly steps: Map<string, StepTimeline>;
+    closedAt: number | undefined;
+    phase: string | undefined;
+    /** What the leader expected it to take for its objective. */
+    objectiveMs: Millis | undefined;
+}
+
+type Handler = (jobs: Map<string, JobTimeline>, line: LogLine) => void;
+
+const HANDLERS: Readonly<Record<string, Handler>> = {
+    jobDecided: acceptJob,
+    adviceGiven: acceptPermits,
+    runOrdered: acceptOrder,
+    runEnded: acceptEnd,
+    jobClosed: closeJob,
+};
+
+/** Builds the timelines of all jobs whose acceptance stands in the lines, in the order of their acceptance. */
+export function buildTimelines(lines: readonly LogLine[]): readonly JobTimeline[] {
+    const jobs = new Map<string, JobTimeline>();
+    lines.forEach(line => HANDLERS[line.event]?.(jobs, line));
+    return [...jobs.values()];
+}
+
+function acceptJob(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
+    const jobId = String(fields.jobId);
+    if (fields.outcome === "accepted" && !jobs.has(jobId)) {
+        jobs.set(jobId, {
+            jobId,
+            queue: String(fields.queue),
+            acceptedAt: time,
+            steps: new Map(),
+            closedAt: undefined,
+            phase: undefined,
+            objectiveMs: undefined,
+        });
+    }
+}
+
+function acceptPermits(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
+    const step = findStep(jobs, String(fields.step));
+    if (step !== undefined && fields.answer === "done") {
+        step.permittedAt ??= time;
+    }
+}
+
+function acceptOrder(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
+    const task = String(fields.task);
+    const tookMs = Number(fields.tookMs ?? 0);
+    findStep(jobs, getStepName(task))?.runs.push({
+        task,
+        run: Number(fields.run),
+        orderedAt: time - tookMs,
+        endedAt: undefined,
+        end: undefined,
+    });
+}
+
+function acceptEnd(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
+    const { task, run } = fields;
+    const found = findStep(jobs, getStepName(String(task)))?.runs
+        .findLast(other => other.task === task && other.run === run);
+    if (found !== undefined && fields.isCurrent === true) {
+        found.endedAt = time;
+        found.end = String(fields.end);
+    }
+}
+
+function closeJob(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
+    const job = jobs.get(String(fields.jobId));
+    if (job !== undefined) {
+        job.closedAt = time;
+        job.phase = String(fields.phase);
+        job.objectiveMs = typeof fields.objectiveMs === "number" ? fields.objectiveMs : undefined;
+    }
+}
+
+function getStepName(task: string): string {
+    return task.slice(0, task.lastIndexOf("."));
+}
+
+function findStep(jobs: Map<string, JobTimeline>, name: string): StepTimeline | undefined {
+    const steps = jobs.get(name.slice(0, name.indexOf(".")))?.steps;
+    if (steps === undefined) {
+        return undefined;
+    }
+    const known = steps.get(name) ?? { name, permittedAt: undefined, runs: [] };
+    steps.set(name, known);
+    return known;
+}
