--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -21,12 +21,12 @@
 const LATE_FACTOR = 3;
 
 /**
- * Predicts the time from acceptance within which a job is to be done.
+ * Estimates the time from acceptance within which a job is to be done.
  * @param steps - Its steps.
  * @param queue - Its queue.
  * @param predictMs - What to expect of an estimate.
  */
-export function predictObjectiveMs(
+export function estimateObjectiveMs(
     steps: readonly StepSpec[],
     queue: QueueConfig,
     predictMs: (estimateMs: Millis) => Millis,
@@ -54,7 +54,7 @@
     const { job, repairRun } = step;
     const isRepair = repairRun !== undefined;
     const begin = Math.max(job.acceptedAt, step.occurrence.dueAt);
-    const objective = predictObjectiveMs(step.occurrence.steps.map(other => other.spec), queue, predictMs);
+    const objective = estimateObjectiveMs(step.occurrence.steps.map(other => other.spec), queue, predictMs);
     const dueAt = begin + objective;
     const endAt = wallNow + predictMs(step.spec.estimateMs);
     if (endAt <= dueAt) {
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -1,7 +1,7 @@
 /** What the end of a run means: for its task, its gang, its job, and for the worker that ran it. */
 import type { Millis } from "../../common/clock.js";
 import type { RunTimeModel } from "../dispatch/run-time-model.js";
-import { predictObjectiveMs } from "../dispatch/urgency.js";
+import { estimateObjectiveMs } from "../dispatch/urgency.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
 import { isJobDone } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -158,7 +158,7 @@
         const { context } = this;
         const at = context.clock.wallNow();
         const tookMs: Millis = at - job.acceptedAt;
-        const objectiveMs = this.predictObjectiveMs(job);
+        const objectiveMs = this.estimateObjectiveMs(job);
         context.log.info("jobClosed", { jobId: job.id, queue: job.queue, phase, tookMs, objectiveMs });
         context.metrics.time("jobs.took", tookMs, { phase });
         context.record({ type: "closed", jobId: job.id, phase, at }, () => {
@@ -167,12 +167,12 @@
     }
 
     /** What the job's time is to be compared with; undefined where its queue has been removed. */
-    private predictObjectiveMs(job: Job): Millis | undefined {
+    private estimateObjectiveMs(job: Job): Millis | undefined {
         const queue = this.context.findQueueByName(job.queue);
         if (queue === undefined || job.spec === undefined) {
             return undefined;
         }
         const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
-        return Math.round(predictObjectiveMs(job.spec.steps, queue, predict));
+        return Math.round(estimateObjectiveMs(job.spec.steps, queue, predict));
     }
 }
