--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -24,8 +24,6 @@
 export interface PlanInput {
     /** Steps with something to start, in any order. */
     readonly waiting: readonly Urgency[];
-    /** Steps that will have something to start once what runs now has ended, soon enough for a permit to be of use. */
-    readonly upcoming: readonly Urgency[];
     /** Usable workers of each pool. */
     readonly workersByPool: ReadonlyMap<string, readonly WorkerState[]>;
     /**
@@ -116,7 +114,6 @@
     run(): Plan {
         const ordered = [...this.input.waiting].sort(compareUrgency);
         ordered.forEach(urgency => this.planStep(urgency));
-        this.input.upcoming.forEach(urgency => this.requestAhead(urgency));
         return { starts: this.starts, wishes: this.wishes, preemptions: this.preemptions };
     }
 
@@ -141,20 +138,6 @@
         }
     }
 
-    /**
-     * Asks for the permits of a step before its turn. A question of a short step takes 35 to 40 ms, a fifteenth of a short
-     * job's slack for each of its steps.
-     */
-    private requestAhead(urgency: Urgency): void {
-        const { step, queue } = urgency;
-        const permits = this.input.getPermits(step);
-        if (queue.advice === undefined || permits.hasAnswer() || !permits.canAsk(this.input.now)) {
-            return;
-        }
-        const slots = this.getPool(queue.pool).slots.filter(slot => slot.isSuitable(step));
-        this.addWish(urgency, slots, this.input.getAllowedShare(queue.name));
-    }
-
     private getPool(name: string): PoolView {
         const known = this.pools.get(name);
         if (known !== undefined) {
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -6,7 +6,7 @@
 import type { JobAccepted, JobClosed, JobEvent, RunAssigned, RunEnded } from "./job-events.js";
 import { formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
 import type { JobSpec } from "./job-spec.js";
-import { hasOnlyWorkBefore, isStepReady, isStepRunnable, listSteps, TaskState } from "./job.js";
+import { isStepRunnable, listSteps, TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
 
 /** A task with the step that it belongs to. */
@@ -86,15 +86,6 @@
         }
     }
 
-    /** Lists the steps of open jobs that wait for nothing but tasks that are at work. */
-    *listUpcoming(): Iterable<Step> {
-        for (const step of this.listOpenSteps()) {
-            if (step.waiting === step.tasks.length && !isStepReady(step) && hasOnlyWorkBefore(step)) {
-                yield step;
-            }
-        }
-    }
-
     /** Counts a queue's jobs of which nothing has started. */
     countPending(queue: string): number {
         let count = 0;
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -95,11 +95,6 @@
     });
 }
 
-/** Tells whether all tasks of the steps that a step depends on are done or given to workers. */
-export function hasOnlyWorkBefore(step: Step): boolean {
-    return step.spec.after.every(number => (step.occurrence.steps[number]?.waiting ?? 0) === 0);
-}
-
 /** Tells whether a step has a task, or a whole gang, that could be given to workers now. */
 export function isStepRunnable(step: Step): boolean {
     const isWholeNeeded = step.spec.isGang && step.repairRun === undefined;
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -50,8 +50,6 @@
 const PASS_DELAY_MS: Millis = 3;
 /** Passes take at most a third of the leader's time, however much waits: answers and reports need the rest. */
 const PASS_REST_FACTOR = 2;
-/** Part of a permit's validity within which the work before its step must be expected to end: run times vary by half. */
-const AHEAD_SHARE = 0.5;
 /** How often leases, schedules and the store's silence are looked at. */
 const SWEEP_MS: Millis = 100;
 const FORGET_EVERY_SWEEPS = 50;
@@ -210,10 +208,7 @@
             return;
         }
         const plan = planStarts({
-            waiting: this.rankSteps(this.options.loaded.book.listRunnable()),
-            upcoming: this.rankSteps(this.options.loaded.book.listUpcoming()).filter(urgency =>
-                this.isSoon(urgency)
-            ),
+            waiting: this.rankWaiting(),
             workersByPool: this.fleet.collectUsable(begin),
             unheardByPool: this.fleet.collectUnheard(),
             getPermits: step => this.getPermits(step),
@@ -236,10 +231,10 @@
         this.fleet.stopRun(worker, run);
     }
 
-    private rankSteps(steps: Iterable<Step>): readonly Urgency[] {
+    private rankWaiting(): readonly Urgency[] {
         const wallNow = this.options.clock.wallNow();
         const ranked: Urgency[] = [];
-        for (const step of steps) {
+        for (const step of this.options.loaded.book.listRunnable()) {
             const queue = this.context.findQueueByName(step.job.queue);
             if (queue !== undefined) {
                 const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
@@ -249,15 +244,6 @@
         return ranked;
     }
 
-    /** Tells whether what a step waits for will probably have ended while a permit given now is still good. */
-    private isSoon({ step, queue }: Urgency): boolean {
-        const validMs = queue.advice?.validMs ?? 0;
-        return step.spec.after.every(number => {
-            const earlier = step.occurrence.steps[number];
-            return earlier === undefined || this.context.predictRunMs(earlier) <= validMs * AHEAD_SHARE;
-        });
-    }
-
     private getPermits(step: Step): StepPermits {
         const known = this.permits.get(step);
         if (known !== undefined) {
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -58,7 +58,6 @@
     });
     return planStarts({
         waiting,
-        upcoming: [...book.listUpcoming()].map(step => rankStep(step, { ...QUEUE, ...jobs[0]?.queue }, NOW)),
         workersByPool: new Map([["pool", workers]]),
         unheardByPool: new Map([["pool", unheard]]),
         getPermits: step => permitsOf.get(numbers.get(step) ?? -1) ?? new StepPermits(),
@@ -166,38 +165,6 @@
         assert.deepEqual(plan.wishes.map(wish => wish.workerIds), [["w2", "w3", "w1"]]);
     });
 
-    // Each step of a job waited for a question of its own, 40 ms after the last task before it had ended.
-    const chains = [
-        { name: "asks ahead for a step once all before it is at work", assigned: 2, asks: true },
-        { name: "does not ask for a step while some before it still waits", assigned: 1, asks: false },
-    ];
-    for (const { name, assigned, asks } of chains) {
-        it(name, () => {
-            const book = new JobBook();
-            const jobId = makeJobId(1);
-            const spec = makeSpec({ taskCount: 2 }, { after: [0] });
-            book.apply({ type: "accepted", jobId, queue: "batch", spec, at: NOW });
-            for (let index = 0; index < assigned; index++) {
-                book.apply({ type: "assigned", task: `${jobId}.0.0.${index}`, run: 1, workerId: "w1" });
-            }
-            assert.deepEqual([...book.listUpcoming()].map(step => step.name), asks ? [`${jobId}.0.1`] : []);
-            const queue = { ...QUEUE, advice: ADVICE };
-            const plan = planStarts({
-                waiting: [],
-                upcoming: [...book.listUpcoming()].map(step => rankStep(step, queue, NOW)),
-                workersByPool: new Map([["pool", makeWorkers(4, 4)]]),
-                unheardByPool: new Map(),
-                getPermits: () => new StepPermits(),
-                preemptionLooks: new PreemptionLooks(),
-                getClaimedCpu: () => 0,
-                getAllowedShare: () => 0.4,
-                now: NOW,
-            });
-            assert.equal(plan.wishes.length, asks ? 1 : 0);
-            assert.deepEqual(plan.starts, []);
-        });
-    }
-
     it("asks for permits for workers that were not heard yet, and starts nothing there", () => {
         // All nodes were away, and jobs wait. The first question went out only when the workers had been heard and that was
         // durable, so each job waited for both in turn.
