--- a/src/process/dispatch/report-wait.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -1,11 +1,14 @@
 /**
- * How long workers may hold their reports back, and which calls count as lost. Pure.
+ * What follows from answers of workers that get lost: how long workers may hold their reports back, and how soon a call is
+ * made again. Pure.
  *
  * @remarks The load this answers: workers that leave three in a hundred calls unanswered, each for itself, while short
  * jobs have half a second of slack. A report that is held back for a second and then lost hides every end on its worker
  * for a second and a half: a quarter of 33 workers were out of sight at any time, and one short job in six was late for it.
  * While answers are lost workers hold reports back for a quarter of a second, so a lost one hides ends for 0.4 s. That
- * takes five requests a second of each worker, where a calm one takes one to four, so it is done only then.
+ * takes five requests a second of each worker, where a calm one takes one to four, so it is done only then. A lost order holds
+ * its task up until it is sent again; while a leader has little processor time all answers are late, so it is sent again soon
+ * only where answers are known to get lost.
  */
 import type { Millis } from "../../common/clock.js";
 
@@ -18,8 +21,13 @@
 /** Reports a second, over all workers, that short waits may lead to: a tenth of a core at 0.4 ms each. */
 const MAX_REPORTS_PER_S = 250;
 
+/** Time after which a call is made again: seven times what 95 of 100 answers take, as a leader may be slow itself. */
+const CALM_REPEAT_MS: Millis = 150;
+/** The same while answers are lost: three times what 95 of 100 answers take. */
+const LOSSY_REPEAT_MS: Millis = 60;
+
 /** What one leader knows of lost answers; see the module comment. */
-export class ReportWait {
+export class LostAnswers {
     private lastLossAt: Millis = -Infinity;
 
     /** Takes in that a worker left a call unanswered and answered a later one. */
@@ -32,11 +40,23 @@
      * @param now - On our clock.
      * @param workerCount - Workers that are asked.
      */
-    compute(now: Millis, workerCount: number): Millis {
-        if (now - this.lastLossAt > LOSS_MEMORY_MS) {
+    computeReportWait(now: Millis, workerCount: number): Millis {
+        if (!this.isRecent(now)) {
             return CALM_WAIT_MS;
         }
         const affordable = workerCount / MAX_REPORTS_PER_S * 1_000;
         return Math.min(CALM_WAIT_MS, Math.max(LOSSY_WAIT_MS, affordable));
     }
+
+    /**
+     * Computes after how long without an answer a call is made again.
+     * @param now - On our clock.
+     */
+    computeRepeatDelay(now: Millis): Millis {
+        return this.isRecent(now) ? LOSSY_REPEAT_MS : CALM_REPEAT_MS;
+    }
+
+    private isRecent(now: Millis): boolean {
+        return now - this.lastLossAt <= LOSS_MEMORY_MS;
+    }
 }
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -36,8 +36,10 @@
     handleSuspended(gap: Millis): void;
     /** Whether this leader may still extend leases: see `authority.ts`. */
     mayExtend(): boolean;
-    /** How long the worker may hold its next report back: see `report-wait.ts`. */
+    /** How long the worker may hold its next report back: see `lost-answers.ts`. */
     computeReportWait(): Millis;
+    /** After how long without an answer a call is made again. */
+    computeRepeatDelay(): Millis;
     /** The worker left a call unanswered and answered a later one. */
     handleLostAnswer(): void;
 }
@@ -66,15 +68,11 @@
 const DURABLE_WAIT_MS: Millis = 700;
 /** Time for the answer on top of what the worker may wait: one way is under 4 ms, a busy worker takes longer. */
 const ANSWER_MARGIN_MS: Millis = 500;
-/** Time after what the worker may wait at which the request is sent again: 95 of 100 answers come within 20 ms. */
-const REPORT_AGAIN_MS: Millis = 150;
 const RETRY_PAUSE_MS: Millis = 100;
 /** Reports that fail one after the other before the worker gets no new work. */
 const MAX_FAILURES = 1;
 /** Time for an order's answer. What was not answered by then is settled by the reports. */
 const ORDER_TIMEOUT_MS: Millis = 600;
-/** Time after which an order is sent again: 95 of 100 answers come within 20 ms. */
-const SECOND_TRY_MS: Millis = 150;
 /** A worker's clock that gains more than this between two reports shows that this process stood still. */
 const SUSPENSION_MS: Millis = 1_000;
 /** A worker's clock may be slower than ours by 2%; another 1% and this constant cover the estimate of its time. */
@@ -173,7 +171,10 @@
         this.leaseEnd = Math.max(this.leaseEnd, clock.now() + computeLeaseBound(lifeMs));
         const send = (): Promise<WorkerAnswer<Millis>> =>
             port.start(worker, { ...order, epoch }, ORDER_TIMEOUT_MS);
-        return this.order("start", () => this.callAgainIfSilent(send, send, SECOND_TRY_MS));
+        return this.order(
+            "start",
+            () => this.callAgainIfSilent(send, send, this.options.listener.computeRepeatDelay()),
+        );
     }
 
     /** Sends an order to stop a run. */
@@ -256,6 +257,7 @@
         const workerDeadline = mayLease ? Math.floor(now + leaseMs) : undefined;
         // Until leases may be extended the answer is wanted at once, and an unsure worker is asked for a sign of life.
         const waitMs = mayLease ? this.options.listener.computeReportWait() : 0;
+        const repeatMs = this.options.listener.computeRepeatDelay();
         this.wasLeaseAsked = mayLease;
         if (workerDeadline !== undefined) {
             this.leaseEnd = Math.max(this.leaseEnd, sentAt + computeLeaseBound(leaseMs));
@@ -264,8 +266,8 @@
         const answer = await this.callAgainIfSilent(
             () => port.report(worker, request, waitMs + ANSWER_MARGIN_MS),
             // The lease ends when the first request would have it end, so the bound above stays true.
-            () => port.report(worker, { ...request, waitMs: 0 }, ANSWER_MARGIN_MS - REPORT_AGAIN_MS),
-            waitMs + REPORT_AGAIN_MS,
+            () => port.report(worker, { ...request, waitMs: 0 }, ANSWER_MARGIN_MS - repeatMs),
+            waitMs + repeatMs,
         );
         if (this.closed) {
             return;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -2,7 +2,7 @@
 import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import type { Resources } from "../../common/resources.js";
-import { ReportWait } from "../dispatch/report-wait.js";
+import { LostAnswers } from "../dispatch/lost-answers.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
 import { buildRunRecord, makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
@@ -30,7 +30,7 @@
 export class Fleet {
     private readonly members = new Map<string, Member>();
     private readonly inherited: InheritedRuns;
-    private readonly reportWait = new ReportWait();
+    private readonly lostAnswers = new LostAnswers();
     private closed = false;
 
     /**
@@ -165,8 +165,10 @@
                 handleFenced: () => context.handleDeposed("a worker follows a later leader"),
                 handleSuspended: gap => this.handleSuspended(gap),
                 mayExtend: () => context.authority.mayOrder(),
-                computeReportWait: () => this.reportWait.compute(context.clock.now(), this.members.size),
-                handleLostAnswer: () => this.reportWait.observeLoss(context.clock.now()),
+                computeReportWait: () =>
+                    this.lostAnswers.computeReportWait(context.clock.now(), this.members.size),
+                computeRepeatDelay: () => this.lostAnswers.computeRepeatDelay(context.clock.now()),
+                handleLostAnswer: () => this.lostAnswers.observeLoss(context.clock.now()),
             },
         });
         const member: Member = { state, session, unlistedSince: undefined };
--- a/src/test/dispatch/report-wait_test.ts
+++ b/src/test/dispatch/lost-answers_test.ts
@@ -1,7 +1,7 @@
-/** How long workers may hold reports back. */
+/** What follows from lost answers of workers. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ReportWait } from "../../process/dispatch/report-wait.js";
+import { LostAnswers } from "../../process/dispatch/lost-answers.js";
 
 interface Case {
     readonly name: string;
@@ -20,14 +20,31 @@
     { name: "never exceeds the calm wait", lossAt: NOW - 500, workers: 3_800, expected: 1_000 },
 ];
 
-describe("ReportWait", () => {
+describe("the wait for a report", () => {
     for (const { name, lossAt, workers, expected } of CASES) {
         it(name, () => {
-            const wait = new ReportWait();
+            const lost = new LostAnswers();
             if (lossAt !== undefined) {
-                wait.observeLoss(lossAt);
+                lost.observeLoss(lossAt);
             }
-            assert.equal(wait.compute(NOW, workers), expected);
+            assert.equal(lost.computeReportWait(NOW, workers), expected);
+        });
+    }
+});
+
+describe("the wait before a call is made again", () => {
+    const cases = [
+        { name: "leaves a slow leader time", lossAt: undefined, expected: 150 },
+        { name: "is short after a lost answer", lossAt: NOW - 500, expected: 60 },
+        { name: "is long again some seconds later", lossAt: NOW - 5_000, expected: 150 },
+    ];
+    for (const { name, lossAt, expected } of cases) {
+        it(name, () => {
+            const lost = new LostAnswers();
+            if (lossAt !== undefined) {
+                lost.observeLoss(lossAt);
+            }
+            assert.equal(lost.computeRepeatDelay(NOW), expected);
         });
     }
 });
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -39,6 +39,7 @@
                 handleSuspended: () => undefined,
                 mayExtend: () => true,
                 computeReportWait: () => 1_000,
+                computeRepeatDelay: () => 150,
                 handleLostAnswer: () => undefined,
             },
         });
