--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -41,7 +41,7 @@
      * @param workerCount - Workers that are asked.
      */
     computeReportWait(now: Millis, workerCount: number): Millis {
-        if (!this.isRecent(now)) {
+        if (!this.hasLost(now)) {
             return CALM_WAIT_MS;
         }
         const affordable = workerCount / MAX_REPORTS_PER_S * 1_000;
@@ -53,10 +53,11 @@
      * @param now - On our clock.
      */
     computeRepeatDelay(now: Millis): Millis {
-        return this.isRecent(now) ? LOSSY_REPEAT_MS : CALM_REPEAT_MS;
+        return this.hasLost(now) ? LOSSY_REPEAT_MS : CALM_REPEAT_MS;
     }
 
-    private isRecent(now: Millis): boolean {
+    /** Tells whether answers have been lost lately. */
+    hasLost(now: Millis): boolean {
         return now - this.lastLossAt <= LOSS_MEMORY_MS;
     }
 }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -168,7 +168,7 @@
                 computeReportWait: () =>
                     this.lostAnswers.computeReportWait(context.clock.now(), this.members.size),
                 computeRepeatDelay: () => this.lostAnswers.computeRepeatDelay(context.clock.now()),
-                handleLostAnswer: () => this.lostAnswers.observeLoss(context.clock.now()),
+                handleLostAnswer: () => this.handleLostAnswer(record.workerId),
             },
         });
         const member: Member = { state, session, unlistedSince: undefined };
@@ -192,6 +192,15 @@
         }
     }
 
+    /** Each loss is counted; a line says when answers begin to get lost. */
+    private handleLostAnswer(workerId: string): void {
+        const now = this.context.clock.now();
+        if (!this.lostAnswers.hasLost(now)) {
+            this.context.log.info("answersGetLost", { workerId, workers: this.members.size });
+        }
+        this.lostAnswers.observeLoss(now);
+    }
+
     private handleSuspended(gap: Millis): void {
         this.context.log.warn("CR1612", "processWasSuspended", { gapMs: Math.round(gap) });
         this.context.authority.observeSuspension();
--- a/src/test/leader/worker-faults_test.ts
+++ b/src/test/leader/worker-faults_test.ts
@@ -41,6 +41,7 @@
             await cell.clock.step(due - cell.clock.now());
             assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
             assert.equal(cell.starts.length, 1);
+            assert.ok(leader.log.lines.some(line => line.event === "answersGetLost"));
         });
     }
 
