--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -29,7 +29,7 @@
     /**
      * Workers of each pool that a new leader has not heard yet: permits for them can be asked for, and nothing starts there.
      * After a loss of all nodes that brings the first start 0.07 s forward (0.24 to 0.17 s after the journal is loaded, means
-     * of 12 and 8 such losses).
+     * of 24 and 8 such losses).
      */
     readonly unheardByPool: ReadonlyMap<string, readonly WorkerState[]>;
     /** Permits of a step whose queue needs them. */
