--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -6,6 +6,7 @@
  */
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
+import { Signal } from "../../common/signal.js";
 import { OrderRefusal } from "../ports/task-worker-port.js";
 import type {
     EndedRun,
@@ -91,16 +92,13 @@
     /** Highest end that the listener was told of. */
     private handledEnd = 0;
     /** Lets the loop go on once the ends that it was told of are durable. */
-    private wakeDurable: () => void = () => undefined;
+    private durable = new Signal();
     private offset: Millis | undefined;
     private leaseEnd: Millis;
     private lastWorkerNow: Millis = 0;
     private isFirst = true;
     private areLeasesAllowed = false;
-    private settleAllowed: () => void = () => undefined;
-    private readonly leasesAllowed = new Promise<void>(resolve => {
-        this.settleAllowed = resolve;
-    });
+    private readonly leasesAllowed = new Signal();
     /** Whether the last request extended the lease. */
     private wasLeaseAsked = false;
     private isReachable = false;
@@ -139,14 +137,14 @@
     /** Lets the session extend leases, which it does not until a later leader would know of it. */
     grantLeases(): void {
         this.areLeasesAllowed = true;
-        this.settleAllowed();
+        this.leasesAllowed.notify();
     }
 
     /** Takes in that ends up to a number are durable: the worker may forget them. */
     acceptDurable(number: number): void {
         this.seenEnd = Math.max(this.seenEnd, number);
         if (this.seenEnd >= this.handledEnd) {
-            this.wakeDurable();
+            this.durable.notify();
         }
     }
 
@@ -192,7 +190,7 @@
             await sleep(clock, RETRY_PAUSE_MS);
         }
         else if (!this.areLeasesAllowed) {
-            await Promise.race([this.leasesAllowed, sleep(clock, RETRY_PAUSE_MS)]);
+            await Promise.race([this.leasesAllowed.wait(), sleep(clock, RETRY_PAUSE_MS)]);
         }
         else if (this.wasLeaseAsked) {
             await this.waitForEnds();
@@ -210,10 +208,8 @@
         if (this.seenEnd >= this.handledEnd) {
             return;
         }
-        const durable = new Promise<void>(resolve => {
-            this.wakeDurable = resolve;
-        });
-        await Promise.race([durable, sleep(this.options.clock, DURABLE_WAIT_MS)]);
+        this.durable = new Signal();
+        await Promise.race([this.durable.wait(), sleep(this.options.clock, DURABLE_WAIT_MS)]);
     }
 
     /** Makes a call, and once more if no answer comes soon. */
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -218,17 +218,21 @@
     /** Tells whether to try once more while earlier tries are open. */
     private mayTryBeside(pursuit: Pursuit, openTries: number): boolean {
         const isOverdue = this.options.clock.now() - pursuit.triedAt >= this.timeout.get();
-        const hasAnsweredSince = this.lastAnswerAt > pursuit.triedAt;
-        return isOverdue && (hasAnsweredSince || this.isOldest(pursuit) && openTries < MAX_OPEN_TRIES);
+        const mayProbe = this.isOldest(pursuit) && openTries < MAX_OPEN_TRIES;
+        return isOverdue && (this.hasAnsweredSince(pursuit) || mayProbe);
     }
 
     /** A store that has answered nothing since the last try is given more time for the next one. */
-    private observeSilence({ triedAt }: Pursuit): void {
-        if (triedAt > -Infinity && this.lastAnswerAt <= triedAt) {
+    private observeSilence(pursuit: Pursuit): void {
+        if (pursuit.triedAt > -Infinity && !this.hasAnsweredSince(pursuit)) {
             this.timeout.observeTimeout(this.timeout.get());
         }
     }
 
+    private hasAnsweredSince({ triedAt }: Pursuit): boolean {
+        return this.lastAnswerAt > triedAt;
+    }
+
     /** Waits until another try may be due: for the time of an answer, then until the store answers anything. */
     private async waitBesideTries({ triedAt }: Pursuit): Promise<undefined> {
         const { clock } = this.options;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,16 +1,16 @@
 /** The workers of a leader: their registrations, sessions and runs, and what reports mean for tasks. */
 import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
-import type { Resources } from "../../common/resources.js";
 import { LostAnswers } from "../dispatch/lost-answers.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
-import { buildRunRecord, makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
+import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
 import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
 import type { EndedRun, RunningRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
+import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
@@ -272,19 +272,12 @@
 
     /** A run that no task is waiting for: its room is taken until it has ended. */
     private stopForeign(state: WorkerState, running: RunningRun, workerNow: Millis): void {
-        const found = this.context.book.findTask(running.task);
-        const record = buildRunRecord({
-            task: running.task,
-            run: running.run,
-            step: found?.step.name ?? "",
-            demand: found?.step.spec.demand ?? takeAll(state.free),
-            isDemandKnown: found !== undefined,
-            phase: RunPhase.running,
-            settledAfter: workerNow,
-            wasSeen: true,
-            isInherited: true,
-            checkpoint: running.checkpoint,
-            orderedAt: this.context.clock.now(),
+        const record = buildForeignRun({
+            running,
+            step: this.context.book.findTask(running.task)?.step,
+            free: state.free,
+            workerNow,
+            now: this.context.clock.now(),
         });
         state.addRun(record);
         this.context.log.warn("CR1613", "foreignRunStopped", {
@@ -354,12 +347,3 @@
         }
     }
 }
-
-/** All that is free; nothing in a dimension that is overdrawn. */
-function takeAll(free: Resources): Resources {
-    return {
-        cpuMillis: Math.max(0, free.cpuMillis),
-        memoryMib: Math.max(0, free.memoryMib),
-        accelerators: Math.max(0, free.accelerators),
-    };
-}
