--- a/bench/losses/job-timeline.ts
+++ b/bench/losses/job-timeline.ts
@@ -1,5 +1,6 @@
 /** What the lines of all nodes say of each job: when it was accepted, ordered, ended and closed. */
 import type { Millis } from "../../src/common/clock.js";
+import { formatStepName, parseTaskName } from "../../src/process/jobs/job-spec.js";
 import type { LogLine } from "./log-lines.js";
 
 /** One run of a task. */
@@ -74,7 +75,7 @@
 function acceptOrder(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
     const task = String(fields.task);
     const tookMs = Number(fields.tookMs ?? 0);
-    findStep(jobs, getStepName(task))?.runs.push({
+    findStepOfTask(jobs, task)?.runs.push({
         task,
         run: Number(fields.run),
         orderedAt: time - tookMs,
@@ -85,7 +86,7 @@
 
 function acceptEnd(jobs: Map<string, JobTimeline>, { time, fields }: LogLine): void {
     const { task, run } = fields;
-    const found = findStep(jobs, getStepName(String(task)))?.runs
+    const found = findStepOfTask(jobs, String(task))?.runs
         .findLast(other => other.task === task && other.run === run);
     if (found !== undefined && fields.isCurrent === true) {
         found.endedAt = time;
@@ -102,8 +103,9 @@
     }
 }
 
-function getStepName(task: string): string {
-    return task.slice(0, task.lastIndexOf("."));
+function findStepOfTask(jobs: Map<string, JobTimeline>, task: string): StepTimeline | undefined {
+    const ref = parseTaskName(task);
+    return ref && findStep(jobs, formatStepName(ref));
 }
 
 function findStep(jobs: Map<string, JobTimeline>, name: string): StepTimeline | undefined {
