The leader says why a step waits, which runs nothing holds, and which queue is missing

Cause: an accepted task stood still for 102 s with room free, and no line could say why. None of the hypotheses of the incident could be told from the others.

Change: observation only. Once a second the leader looks at all open steps and writes `stepWaiting` with a reason for those that have waited for 3 s, then 6, 12, 24 s; at most five lines a second, the most overdue first. `runUnheld` (CR1617) names a run that the book holds as assigned and that neither a worker's state nor the inherited runs have; `queueMissing` (CR1618) a queue with open jobs that the configuration in force lacks. `leaderState` has `mayOrder`, `sincePassMs`, `waitingSteps` and `longestWaitMs`, with gauges for the last two. Permits know their open question: since when, which node was asked; `adviceGiven` has the node's name. Questions moved out of leader.ts into permit-desk.ts. A pass does nothing new but keep the gangs that kept room; reasons are evaluated only for lines that are written.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -27,6 +27,8 @@
     readonly isFirst: boolean;
     /** Whether the answer is still wanted; asked before the question is sent. */
     readonly isWanted: () => boolean;
+    /** Called when a node is asked. */
+    readonly handleSent: (nodeName: string) => void;
     /** Called once; `askedAt` is when it was sent. */
     readonly settle: (answer: AdviceAnswer | undefined, askedAt: Millis) => void;
 }
@@ -139,6 +141,7 @@
         const begin = Math.max(askedAt, state.busyUntil);
         state.underWay += 1;
         state.busyUntil = begin + took;
+        question.handleSent(state.caller.nodeName);
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
         const answer = await state.caller.requestPermits(question.step, question.workerIds, timeout);
         state.underWay -= 1;
--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -12,6 +12,18 @@
 /** Pause after a question that failed: other nodes may still reach the service. */
 const FAILURE_PAUSE_MS: Millis = 150;
 
+/** A question that waits or is under way. */
+export interface OpenQuestion {
+    /** When it was put. */
+    readonly since: Millis;
+    /** Workers that it names. */
+    readonly workers: number;
+    /** Node that was asked; undefined while the question waits for one. */
+    nodeName: string | undefined;
+    /** When that node was asked. */
+    sentAt: Millis | undefined;
+}
+
 interface HeldPermit {
     readonly token: string;
     /** On our clock. */
@@ -20,13 +32,59 @@
 
 /** Permits of one step; see the module comment. */
 export class StepPermits {
-    /** Whether a question is waiting or under way. */
-    isAsking = false;
+    /** The question that is waiting or under way. */
+    private question: OpenQuestion | undefined;
+    private questions = 0;
+    private failures = 0;
     /** After a question that failed, when the next may be put. */
     private pausedUntil: Millis = -Infinity;
     private readonly held = new Map<string, HeldPermit>();
     private readonly denied = new Set<string>();
 
+    /** Takes in that a question is put. */
+    startQuestion(now: Millis, workers: number): void {
+        this.questions += 1;
+        this.question = { since: now, workers, nodeName: undefined, sentAt: undefined };
+    }
+
+    /** Takes in which node was asked. */
+    observeSent(nodeName: string, now: Millis): void {
+        if (this.question !== undefined) {
+            this.question.nodeName = nodeName;
+            this.question.sentAt = now;
+        }
+    }
+
+    /** Takes in that the question is settled. */
+    endQuestion(): void {
+        this.question = undefined;
+    }
+
+    /** Returns the question that is waiting or under way. */
+    getQuestion(): Readonly<OpenQuestion> | undefined {
+        return this.question;
+    }
+
+    /** Counts the questions that were put. */
+    countQuestions(): number {
+        return this.questions;
+    }
+
+    /** Counts the questions that failed since the last answer. */
+    countFailures(): number {
+        return this.failures;
+    }
+
+    /** Counts the workers that may run the step. */
+    countAllowed(): number {
+        return this.held.size;
+    }
+
+    /** Counts the workers that may not run it. */
+    countDenied(): number {
+        return this.denied.size;
+    }
+
     /**
      * Takes in an answer. Which workers may run a step does not change, so a worker that was named and not allowed
      * is never asked for again.
@@ -36,6 +94,7 @@
      * @param validMs - How long permits are valid.
      */
     accept(asked: readonly string[], permits: readonly Permit[], answeredAt: Millis, validMs: Millis): void {
+        this.failures = 0;
         const usableUntil = answeredAt + validMs - PERMIT_MARGIN_MS;
         for (const { workerId, token } of permits) {
             this.held.set(workerId, { token, usableUntil });
@@ -54,12 +113,13 @@
      * all of the leader's processor time.
      */
     observeFailure(now: Millis): void {
+        this.failures += 1;
         this.pausedUntil = now + FAILURE_PAUSE_MS;
     }
 
     /** Tells whether a question may be put now. */
     canAsk(now: Millis): boolean {
-        return !this.isAsking && now >= this.pausedUntil;
+        return this.question === undefined && now >= this.pausedUntil;
     }
 
     /** Tells whether any question was answered. */
@@ -80,6 +140,11 @@
         return !this.held.has(workerId) && !this.denied.has(workerId);
     }
 
+    /** Tells whether a worker may run the step, also when its permit has run out. */
+    isAllowed(workerId: string): boolean {
+        return this.held.has(workerId);
+    }
+
     /** Lists the workers that may run the step, also those whose permit has run out. */
     listAllowed(): Iterable<string> {
         return this.held.keys();
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -62,6 +62,8 @@
     readonly starts: readonly PlannedStart[];
     readonly wishes: readonly PermitWish[];
     readonly preemptions: readonly Preemption[];
+    /** Gangs without enough room that keep what they could use. */
+    readonly keepers: readonly Step[];
 }
 
 /**
@@ -107,7 +109,7 @@
     private readonly wishes: PermitWish[] = [];
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
-    private keepingGangs = 0;
+    private readonly keepers: Step[] = [];
     private preemptingGangs = 0;
 
     constructor(private readonly input: PlanInput) {}
@@ -115,7 +117,8 @@
     run(): Plan {
         const ordered = [...this.input.waiting].sort(compareUrgency);
         ordered.forEach(urgency => this.planStep(urgency));
-        return { starts: this.starts, wishes: this.wishes, preemptions: this.preemptions };
+        const { starts, wishes, preemptions, keepers } = this;
+        return { starts, wishes, preemptions, keepers };
     }
 
     private planStep(urgency: Urgency): void {
@@ -241,9 +244,9 @@
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
     private settleBlockedGang(current: WaitingStep, placements: readonly Placement[]): void {
         const { step, candidates, permits } = current;
-        const isKeeping = this.keepingGangs < MAX_KEEPING_GANGS && placements.length > 0;
+        const isKeeping = this.keepers.length < MAX_KEEPING_GANGS && placements.length > 0;
         if (canEverHold(step, candidates) && (this.preemptFor(current, placements.length) || isKeeping)) {
-            this.keepingGangs += 1;
+            this.keepers.push(step);
             if (permits !== undefined) {
                 // Its room may come free at any moment, and must not stand idle for as long as a question takes.
                 this.renewPermits(current, permits);
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -8,6 +8,7 @@
 import type { TaskWorkerPort } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
 import type { Authority } from "./authority.js";
+import type { StepHistory } from "./step-history.js";
 
 /** Shared by the parts of one leader, for as long as it leads. */
 export interface LeaderContext {
@@ -18,6 +19,8 @@
     readonly book: JobBook;
     readonly workerPort: TaskWorkerPort;
     readonly authority: Authority;
+    /** When steps' runs last began or ended. */
+    readonly history: StepHistory;
     /** Length of the leases given to workers. */
     readonly leaseMs: Millis;
     /** Leases given by earlier leaders. */
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -79,6 +79,9 @@
             return;
         }
         const { step } = found;
+        if (notice.end !== RunEnd.notRun) {
+            context.history.observeEnd(step, context.clock.now());
+        }
         if (notice.state !== undefined) {
             const { end, ranMs } = notice;
             const orderedAt = ranMs === undefined ? undefined : context.clock.now() - ranMs;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -12,6 +12,7 @@
 import type { EndDesk } from "./end-desk.js";
 import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
+import { RunFinder } from "./run-finder.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
@@ -20,7 +21,8 @@
 /** A worker without runs that is no longer in the list is kept this long: entries lapse while the store is away. */
 const UNLISTED_GRACE_MS: Millis = 5_000;
 
-interface Member {
+/** A worker of the fleet. */
+export interface Member {
     readonly state: WorkerState;
     readonly session: WorkerSession;
     unlistedSince: Millis | undefined;
@@ -28,6 +30,8 @@
 
 /** The fleet; see the module comment. */
 export class Fleet {
+    /** Tells where assigned tasks are. */
+    readonly runs: RunFinder;
     private readonly members = new Map<string, Member>();
     private readonly inherited: InheritedRuns;
     private readonly lostAnswers = new LostAnswers();
@@ -39,6 +43,7 @@
      */
     constructor(private readonly context: LeaderContext, private readonly ends: EndDesk) {
         this.inherited = new InheritedRuns(context, ends);
+        this.runs = new RunFinder(context, this.members, this.inherited);
     }
 
     /** Takes in the worker list. */
@@ -267,6 +272,14 @@
         if (record.phase === RunPhase.ordered) {
             record.phase = RunPhase.running;
             record.settledAfter = workerNow;
+            this.observeBegin(running.task);
+        }
+    }
+
+    private observeBegin(task: string): void {
+        const step = this.context.book.findTask(task)?.step;
+        if (step !== undefined) {
+            this.context.history.observeBegin(step, this.context.clock.now());
         }
     }
 
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -4,6 +4,7 @@
 import type { RunRecord } from "../dispatch/worker-state.js";
 import type { FoundTask } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
+import type { Step, Task } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 
@@ -29,6 +30,21 @@
         return this.tasks.has(workerId) ? this.computeEnd(workerId) : -Infinity;
     }
 
+    /** Tells whether a task's run is one of these. */
+    hasRun({ name, run, workerId = "" }: Task): boolean {
+        const tasks = this.tasks.get(workerId) ?? [];
+        return tasks.some(({ task }) => task.name === name && task.run === run);
+    }
+
+    /** Lists the steps that have such a run. */
+    *listSteps(): Iterable<Step> {
+        for (const tasks of this.tasks.values()) {
+            for (const { step } of tasks) {
+                yield step;
+            }
+        }
+    }
+
     /**
      * Takes in that a run has to end, though its worker has not been heard yet.
      *
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -3,13 +3,9 @@
 import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
 import { AdviceDesk } from "../dispatch/advice-desk.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
-import { StepPermits } from "../dispatch/permits.js";
 import { planStarts } from "../dispatch/planner.js";
-import type { PermitWish } from "../dispatch/planner.js";
 import { PreemptionLooks } from "../dispatch/preemption-looks.js";
 import type { Preemption } from "../dispatch/preemption.js";
-import { AllowedShares } from "../dispatch/question-size.js";
-import { RoomClaims } from "../dispatch/room-claims.js";
 import { RunTimeModel } from "../dispatch/run-time-model.js";
 import { rankStep } from "../dispatch/urgency.js";
 import type { Urgency } from "../dispatch/urgency.js";
@@ -19,15 +15,18 @@
 import { Journal } from "../journal/journal.js";
 import type { LoadedJournal } from "../journal/load-journal.js";
 import type { InheritedLeases } from "../leadership/inherited-leases.js";
-import type { AdviceAnswer, TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
+import type { TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
 import { Authority } from "./authority.js";
 import type { LeaderContext } from "./context.js";
 import { EndDesk } from "./end-desk.js";
 import { Fleet } from "./fleet.js";
 import { JobDesk } from "./job-desk.js";
+import { PermitDesk } from "./permit-desk.js";
 import type { CallerReply, CallerRequest } from "./requests.js";
 import { Starter } from "./starter.js";
+import { StateReport } from "./state-report.js";
+import { StepHistory } from "./step-history.js";
 
 /** What a leader is made from. */
 export interface LeaderOptions {
@@ -66,14 +65,16 @@
     private readonly desk: JobDesk;
     private readonly starter: Starter;
     private readonly runTimes = new RunTimeModel();
-    private readonly claims = new RoomClaims();
     private readonly preemptionLooks = new PreemptionLooks();
     /** How long the last pass took. */
     private passTookMs: Millis = 0;
-    private readonly allowedShares = new AllowedShares();
     private indexedConfig: ClusterConfig | undefined;
     private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
-    private readonly permits = new WeakMap<Step, StepPermits>();
+    private readonly permits: PermitDesk;
+    private readonly report: StateReport;
+    private lastPassAt: Millis | undefined;
+    /** Gangs that kept room in the last pass. */
+    private keepers: readonly Step[] = [];
     private passTimer: Timer | undefined;
     private sweepTimer: Timer | undefined;
     private sweeps = 0;
@@ -83,11 +84,18 @@
         this.context = this.buildContext();
         this.journal = this.buildJournal();
         this.advice = new AdviceDesk(options.clock);
+        this.permits = new PermitDesk(this.context, this.advice);
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
         this.desk = new JobDesk(this.context, this.journal, this.ends);
-        this.starter = new Starter(this.context, this.fleet, this.ends, step => this.getPermits(step));
+        this.starter = new Starter(
+            this.context,
+            this.fleet,
+            this.ends,
+            step => this.permits.getPermits(step),
+        );
+        this.report = this.buildReport();
         for (const job of options.loaded.book.listAll()) {
             job.isEndDurable = job.endedAt !== 0;
         }
@@ -106,6 +114,7 @@
 
     /** Takes in that a newer configuration is in force. */
     handleConfig(): void {
+        this.report.handleConfig();
         this.requestPass();
     }
 
@@ -127,6 +136,7 @@
         this.journal.close();
         this.fleet.close();
         this.desk.close();
+        this.permits.close();
     }
 
     private buildContext(): LeaderContext {
@@ -139,6 +149,7 @@
             book: options.loaded.book,
             workerPort: options.workerPort,
             authority: new Authority(options.clock, options.store),
+            history: new StepHistory(),
             leaseMs: options.leaseMs,
             inheritedLeases: options.inheritedLeases,
             getConfig: options.getConfig,
@@ -189,6 +200,19 @@
         });
     }
 
+    private buildReport(): StateReport {
+        return new StateReport({
+            context: this.context,
+            fleet: this.fleet,
+            permits: this.permits,
+            advice: this.advice,
+            isStalled: () => this.journal.isStalled(),
+            rankWaiting: () => this.rankWaiting(),
+            getKeepers: () => this.keepers,
+            getLastPassAt: () => this.lastPassAt,
+        });
+    }
+
     private requestPass(): void {
         if (this.passTimer !== undefined || this.closed) {
             return;
@@ -211,15 +235,17 @@
             waiting: this.rankWaiting(),
             workersByPool: this.fleet.collectUsable(begin),
             unheardByPool: this.fleet.collectUnheard(),
-            getPermits: step => this.getPermits(step),
+            getPermits: step => this.permits.getPermits(step),
             preemptionLooks: this.preemptionLooks,
-            getClaimedCpu: workerId => this.claims.getCpu(workerId),
-            getAllowedShare: queue => this.allowedShares.getShare(queue),
+            getClaimedCpu: workerId => this.permits.claims.getCpu(workerId),
+            getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
             now: begin,
         });
         this.starter.startAll(plan.starts);
-        plan.wishes.forEach(wish => this.requestPermits(wish));
+        plan.wishes.forEach(wish => this.permits.requestPermits(wish));
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
+        this.lastPassAt = begin;
+        this.keepers = plan.keepers;
         this.passTookMs = clock.now() - begin;
         metrics.time("plan.took", this.passTookMs);
     }
@@ -244,74 +270,6 @@
         return ranked;
     }
 
-    private getPermits(step: Step): StepPermits {
-        const known = this.permits.get(step);
-        if (known !== undefined) {
-            return known;
-        }
-        const created = new StepPermits();
-        this.permits.set(step, created);
-        return created;
-    }
-
-    private requestPermits({ urgency, workerIds }: PermitWish): void {
-        const { step, queue } = urgency;
-        const permits = this.getPermits(step);
-        // A step may want permits renewed and new workers named in the same pass: one question at a time.
-        if (queue.advice === undefined || permits.isAsking) {
-            return;
-        }
-        permits.isAsking = true;
-        this.claims.add(step, workerIds);
-        const { advice } = queue;
-        this.advice.enqueue({
-            step: step.name,
-            workerIds,
-            policy: advice,
-            priority: queue.priority,
-            isFirst: !permits.hasAnswer(),
-            isWanted: () => !this.closed && step.job.spec !== undefined && step.waiting > 0,
-            settle: (answer, askedAt) => {
-                permits.isAsking = false;
-                this.claims.remove(step);
-                this.acceptAdvice(step, permits, workerIds, answer, askedAt, advice.validMs);
-            },
-        });
-    }
-
-    private acceptAdvice(
-        step: Step,
-        permits: StepPermits,
-        workerIds: readonly string[],
-        answer: AdviceAnswer | undefined,
-        askedAt: Millis,
-        validMs: Millis,
-    ): void {
-        if (answer === undefined) {
-            return;
-        }
-        const { clock, log, metrics } = this.options;
-        const tookMs = clock.now() - askedAt;
-        metrics.time("advice.took", tookMs, { answer: answer.kind });
-        log.info("adviceGiven", {
-            step: step.name,
-            answer: answer.kind,
-            asked: workerIds.length,
-            allowed: answer.kind === "done" ? answer.permits.length : 0,
-            tookMs: Math.round(tookMs),
-        });
-        if (answer.kind === "done") {
-            if (workerIds.every(workerId => permits.isUnknown(workerId))) {
-                this.allowedShares.observe(step.job.queue, workerIds.length, answer.permits.length);
-            }
-            permits.accept(workerIds, answer.permits, clock.now(), validMs);
-        }
-        else {
-            permits.observeFailure(clock.now());
-        }
-        this.requestPass();
-    }
-
     private sweep(): void {
         const { clock } = this.options;
         this.sweeps += 1;
@@ -323,7 +281,7 @@
             this.desk.forgetOld();
         }
         if (this.sweeps % REPORT_EVERY_SWEEPS === 0) {
-            this.reportState();
+            this.report.report();
         }
         this.requestPass();
         this.sweepTimer = clock.schedule(SWEEP_MS, () => this.sweep());
@@ -338,20 +296,4 @@
             }
         }
     }
-
-    private reportState(): void {
-        const { clock, log, metrics, epoch } = this.options;
-        const now = clock.now();
-        const fields = {
-            epoch,
-            openJobs: this.options.loaded.book.countOpen(),
-            usableWorkers: this.fleet.countUsable(now),
-            questions: this.advice.countWaiting(),
-            storeAway: this.journal.isStalled(),
-        };
-        log.info("leaderState", fields);
-        metrics.gauge("jobs.open", fields.openJobs);
-        metrics.gauge("workers.usable", fields.usableWorkers);
-        metrics.gauge("advice.waiting", fields.questions);
-    }
 }
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -3,7 +3,7 @@
 import type { StepPermits } from "../dispatch/permits.js";
 import type { PlannedStart } from "../dispatch/planner.js";
 import { buildRunRecord, RunPhase } from "../dispatch/worker-state.js";
-import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
+import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Step } from "../jobs/job.js";
 import { OrderRefusal } from "../ports/task-worker-port.js";
@@ -84,7 +84,7 @@
         const isWanted = record.phase === RunPhase.reserved && payload !== undefined &&
             context.authority.mayOrder();
         if (session === undefined || workerNow === undefined || !isWanted) {
-            this.settleNotRun(worker, record, "no longer wanted");
+            this.settleNotRun(start, record, "no longer wanted");
             return;
         }
         record.phase = RunPhase.ordered;
@@ -127,19 +127,20 @@
         }
         switch (answer.kind) {
             case "done":
-                this.confirm(record, answer.value);
+                this.confirm(step, record, answer.value);
                 return;
             case "refused":
                 this.handleRefusal(start, answer.reason);
-                this.settleNotRun(worker, record, answer.reason);
+                this.settleNotRun(start, record, answer.reason);
                 return;
             case "notSent":
                 worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
-                this.settleNotRun(worker, record, "not sent");
+                this.settleNotRun(start, record, "not sent");
                 return;
             case "unknown":
                 // The reports settle it: see `settledAfter`. Until then room and task stay taken.
                 worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
+                this.context.history.observeRefusal(step, { workerId: worker.id, reason: "unanswered" });
                 this.context.log.warn("CR1616", "orderUnanswered", {
                     task: record.task,
                     run: record.run,
@@ -152,8 +153,9 @@
         }
     }
 
-    private confirm(record: RunRecord, workerNow: Millis): void {
+    private confirm(step: Step, record: RunRecord, workerNow: Millis): void {
         record.wasSeen = true;
+        this.context.history.observeBegin(step, this.context.clock.now());
         if (record.phase === RunPhase.ordered) {
             record.phase = RunPhase.running;
             record.settledAfter = workerNow;
@@ -170,11 +172,12 @@
         }
     }
 
-    private settleNotRun(worker: WorkerState, record: RunRecord, reason: string): void {
+    private settleNotRun({ worker, step }: PlannedStart, record: RunRecord, reason: string): void {
         if (worker.removeRun(record.task, record.run) === undefined) {
             return;
         }
         const { task, run, checkpoint } = record;
+        this.context.history.observeRefusal(step, { workerId: worker.id, reason });
         this.context.log.info("runNotStarted", { task, run, workerId: worker.id, reason });
         this.ends.recordEnd({ state: worker, task, run, end: RunEnd.notRun, checkpoint });
     }
--- /dev/null
+++ b/src/process/leader/state-report.ts
@@ -0,0 +1,56 @@
+/** Logs once a second how a leader and its cluster are. */
+import type { Millis } from "../../common/clock.js";
+import type { AdviceDesk } from "../dispatch/advice-desk.js";
+import { MissingQueues } from "./missing-queues.js";
+import { WaitingReport } from "./waiting-report.js";
+import type { WaitingReportOptions } from "./waiting-report.js";
+
+/** What the report reads. */
+export interface StateReportOptions extends WaitingReportOptions {
+    readonly advice: AdviceDesk;
+    /** Returns when the last pass was made; undefined before the first. */
+    readonly getLastPassAt: () => Millis | undefined;
+}
+
+/** The report; see the module comment. */
+export class StateReport {
+    private readonly missingQueues: MissingQueues;
+    private readonly waiting: WaitingReport;
+
+    constructor(private readonly options: StateReportOptions) {
+        this.missingQueues = new MissingQueues(options.context);
+        this.waiting = new WaitingReport(options);
+    }
+
+    /** Takes in that a newer configuration is in force. */
+    handleConfig(): void {
+        this.missingQueues.check();
+    }
+
+    /** Writes the lines and sets the gauges. Call it once a second. */
+    report(): void {
+        const { context, advice, fleet, isStalled, getLastPassAt } = this.options;
+        const { clock, log, metrics, epoch, book, authority } = context;
+        const now = clock.now();
+        const lastPassAt = getLastPassAt();
+        this.missingQueues.check();
+        const waiting = this.waiting.report();
+        const fields = {
+            epoch,
+            openJobs: book.countOpen(),
+            usableWorkers: fleet.countUsable(now),
+            questions: advice.countWaiting(),
+            storeAway: isStalled(),
+            mayOrder: authority.mayOrder(),
+            sincePassMs: lastPassAt === undefined ? undefined : Math.round(now - lastPassAt),
+            waitingSteps: waiting.count,
+            longestWaitMs: Math.round(waiting.longestMs),
+        };
+        log.info("leaderState", fields);
+        metrics.gauge("jobs.open", fields.openJobs);
+        metrics.gauge("workers.usable", fields.usableWorkers);
+        metrics.gauge("advice.waiting", fields.questions);
+        metrics.gauge("steps.waiting", fields.waitingSteps);
+        metrics.gauge("steps.longestWaitMs", fields.longestWaitMs);
+    }
+}
--- a/src/test/dispatch/advice-desk_test.ts
+++ b/src/test/dispatch/advice-desk_test.ts
@@ -22,6 +22,7 @@
                 workerIds: ["w1"],
                 policy,
                 isWanted: () => true,
+                handleSent: () => undefined,
                 settle: () => undefined,
             });
         desk.addCaller({
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -195,9 +195,9 @@
         // leader's whole processor time.
         const permits = new StepPermits();
         const jobs = [{ step: {}, queue: { advice: ADVICE } }];
-        permits.isAsking = true;
+        permits.startQuestion(0, 1);
         assert.deepEqual(planJobs(jobs, makeWorkers(4), new Map([[0, permits]])).wishes, []);
-        permits.isAsking = false;
+        permits.endQuestion();
         permits.observeFailure(NOW - 10);
         assert.deepEqual(planJobs(jobs, makeWorkers(4), new Map([[0, permits]])).wishes, []);
         permits.observeFailure(NOW - 1_000);
--- /dev/null
+++ b/src/test/leader/unheld-runs_test.ts
@@ -0,0 +1,100 @@
+/** Tasks that the book holds as assigned while nothing has their run. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { JobBook } from "../../process/jobs/job-book.js";
+import type { JobEvent } from "../../process/jobs/job-events.js";
+import type { LeaderContext } from "../../process/leader/context.js";
+import { UnheldRuns } from "../../process/leader/unheld-runs.js";
+import { createFakeLog } from "../fakes/fake-telemetry.js";
+import { makeJobId, makeSpec } from "./leader-cell.js";
+
+const JOB_ID = makeJobId(1);
+
+function makeTaskName(index: number): string {
+    return `${JOB_ID}.0.0.${index}`;
+}
+
+function makeAssigned(index: number, run = 1): JobEvent {
+    return { type: "assigned", task: makeTaskName(index), run, workerId: "w1" };
+}
+
+function makeEnded(index: number, run = 1): JobEvent {
+    return { type: "ended", task: makeTaskName(index), run, end: "stopped", checkpoint: "" };
+}
+
+const CANCELLED: JobEvent = { type: "cancelled", jobId: JOB_ID, at: 0 };
+
+describe("UnheldRuns", () => {
+    // A task's run vanishes from its worker's state and no end of it is recorded. The task stays assigned, no pass starts it
+    // again, and its job stands still while most workers have room.
+    const cases: {
+        name: string;
+        /** Events before each check. */
+        rounds: readonly (readonly JobEvent[])[];
+        /** Indices of tasks whose run somebody has. */
+        held: readonly number[];
+        /** Runs that are named, as `index#run`. */
+        named: readonly string[];
+        /** Steps that wait for such a run after the last check. */
+        steps: number;
+    }[] = [
+        {
+            name: "says nothing of runs that somebody has",
+            rounds: [[makeAssigned(0)]],
+            held: [0],
+            named: [],
+            steps: 0,
+        },
+        { name: "says nothing of tasks that wait", rounds: [[]], held: [], named: [], steps: 0 },
+        {
+            name: "names a run once",
+            rounds: [[makeAssigned(0), makeAssigned(1)], [], []],
+            held: [0],
+            named: ["1#1"],
+            steps: 1,
+        },
+        {
+            name: "names a later run of the same task",
+            rounds: [[makeAssigned(1)], [makeEnded(1), makeAssigned(1, 2)]],
+            held: [],
+            named: ["1#1", "1#2"],
+            steps: 1,
+        },
+        {
+            name: "forgets a run that ended after all",
+            rounds: [[makeAssigned(1)], [makeEnded(1)]],
+            held: [],
+            named: ["1#1"],
+            steps: 0,
+        },
+        {
+            name: "says nothing of jobs that have ended",
+            rounds: [[makeAssigned(0), CANCELLED]],
+            held: [],
+            named: [],
+            steps: 0,
+        },
+    ];
+    for (const { name, rounds, held, named, steps } of cases) {
+        it(name, () => {
+            const book = new JobBook();
+            const spec = makeSpec({ taskCount: 3 });
+            book.apply({ type: "accepted", jobId: JOB_ID, queue: "batch", spec, at: 0 });
+            const log = createFakeLog();
+            const context = { book, log };
+            const runs = new UnheldRuns(context as unknown as LeaderContext, {
+                hasRun: task => held.includes(task.index),
+            });
+            for (const events of rounds) {
+                events.forEach(event => book.apply(event));
+                runs.check();
+            }
+            const lines = log.lines.filter(line => line.code === "CR1617");
+            const seen = lines.map(({ fields }) =>
+                `${String(fields.task).split(".").at(-1)}#${String(fields.run)}`
+            );
+            assert.deepEqual(seen, named);
+            assert.equal([...runs.listSteps()].length, steps);
+        });
+    }
+});
