Test: jobs stand in line for the advice service beside empty workers (known red)

What callers saw: an accepted correction had one task stopped for a more urgent job and stood still for over a minute though most of the workers were empty.

The test shows three parts of it in a model of one leader: the last queue starves in the line, jobs still stand in line 14 s after the load, and three of eight nodes are idle.

--- /dev/null
+++ b/src/test/leader/advice-shortage_test.ts
@@ -0,0 +1,150 @@
+/** More questions to the advice service than its nodes can put: what waits then, and for how long. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Clock, Millis } from "../../common/clock.js";
+import type { AdviceCaller } from "../../process/dispatch/advice-desk.js";
+import type { CallerReply } from "../../process/leader/requests.js";
+import type { AdvicePolicy, QueueConfig } from "../../version/cluster-config.js";
+import { HOST, LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+import type { TestLeader } from "./leader-cell.js";
+
+const GANG_POLICY: AdvicePolicy = { decideMs: 590, perWorkerMs: 8, validMs: 2_500 };
+const TASK_POLICY: AdvicePolicy = { decideMs: 117, perWorkerMs: 2, validMs: 2_500 };
+const GANGS: QueueConfig = {
+    ...QUEUE,
+    name: "gangs",
+    pathPrefix: "/gangs/",
+    priority: 1,
+    advice: GANG_POLICY,
+};
+const TASKS: QueueConfig = {
+    ...QUEUE,
+    name: "tasks",
+    pathPrefix: "/tasks/",
+    priority: 2,
+    advice: TASK_POLICY,
+};
+const RUN_MS: Millis = 200;
+const DRAIN_MS: Millis = 14_000;
+
+/** A node's place in the waiting line of the service, which serves one question at a time for each node. */
+class SerialCaller implements AdviceCaller {
+    private freeAt: Millis = 0;
+    busyMs: Millis = 0;
+
+    constructor(readonly nodeName: string, private readonly clock: Clock) {}
+
+    async requestPermits(
+        step: string,
+        workerIds: readonly string[],
+    ): ReturnType<AdviceCaller["requestPermits"]> {
+        const policy = GANG_STEPS.has(step) ? GANG_POLICY : TASK_POLICY;
+        const tookMs = policy.decideMs + policy.perWorkerMs * workerIds.length;
+        this.freeAt = Math.max(this.freeAt, this.clock.now()) + tookMs;
+        this.busyMs += tookMs;
+        await new Promise<void>(resolve => void this.clock.schedule(this.freeAt - this.clock.now(), resolve));
+        const permits = workerIds.map(workerId => ({ workerId, token: `${step}@${workerId}` }));
+        return { kind: "done", permits };
+    }
+}
+
+/** Steps of gangs, by name. */
+const GANG_STEPS = new Set<string>();
+
+class Shortage {
+    readonly cell = new LeaderCell(6);
+    readonly replies: CallerReply[] = [];
+    callers: readonly SerialCaller[] = [];
+    private leader: TestLeader | undefined;
+    private jobs = 0;
+
+    async start(nodes: number): Promise<void> {
+        this.cell.config = { ...this.cell.config, queues: [GANGS, TASKS] };
+        this.cell.getBehavior = () => ({
+            demand: { cpuMillis: 500, memoryMib: 64, accelerators: 0 },
+            runMs: RUN_MS,
+            end: "done",
+        });
+        this.leader = await this.cell.startLeader();
+        this.callers = Array.from(
+            { length: nodes },
+            (...[, index]) => new SerialCaller(`node-${index}`, this.cell.clock),
+        );
+        this.callers.forEach(caller => this.leader?.leader.addCaller(caller));
+        await this.cell.clock.step(200);
+    }
+
+    submitGang(): number {
+        GANG_STEPS.add(`${makeJobId(this.jobs + 1)}.0.0`);
+        return this.submit("/gangs/", true);
+    }
+
+    submitTask(): number {
+        return this.submit("/tasks/", false);
+    }
+
+    countStarts(job: number): number {
+        return this.cell.countStarts(job);
+    }
+
+    private submit(prefix: string, isGang: boolean): number {
+        this.jobs += 1;
+        const path = `${prefix}${makeJobId(this.jobs)}`;
+        const demand = { cpuMillis: 500, memoryMib: 64, accelerators: 0 };
+        const spec = makeSpec({ taskCount: isGang ? 2 : 1, isGang, demand, estimateMs: RUN_MS });
+        void this.leader?.leader.serve({ kind: "submit", host: HOST, path, spec })
+            .then(reply => this.replies.push(reply));
+        return this.jobs;
+    }
+}
+
+describe("a shortage of answers from the advice service", () => {
+    it("does not keep a task of the last queue from starting beside empty workers", async () => {
+        // A caller's job was accepted and one of its tasks stood still for over a minute, though most of the workers were
+        // empty. Large gangs of the queue before it came faster than their questions to the advice service could be put, and
+        // each of those went ahead of the task's question, which stood in line for as long as gangs came.
+        const shortage = new Shortage();
+        await shortage.start(2);
+        const late: number[] = [];
+        for (let half = 0; half < 60; half++) {
+            shortage.submitGang();
+            shortage.submitGang();
+            if (half % 10 === 5) {
+                late.push(shortage.submitTask());
+            }
+            await shortage.cell.clock.step(500);
+        }
+        assert.deepEqual(late.filter(job => shortage.countStarts(job) === 0), []);
+    });
+
+    it("ends soon after the load: no question is put for what cannot start", async () => {
+        // Jobs came for half a minute faster than questions could be put. A quarter of a minute after the last one most of
+        // the workers were empty and jobs still stood in line: permits ran out before their tasks had room, and were asked
+        // for again and again.
+        const shortage = new Shortage();
+        await shortage.start(4);
+        const jobs: number[] = [];
+        for (let half = 0; half < 60; half++) {
+            jobs.push(shortage.submitGang(), shortage.submitTask(), shortage.submitTask());
+            await shortage.cell.clock.step(500);
+        }
+        await shortage.cell.clock.step(DRAIN_MS);
+        assert.deepEqual(jobs.filter(job => shortage.countStarts(job) === 0), []);
+    });
+
+    it("is not made by nodes that stand idle", async () => {
+        // Only large jobs came, and each waited seconds for its question, while three of eight nodes put none at all: they
+        // were kept for short questions, of which there were none.
+        const shortage = new Shortage();
+        await shortage.start(8);
+        const jobs: number[] = [];
+        for (let tenth = 0; tenth < 100; tenth++) {
+            jobs.push(shortage.submitGang());
+            await shortage.cell.clock.step(100);
+        }
+        const idle = shortage.callers.filter(caller => caller.busyMs < 3_000).length;
+        assert(idle <= 1, `${idle} of 8 nodes were idle for most of ten seconds`);
+        await shortage.cell.clock.step(2_000);
+        assert.deepEqual(jobs.filter(job => shortage.countStarts(job) === 0), []);
+    });
+});
