--- /dev/null
+++ b/src/process/node/leader-search.ts
@@ -0,0 +1,120 @@
+/** A node's search for a leader, over and over: it follows the one that it finds, or claims the place. */
+import type { Millis } from "../../common/clock.js";
+import { sleep } from "../../common/clock.js";
+import type { Random } from "../../common/random.js";
+import { claimLeadership, readLeader } from "../leadership/leader-record.js";
+import type { LeaderView } from "../leadership/leader-record.js";
+import { computeClaimDelay, computeFirstClaimDelay } from "./larger-node.js";
+import type { LeaderFollower, LeaderFollowerOptions } from "./leader-follower.js";
+import type { WonClaim } from "./leader-seat.js";
+
+/** What a search is made from. */
+export interface LeaderSearchOptions extends Omit<LeaderFollowerOptions, "config" | "handleCall"> {
+    /** This node's name. */
+    readonly name: string;
+    /** Unique for this life of the process. */
+    readonly life: string;
+    readonly random: Random;
+    readonly follower: LeaderFollower;
+    /** Tells whether this node gave the leadership of an epoch away a moment ago, and leaves the next claim to the heir. */
+    readonly isLeftToHeir: (epoch: number) => boolean;
+    /** Leads under a claim; resolves once that is over. */
+    readonly runLeadership: (claim: WonClaim) => Promise<void>;
+}
+
+const READ_TIMEOUT_MS: Millis = 500;
+const STORE_RETRY_MS: Millis = 150;
+const RELOOK_MS: Millis = 100;
+/** Spread of claims, so that one usually wins before the others try. */
+const CLAIM_SPREAD_MS: Millis = 40;
+
+/** The search; see the module comment. */
+export class LeaderSearch {
+    constructor(private readonly options: LeaderSearchOptions) {}
+
+    /** Runs until the node is closed. */
+    async run(): Promise<void> {
+        const { clock, storePort, log, epochs, isClosed } = this.options;
+        while (!isClosed()) {
+            const view = await readLeader(storePort, READ_TIMEOUT_MS);
+            if (view === undefined) {
+                await this.followHint();
+                await sleep(clock, STORE_RETRY_MS);
+                continue;
+            }
+            epochs.observe(view.record?.epoch ?? 0, clock.now());
+            const reason = await this.findClaimReason(view);
+            if (reason === undefined) {
+                await sleep(clock, RELOOK_MS);
+                continue;
+            }
+            await this.waitBeforeClaim(view);
+            log.info("leadershipClaimed", {
+                reason,
+                lastEpoch: view.record?.epoch,
+                lastLeader: view.record?.nodeName,
+            });
+            await this.claim(view);
+        }
+    }
+
+    /** Follows the leader for as long as it is there; returns why to claim its place, or undefined to look again. */
+    private async findClaimReason(view: LeaderView): Promise<string | undefined> {
+        const { record } = view;
+        const { name, cores, clock, random, follower, isDraining, isLeftToHeir } = this.options;
+        if (isDraining()) {
+            // A node that leaves still follows, so that its last callers are answered.
+            return record === undefined ? undefined : follower.follow(view);
+        }
+        if (record === undefined) {
+            await sleep(clock, computeFirstClaimDelay(cores) + random.pickInt(CLAIM_SPREAD_MS));
+            return "nobody leads yet";
+        }
+        if (isLeftToHeir(record.epoch)) {
+            return undefined;
+        }
+        if (record.nodeName === name) {
+            return "the leader was an earlier life of this node";
+        }
+        if (follower.isHeirOf(record.epoch)) {
+            return "the leader handed over";
+        }
+        return follower.follow(view);
+    }
+
+    /** Finds the leader through other nodes while the store turns this one away. */
+    private async followHint(): Promise<void> {
+        const { clock, peers, follower, buildStatus, isClosed } = this.options;
+        const hint = await peers.findLeader(clock, buildStatus);
+        if (hint === undefined || isClosed()) {
+            return;
+        }
+        const record = { epoch: hint.epoch, address: hint.address, nodeName: "", life: "" };
+        await follower.follow({ record, revision: 0, isAlive: true });
+    }
+
+    /** Lets larger nodes go first, unless the place was given to this one. */
+    private async waitBeforeClaim(view: LeaderView): Promise<void> {
+        const { clock, cores, peers, follower } = this.options;
+        const delay = computeClaimDelay(cores, peers.getMostCores());
+        if (delay > 0 && !follower.isHeirOf(view.record?.epoch)) {
+            await sleep(clock, delay);
+        }
+    }
+
+    /** Claims the place that was seen, and leads if the claim is won. */
+    private async claim(view: LeaderView): Promise<void> {
+        const { name, life, clock, log, storePort, reach, epochs } = this.options;
+        const wasHandedOver = this.options.follower.isHeirOf(view.record?.epoch);
+        const own = { nodeName: name, address: this.options.buildStatus().address, life };
+        const result = await claimLeadership(storePort, view, own, READ_TIMEOUT_MS);
+        if (result.kind !== "won" || this.options.isClosed()) {
+            log.info("claimFailed", { result: result.kind });
+            return;
+        }
+        reach.observeClaim();
+        epochs.observe(result.epoch, clock.now());
+        await this.options.runLeadership({ epoch: result.epoch, revision: result.revision, wasHandedOver });
+        reach.observeDeposed(clock.now());
+    }
+}
