One function opens the port of the HTTP server and of the peer mesh

Cause: both held the same ten lines of listening, reading the port and letting go of the error listener.

Change: src/connection/open-port.ts serves both. LinkServer and the ingress listen in their own way, since they keep the error listener after listening: left as they are.

--- a/src/connection/http/http-server.ts
+++ b/src/connection/http/http-server.ts
@@ -9,6 +9,7 @@
 import type { Millis, Timer } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
 import type { OperatorToken, RouteContext } from "../../request/http/index.js";
+import { openPort } from "../open-port.js";
 import { writeParseAnswer } from "./http-answers.js";
 import { DEFAULT_HTTP_LIMITS } from "./http-limits.js";
 import type { HttpLimits } from "./http-limits.js";
@@ -56,17 +57,9 @@
     }
 
     /** Starts to listen; rejects if the port cannot be had. */
-    open(): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.options.port, this.options.host, () => {
-                const address = this.server.address();
-                this.port = typeof address === "object" ? address?.port ?? 0 : 0;
-                this.server.off("error", reject);
-                this.reportLoad();
-                resolve();
-            });
-        });
+    async open(): Promise<void> {
+        this.port = await openPort(this.server, this.options.host, this.options.port);
+        this.reportLoad();
     }
 
     /**
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -6,6 +6,7 @@
 import type { PeerAddress, PeerListener, PeerPort } from "../process/ports/peer-port.js";
 import type { Log, Metrics } from "../process/telemetry.js";
 import type { PeerMessage } from "./messages.js";
+import { openPort } from "./open-port.js";
 import { DEFAULT_LINK_LIMITS, isNumberedBy, PeerLink } from "./peer-link.js";
 import type { LinkCloseReason, LinkIdentity, LinkOwner, PeerLinkLimits } from "./peer-link.js";
 
@@ -81,18 +82,10 @@
         this.server = createServer({ noDelay: true }, socket => this.acceptSocket(socket));
     }
 
-    open(): Promise<void> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(this.options.port, this.options.host, () => {
-                const address = this.server.address();
-                this.port = typeof address === "object" ? address?.port ?? 0 : 0;
-                this.server.off("error", reject);
-                this.server.on("error", error => {
-                    this.options.log.warn("CR1307", "peerListenError", { message: error.message });
-                });
-                resolve();
-            });
+    async open(): Promise<void> {
+        this.port = await openPort(this.server, this.options.host, this.options.port);
+        this.server.on("error", error => {
+            this.options.log.warn("CR1307", "peerListenError", { message: error.message });
         });
     }
 
