Both ends of a node's link take in notes by one function

Cause: the end that dials and the end that accepts each checked a note's shape, closed the link over an unknown one and kept the status.

Change: link-note.ts does it for both; an inbound link and a leader's link are the same to it.

--- a/src/process/node/leader-dialer.ts
+++ b/src/process/node/leader-dialer.ts
@@ -2,7 +2,8 @@
 import { connect } from "node:net";
 import type { Clock, Millis } from "../../common/clock.js";
 import { NodeLink } from "../../connection/node-link.js";
-import { hasKind } from "./messages.js";
+import { acceptNote } from "./link-note.js";
+import type { LinkPeer } from "./link-note.js";
 import type { NodeNote, StatusNote } from "./messages.js";
 
 /** How an attempt to reach a node ended. */
@@ -23,7 +24,7 @@
 const DIAL_TIMEOUT_MS: Millis = 500;
 
 /** A link to the leader. */
-export class LeaderLink {
+export class LeaderLink implements LinkPeer {
     /** Last status of the other end. */
     status: StatusNote | undefined;
 
@@ -76,16 +77,13 @@
             buildBeat: () => owner.buildStatus(),
             handleCall: body => owner.handleCall(body),
             handleNote: body => {
-                if (!hasKind(body)) {
-                    link.close("a note of an unknown kind");
-                    return;
-                }
-                const note = body as NodeNote;
-                if (note.kind === "status") {
-                    leaderLink.status = note;
+                const note = acceptNote(leaderLink, body);
+                if (note?.kind === "status") {
                     settleStatus(note);
                 }
-                owner.handleNote(leaderLink, note);
+                if (note !== undefined) {
+                    owner.handleNote(leaderLink, note);
+                }
             },
             handleClosed: message => settleClosed(message),
         });
--- a/src/process/node/link-server.ts
+++ b/src/process/node/link-server.ts
@@ -4,15 +4,12 @@
 import type { Clock } from "../../common/clock.js";
 import { NodeLink } from "../../connection/node-link.js";
 import type { Log } from "../telemetry.js";
-import { hasKind } from "./messages.js";
+import { acceptNote } from "./link-note.js";
+import type { LinkPeer } from "./link-note.js";
 import type { NodeNote, StatusNote } from "./messages.js";
 
 /** A link that another node opened. */
-export interface InboundLink {
-    readonly link: NodeLink;
-    /** Last status of the other end; undefined before the first. */
-    status: StatusNote | undefined;
-}
+export type InboundLink = LinkPeer;
 
 /** What the server tells its owner. */
 export interface LinkServerOwner {
@@ -73,14 +70,9 @@
     }
 
     private receiveNote(inbound: InboundLink, body: unknown): void {
-        if (!hasKind(body)) {
-            inbound.link.close("a note of an unknown kind");
-            return;
-        }
-        const note = body as NodeNote;
-        if (note.kind === "status") {
-            inbound.status = note;
+        const note = acceptNote(inbound, body);
+        if (note !== undefined) {
+            this.owner.handleNote(inbound, note);
         }
-        this.owner.handleNote(inbound, note);
     }
 }
