One function says what a request without an answer means

Cause: the store's two ports and the worker port each turned "not sent" into unavailable and "lost" into unknown by the same switch.

Change: convertFailure in http-request.ts serves all three. The platform's worker adapter keeps its own switch: there a request that was not sent has a kind of its own.

--- a/src/process/platform/http-request.ts
+++ b/src/process/platform/http-request.ts
@@ -22,11 +22,28 @@
         readonly headers: Readonly<Record<string, string | string[] | undefined>>;
         readonly body: Buffer;
     }
+    | HttpFailure;
+
+/** An end without an answer. */
+export type HttpFailure =
     /** Not a byte of it left this process. */
     | { readonly kind: "notSent"; readonly message: string; }
     /** It was at least partly sent, and no whole answer came. */
     | { readonly kind: "lost"; readonly message: string; };
 
+/** What a failure means to whoever asked: a request that was not sent had no effect, one that was lost may have had. */
+export type FailureMeaning =
+    | { readonly kind: "unavailable"; readonly message: string; }
+    | { readonly kind: "unknown"; readonly message: string; };
+
+/**
+ * Converts a failure.
+ * @param failure - How the request ended.
+ */
+export function convertFailure({ kind, message }: HttpFailure): FailureMeaning {
+    return { kind: kind === "notSent" ? "unavailable" : "unknown", message };
+}
+
 /**
  * Sends a request.
  *
--- a/src/process/platform/http-worker-port.ts
+++ b/src/process/platform/http-worker-port.ts
@@ -15,7 +15,7 @@
     WorkerPort,
     WorkerReport,
 } from "../ports/index.js";
-import { sendHttpRequest } from "./http-request.js";
+import { convertFailure, sendHttpRequest } from "./http-request.js";
 import type { HttpEnd } from "./http-request.js";
 import { HttpStatus, parseJsonAnswer } from "./json-answer.js";
 import { nothingSchema, reportSchema, workerRefusalSchema } from "./schemas.js";
@@ -104,20 +104,15 @@
 }
 
 function parseServeReply(end: HttpEnd): WorkerAnswer<ServeReply> {
-    switch (end.kind) {
-        case "notSent":
-            return { kind: "unavailable", message: end.message };
-        case "lost":
-            return { kind: "unknown", message: end.message };
-        case "response": {
-            const refusal = end.headers[REFUSAL_HEADER];
-            if (end.status === HttpStatus.refused && typeof refusal === "string") {
-                return { kind: "refused", reason: parseRefusal(refusal), message: end.body.toString("utf8") };
-            }
-            const contentType = String(end.headers["content-type"] ?? "application/octet-stream");
-            return { kind: "done", value: { status: end.status, body: end.body, contentType } };
-        }
+    if (end.kind !== "response") {
+        return convertFailure(end);
     }
+    const refusal = end.headers[REFUSAL_HEADER];
+    if (end.status === HttpStatus.refused && typeof refusal === "string") {
+        return { kind: "refused", reason: parseRefusal(refusal), message: end.body.toString("utf8") };
+    }
+    const contentType = String(end.headers["content-type"] ?? "application/octet-stream");
+    return { kind: "done", value: { status: end.status, body: end.body, contentType } };
 }
 
 function parseRefusal(text: string): WorkerRefusal {
--- a/src/process/platform/json-answer.ts
+++ b/src/process/platform/json-answer.ts
@@ -1,13 +1,13 @@
 /** Reads the JSON answers of the platform and of workers, and checks them. */
 import type { z } from "zod";
-import type { HttpEnd } from "./http-request.js";
+import { convertFailure } from "./http-request.js";
+import type { FailureMeaning, HttpEnd } from "./http-request.js";
 
 /** An answer whose body was checked. */
 export type JsonAnswer<Value, Refusal> =
     | { readonly kind: "done"; readonly value: Value; }
     | { readonly kind: "refused"; readonly refusal: Refusal; }
-    | { readonly kind: "unavailable"; readonly message: string; }
-    | { readonly kind: "unknown"; readonly message: string; };
+    | FailureMeaning;
 
 /** Statuses of the protocol in docs/PLATFORM-PROTOCOL.md. */
 export const HttpStatus = {
@@ -31,14 +31,9 @@
     valueSchema: z.ZodType<Value>,
     refusalSchema: z.ZodType<Refusal>,
 ): JsonAnswer<Value, Refusal> {
-    switch (end.kind) {
-        case "notSent":
-            return { kind: "unavailable", message: end.message };
-        case "lost":
-            return { kind: "unknown", message: end.message };
-        case "response":
-            return parseResponse(end.status, end.body, valueSchema, refusalSchema);
-    }
+    return end.kind === "response" ?
+        parseResponse(end.status, end.body, valueSchema, refusalSchema) :
+        convertFailure(end);
 }
 
 function parseResponse<Value, Refusal>(
