--- a/src/process/node/silenced-leader.ts
+++ b/src/process/node/silenced-leader.ts
@@ -11,6 +11,12 @@
 const STORE_SILENCE_MS: Millis = 400;
 /** An answer within this time shows that the store is not slow for everybody. */
 const QUICK_ANSWER_MS: Millis = 150;
+/**
+ * Time after a look of this node's own that failed or was slow for which the leader keeps its place: the store was away
+ * for this node too. A leader soon hears of the store's return and then goes on with all that it holds, while a new one
+ * has to load the journal and to hear every worker first.
+ */
+const SHARED_OUTAGE_GRACE_MS: Millis = 700;
 const READ_TIMEOUT_MS: Millis = 500;
 
 /** Tells whether the store's silence towards a leader is worth acting on. */
@@ -23,13 +29,6 @@
     return tookMs < QUICK_ANSWER_MS;
 }
 
-/**
- * Time after a look of this node's own that failed or was slow for which the leader keeps its place: the store was away
- * for this node too. A leader soon hears of the store's return and then goes on with all that it holds, while a new one
- * has to load the journal and to hear every worker first.
- */
-const SHARED_OUTAGE_GRACE_MS: Millis = 700;
-
 /** What deciding about a silenced leader needs. */
 export interface SilencedLeaderOptions {
     readonly storePort: StorePort;
