Doc comments on public items of connection, node and store that had none

Cause: the house style asks for one on each public item; a look through the exports and their members with the compiler's parser showed 51 without one, besides methods that implement a documented port.

Change: one line each on 34, saying what the name does not. The other 17 (14 schemas of the wire, two types named like their constant, the name of an error) stay without: a comment there would only restate the name.

--- a/src/connection/handshake.ts
+++ b/src/connection/handshake.ts
@@ -24,6 +24,7 @@
     "expected a nonce or a proof",
 );
 
+/** The dialer says who it is. */
 export const helloSchema = z.object({
     kind: z.literal("hello"),
     version: z.int(),
@@ -31,6 +32,7 @@
     memberId: name,
     nonce: token,
 });
+/** The acceptor says who it is and proves it. */
 export const welcomeSchema = z.object({
     kind: z.literal("welcome"),
     version: z.int(),
@@ -39,11 +41,13 @@
     nonce: token,
     proof: token,
 });
+/** The dialer proves who it is. */
 export const confirmSchema = z.object({
     kind: z.literal("confirm"),
     proof: token,
     linkNumber: z.int().nonnegative(),
 });
+/** The acceptor has checked the proof: messages may follow. */
 export const readySchema = z.object({
     kind: z.literal("ready"),
     linkNumber: z.int().nonnegative(),
@@ -54,7 +58,9 @@
     reason: z.string().max(MAX_NAME_LENGTH),
 });
 
+/** A `hello` that was checked. */
 export type Hello = z.output<typeof helloSchema>;
+/** A `welcome` that was checked. */
 export type Welcome = z.output<typeof welcomeSchema>;
 
 /** Which end of the connection proves itself. */
--- a/src/connection/http/body-reader.ts
+++ b/src/connection/http/body-reader.ts
@@ -25,10 +25,12 @@
         return true;
     }
 
+    /** Gives bytes back that were held. */
     release(bytes: number): void {
         this.heldBytes -= bytes;
     }
 
+    /** Returns the bytes that are held now. */
     getHeldBytes(): number {
         return this.heldBytes;
     }
--- a/src/connection/http/http-answers.ts
+++ b/src/connection/http/http-answers.ts
@@ -17,6 +17,7 @@
     });
 }
 
+/** Answer to a body over its limit. */
 export function buildTooLarge(maxBytes: number): HttpReply {
     return buildError(413, {
         kind: "tooLarge",
@@ -26,6 +27,7 @@
     });
 }
 
+/** Answer to a body where the route takes none. */
 export function buildUnexpectedBody(): HttpReply {
     return buildError(400, {
         kind: "invalid",
@@ -35,6 +37,7 @@
     });
 }
 
+/** Answer where no route has the path, whatever the method. */
 export function buildUnknownPath(method: string): HttpReply {
     return buildError(404, {
         kind: "notFound",
@@ -44,6 +47,7 @@
     });
 }
 
+/** Answer where routes have the path, and none of them the method. */
 export function buildWrongMethod(allowed: readonly string[]): HttpReply {
     return buildError(405, {
         kind: "wrongMethod",
--- a/src/connection/http/http-limits.ts
+++ b/src/connection/http/http-limits.ts
@@ -3,6 +3,7 @@
 import { DEFAULT_REQUEST_LIMITS } from "../../request/http/index.js";
 import type { RequestLimits } from "../../request/http/index.js";
 
+/** Limits of a server. */
 export interface HttpLimits extends RequestLimits {
     readonly maxHeaderBytes: number;
     /** Time for all headers of a request to arrive. */
@@ -20,6 +21,7 @@
     readonly maxBufferedBytes: number;
 }
 
+/** Limits of the running system. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
     ...DEFAULT_REQUEST_LIMITS,
     maxHeaderBytes: 16_384,
--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -97,6 +97,7 @@
     readonly body: NoteBody;
 }
 
+/** What an entry may ask of another. */
 export type CallBody =
     | ServeCall
     | HomeCall
@@ -106,6 +107,7 @@
     | TableCall
     | ForceCall
     | ExplainCall;
+/** The answer to each call, or why there is none. */
 export type AnswerBody =
     | ServeAnswer
     | HomeAnswer
@@ -116,6 +118,7 @@
     | ForceAnswer
     | ExplainAnswer
     | ErrorAnswer;
+/** What entries tell each other of tasks. */
 export type NoteBody = PlaceNote | ConfirmNote | WithdrawNote | AcknowledgeNote | UpdateNote;
 
 /** Runs a service request on a worker of the receiver. */
@@ -136,6 +139,7 @@
     readonly home?: HomeFence;
 }
 
+/** What became of the request. */
 export interface ServeAnswer {
     readonly kind: "served";
     readonly outcome: Outcome;
@@ -181,6 +185,7 @@
     readonly reply: HomeReply;
 }
 
+/** What became of a caller's request. */
 export type HomeReply =
     | { readonly kind: "job"; readonly job: JobView; readonly created: boolean; }
     | { readonly kind: "explanation"; readonly lines: readonly string[]; }
@@ -202,6 +207,7 @@
     readonly floor: number;
 }
 
+/** All that the placer knows of the home slice's work. */
 export interface CensusAnswer {
     readonly kind: "census";
     /** Worker slices covered: owned by the sender and ready. */
@@ -220,6 +226,7 @@
     readonly holdMs: Millis;
 }
 
+/** How much of the gang found room. */
 export interface ReserveAnswer {
     readonly kind: "reserved";
     /** How many of the orders are held, counted from the first. */
@@ -233,6 +240,7 @@
     readonly kind: "tree";
 }
 
+/** The settings tree as the answering entry last read it. */
 export interface TreeAnswer {
     readonly kind: "tree";
     readonly version: number;
@@ -246,6 +254,7 @@
     readonly kind: "table";
 }
 
+/** The ownership table as the answering entry last read it. */
 export interface TableAnswer {
     readonly kind: "table";
     readonly text: string;
@@ -260,6 +269,7 @@
     readonly revision: number;
 }
 
+/** The version that is now in force at the answering entry. */
 export interface ForceAnswer {
     readonly kind: "forced";
     readonly version: number;
@@ -271,6 +281,7 @@
     readonly jobId: string;
 }
 
+/** What the placer knows of the tasks. */
 export interface ExplainAnswer {
     readonly kind: "explained";
     /** In words, a bounded number; empty when the placer knows nothing of the job. */
@@ -284,6 +295,7 @@
     readonly message: string;
 }
 
+/** Why a call was not handled. */
 export const PeerErrorCode = {
     notOwner: "notOwner",
     notReady: "notReady",
--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -112,6 +112,7 @@
         this.owner.handleClosed(message);
     }
 
+    /** Tells whether it is over, whichever end closed it. */
     isClosed(): boolean {
         return this.closed;
     }
--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -31,6 +31,7 @@
     readonly maxBackoffMs: Millis;
 }
 
+/** Limits of the running system. */
 export const DEFAULT_MESH_LIMITS: PeerMeshLimits = {
     ...DEFAULT_LINK_LIMITS,
     maxHandshakes: 128,
--- a/src/connection/task-messages.ts
+++ b/src/connection/task-messages.ts
@@ -88,6 +88,7 @@
     readonly ranMs?: Millis;
 }
 
+/** States of an attempt at a placer. */
 export const TaskUpdateState = {
     queued: "queued",
     /** Room is held for it; it starts when its home confirms that its start marker is durable. */
--- a/src/process/node/config-holder.ts
+++ b/src/process/node/config-holder.ts
@@ -18,6 +18,7 @@
     /** @param log - Has a line for each version that comes into force. */
     constructor(private readonly log: Log) {}
 
+    /** Returns the version in force. */
     get(): ClusterConfig {
         return this.current;
     }
--- a/src/process/node/link-server.ts
+++ b/src/process/node/link-server.ts
@@ -21,6 +21,7 @@
 
 /** The server; see the module comment. */
 export class LinkServer {
+    /** The links that are up. */
     readonly links = new Set<InboundLink>();
     private readonly server: Server;
 
--- a/src/process/node/messages.ts
+++ b/src/process/node/messages.ts
@@ -18,6 +18,7 @@
     readonly timeoutMs: Millis;
 }
 
+/** Any call, whichever end leads. */
 export type NodeCall = ServeCall | AdviseCall;
 
 /** Answers, by the kind of call. */
@@ -87,6 +88,7 @@
     readonly epoch: number;
 }
 
+/** Any message without an answer. */
 export type NodeNote = StatusNote | ConfigNote | HandoverNote | MembersNote | OfferNote;
 
 /** Tells whether a received body has the shape of a message: only nodes of the same cluster speak on links. */
--- a/src/process/store/prefix-follower.ts
+++ b/src/process/store/prefix-follower.ts
@@ -54,6 +54,7 @@
         }
     }
 
+    /** Follows no more; a poll under way ends unheard. */
     stop(): void {
         this.stopped = true;
     }
