--- a/src/connection/messages.ts
+++ b/src/connection/messages.ts
@@ -7,8 +7,19 @@
 import type { Millis } from "../common/clock.js";
 import type { Outcome } from "../common/outcome.js";
 import type { Resources } from "../common/resources.js";
-import type { JobSpec, JobView, WorkKind } from "../request/work.js";
-import type { Caller } from "../request/work.js";
+import type { Caller, JobSpec, JobView } from "../request/work.js";
+import type {
+    AcknowledgeNote,
+    ConfirmNote,
+    HomeFence,
+    PlaceNote,
+    PlaceOrder,
+    TaskUpdate,
+    UpdateNote,
+    WithdrawNote,
+} from "./task-messages.js";
+
+export * from "./task-messages.js";
 
 /** Any message on a link between entries. */
 export type PeerMessage = DigestMessage | CallMessage | AnswerMessage | NoteMessage;
@@ -86,6 +97,7 @@
     readonly body: NoteBody;
 }
 
+/** What an entry may ask of another. */
 export type CallBody =
     | ServeCall
     | HomeCall
@@ -95,6 +107,7 @@
     | TableCall
     | ForceCall
     | ExplainCall;
+/** The answer to each call, or why there is none. */
 export type AnswerBody =
     | ServeAnswer
     | HomeAnswer
@@ -105,6 +118,7 @@
     | ForceAnswer
     | ExplainAnswer
     | ErrorAnswer;
+/** What entries tell each other of tasks. */
 export type NoteBody = PlaceNote | ConfirmNote | WithdrawNote | AcknowledgeNote | UpdateNote;
 
 /** Runs a service request on a worker of the receiver. */
@@ -125,14 +139,7 @@
     readonly home?: HomeFence;
 }
 
-/** Proof of a home's right to have work started. */
-export interface HomeFence {
-    readonly homeSlice: number;
-    readonly epoch: number;
-    /** Rises with each order of one home epoch; a census sets a floor below which orders are refused. */
-    readonly sequence: number;
-}
-
+/** What became of the request. */
 export interface ServeAnswer {
     readonly kind: "served";
     readonly outcome: Outcome;
@@ -178,6 +185,7 @@
     readonly reply: HomeReply;
 }
 
+/** What became of a caller's request. */
 export type HomeReply =
     | { readonly kind: "job"; readonly job: JobView; readonly created: boolean; }
     | { readonly kind: "explanation"; readonly lines: readonly string[]; }
@@ -199,6 +207,7 @@
     readonly floor: number;
 }
 
+/** All that the placer knows of the home slice's work. */
 export interface CensusAnswer {
     readonly kind: "census";
     /** Worker slices covered: owned by the sender and ready. */
@@ -217,6 +226,7 @@
     readonly holdMs: Millis;
 }
 
+/** How much of the gang found room. */
 export interface ReserveAnswer {
     readonly kind: "reserved";
     /** How many of the orders are held, counted from the first. */
@@ -230,6 +240,7 @@
     readonly kind: "tree";
 }
 
+/** The settings tree as the answering entry last read it. */
 export interface TreeAnswer {
     readonly kind: "tree";
     readonly version: number;
@@ -243,6 +254,7 @@
     readonly kind: "table";
 }
 
+/** The ownership table as the answering entry last read it. */
 export interface TableAnswer {
     readonly kind: "table";
     readonly text: string;
@@ -257,6 +269,7 @@
     readonly revision: number;
 }
 
+/** The version that is now in force at the answering entry. */
 export interface ForceAnswer {
     readonly kind: "forced";
     readonly version: number;
@@ -268,6 +281,7 @@
     readonly jobId: string;
 }
 
+/** What the placer knows of the tasks. */
 export interface ExplainAnswer {
     readonly kind: "explained";
     /** In words, a bounded number; empty when the placer knows nothing of the job. */
@@ -281,6 +295,7 @@
     readonly message: string;
 }
 
+/** Why a call was not handled. */
 export const PeerErrorCode = {
     notOwner: "notOwner",
     notReady: "notReady",
@@ -288,103 +303,3 @@
     invalid: "invalid",
 } as const;
 export type PeerErrorCode = (typeof PeerErrorCode)[keyof typeof PeerErrorCode];
-
-/** One task that a home asks a placer to run. */
-export interface PlaceOrder {
-    /** Unique over all tries of all tasks: `job.index.homeEpoch.try`. */
-    readonly attempt: string;
-    readonly jobId: string;
-    readonly index: number;
-    readonly home: HomeFence;
-    readonly kind: WorkKind;
-    readonly branch: string;
-    readonly caller: Caller;
-    readonly urgent: boolean;
-    readonly repeatable: boolean;
-    readonly resources: Resources;
-    readonly estimateMs?: Millis;
-    /** Milliseconds since the job was accepted, when sent. */
-    readonly waitedMs: Millis;
-    readonly payload: string;
-    readonly checkpoint?: string;
-    readonly gangId?: string;
-}
-
-/** Hands tasks to a placer; repeating an attempt has no further effect. */
-export interface PlaceNote {
-    readonly kind: "place";
-    readonly orders: readonly PlaceOrder[];
-}
-
-/**
- * Lets granted attempts start: their start markers are durable. Only tasks that are not repeatable, outside of
- * gangs, wait for it.
- */
-export interface ConfirmNote {
-    readonly kind: "confirm";
-    readonly homeSlice: number;
-    readonly attempts: readonly string[];
-}
-
-/** Takes tasks back: queued ones are dropped, running ones stopped if `stop` is set. */
-export interface WithdrawNote {
-    readonly kind: "withdraw";
-    readonly homeSlice: number;
-    readonly attempts: readonly string[];
-    readonly stop: boolean;
-}
-
-/** The ends of these attempts are durable; placer and worker may forget them. */
-export interface AcknowledgeNote {
-    readonly kind: "acknowledge";
-    readonly homeSlice: number;
-    readonly attempts: readonly string[];
-}
-
-/** What a placer tells the home of tasks; repeated until acknowledged where it is an end. */
-export interface UpdateNote {
-    readonly kind: "updates";
-    readonly homeSlice: number;
-    readonly updates: readonly TaskUpdate[];
-}
-
-/** State of one attempt at a placer. */
-export interface TaskUpdate {
-    readonly attempt: string;
-    readonly jobId: string;
-    readonly index: number;
-    readonly state: TaskUpdateState;
-    readonly workerId?: string;
-    /** Epoch of the worker's slice: of two updates about a running task the higher one counts. */
-    readonly sliceEpoch?: number;
-    readonly answer?: string;
-    readonly message?: string;
-    readonly checkpoint?: string;
-    /** Why it was refused or shed. */
-    readonly reason?: string;
-    readonly retryAfterMs?: Millis;
-    readonly ranMs?: Millis;
-}
-
-export const TaskUpdateState = {
-    queued: "queued",
-    /** Room is held for it; it starts when its home confirms that its start marker is durable. */
-    granted: "granted",
-    running: "running",
-    /**
-     * Its start was ordered, and its worker went to another owner before the result was in: this placer knows no
-     * more of it, and a census has to tell.
-     */
-    moved: "moved",
-    /** Ended with an answer. */
-    done: "done",
-    /** Ended with an error of the task or worker. */
-    failed: "failed",
-    /** Stopped on order, or preempted; `checkpoint` tells what is left of it. */
-    stopped: "stopped",
-    /** Proved not started: dropped from the queue, refused by the placer or by the worker's fence. */
-    notStarted: "notStarted",
-    /** It was started; its worker is lost or restarted and its lease has surely ended. */
-    lost: "lost",
-} as const;
-export type TaskUpdateState = (typeof TaskUpdateState)[keyof typeof TaskUpdateState];
--- a/src/process/node/messages.ts
+++ b/src/process/node/messages.ts
@@ -18,6 +18,7 @@
     readonly timeoutMs: Millis;
 }
 
+/** Any call, whichever end leads. */
 export type NodeCall = ServeCall | AdviseCall;
 
 /** Answers, by the kind of call. */
@@ -39,7 +40,7 @@
     readonly isLoading: boolean;
     /** The leader that this end follows, or is; undefined where it knows none. */
     readonly leader: LeaderHint | undefined;
-    /** Epoch of the leader that this end is, or has heard within the last third of a second. */
+    /** Epoch of the leader that this end is, or has heard a moment ago. */
     readonly heardEpoch: number | undefined;
     /** How long the leader's writes have gone without any answer of the store; 0 where none waits. */
     readonly storeSilenceMs: Millis;
@@ -87,6 +88,7 @@
     readonly epoch: number;
 }
 
+/** Any message without an answer. */
 export type NodeNote = StatusNote | ConfigNote | HandoverNote | MembersNote | OfferNote;
 
 /** Tells whether a received body has the shape of a message: only nodes of the same cluster speak on links. */
