A denial by the advice service ends after a while

Callers saw an accepted task wait for ever beside empty workers: an answer that was not whole left them out, they counted as denied for good, and the workers that had been allowed were gone. A denied worker may now be named again after 1 s, then 2, 4, 8 and at most 10 s, and only by a step whose allowed workers cannot hold it and that has nobody else to ask about; so a step that no worker may run puts a handful of questions a minute.

--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -12,6 +12,16 @@
 /** Pause after a question that failed: other nodes may still reach the service. */
 const FAILURE_PAUSE_MS: Millis = 150;
 
+/** Time after which a worker that was left out of an answer may be named again; it doubles with each answer, up to the longest. */
+const FIRST_DENIAL_MS: Millis = 1_000;
+const LONGEST_DENIAL_MS: Millis = 10_000;
+
+interface Denial {
+    /** When the worker may be named again, on our clock. */
+    readonly until: Millis;
+    readonly pauseMs: Millis;
+}
+
 interface HeldPermit {
     readonly token: string;
     /** On our clock. */
@@ -25,11 +35,14 @@
     /** After a question that failed, when the next may be put. */
     private pausedUntil: Millis = -Infinity;
     private readonly held = new Map<string, HeldPermit>();
-    private readonly denied = new Set<string>();
+    private readonly denied = new Map<string, Denial>();
 
     /**
-     * Takes in an answer. Which workers may run a step does not change, so a worker that was named and not allowed
-     * is never asked for again.
+     * Takes in an answer.
+     *
+     * @remarks Failure guarded against: an answer leaves out a worker that the service did not know at that moment. Denied
+     * for good, it stays out of the step's reach, and once the allowed workers are gone the step waits for ever beside empty
+     * ones. A denial ends, later each time, so a step that no worker may run costs few questions.
      * @param asked - Workers that were named.
      * @param permits - Those that are allowed.
      * @param answeredAt - When the answer arrived.
@@ -39,10 +52,11 @@
         const usableUntil = answeredAt + validMs - PERMIT_MARGIN_MS;
         for (const { workerId, token } of permits) {
             this.held.set(workerId, { token, usableUntil });
+            this.denied.delete(workerId);
         }
         for (const workerId of asked) {
             if (!this.held.has(workerId)) {
-                this.denied.add(workerId);
+                this.refuseWorker(workerId, answeredAt);
             }
         }
     }
@@ -80,6 +94,12 @@
         return !this.held.has(workerId) && !this.denied.has(workerId);
     }
 
+    /** Tells whether a worker was denied so long ago that it may be named again. */
+    isDenialOver(workerId: string, now: Millis): boolean {
+        const denial = this.denied.get(workerId);
+        return denial !== undefined && now >= denial.until;
+    }
+
     /** Lists the workers that may run the step, also those whose permit has run out. */
     listAllowed(): Iterable<string> {
         return this.held.keys();
@@ -90,4 +110,10 @@
         const permit = this.held.get(workerId);
         return permit !== undefined && now < permit.usableUntil ? permit.token : undefined;
     }
+
+    private refuseWorker(workerId: string, now: Millis): void {
+        const last = this.denied.get(workerId)?.pauseMs;
+        const pauseMs = last === undefined ? FIRST_DENIAL_MS : Math.min(LONGEST_DENIAL_MS, last * 2);
+        this.denied.set(workerId, { until: now + pauseMs, pauseMs });
+    }
 }
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -300,7 +300,14 @@
         const unknown = pool.slots.filter(slot =>
             permits.isUnknown(slot.id) && (isAllWanted || slot.canTake(step)) && slot.isSuitable(step)
         );
-        this.addWish(urgency, unknown, this.input.getAllowedShare(urgency.queue.name));
+        // An answer may have left out workers that would be allowed now, and nobody else is left to ask about.
+        const isDeniedWanted = isAllWanted && unknown.length === 0;
+        const wanted = isDeniedWanted ?
+            pool.slots.filter(slot =>
+                permits.isDenialOver(slot.id, this.input.now) && slot.isSuitable(step)
+            ) :
+            unknown;
+        this.addWish(urgency, wanted, this.input.getAllowedShare(urgency.queue.name));
     }
 
     private addWish(urgency: Urgency, slots: readonly Slot[], allowedShare: number): void {
