A worker that a renewal leaves out is no longer the step's best place

Callers saw an accepted task wait for ever with room on other workers: its permit on the worker nearest to its data had run out, the answer to the renewal left that worker out, and the planner went on placing the task there and asking about it. Such a worker is now denied like any other that an answer leaves out, so the next pass takes another one, or asks about workers that were not named yet.

--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -43,6 +43,9 @@
      * @remarks Failure guarded against: an answer leaves out a worker that the service did not know at that moment. Denied
      * for good, it stays out of the step's reach, and once the allowed workers are gone the step waits for ever beside empty
      * ones. A denial ends, later each time, so a step that no worker may run costs few questions.
+     *
+     * An allowed worker that a renewal leaves out is denied like any other: still held, it would stay the best place of a
+     * task that then waits for a permit that nobody gives.
      * @param asked - Workers that were named.
      * @param permits - Those that are allowed.
      * @param answeredAt - When the answer arrived.
@@ -50,12 +53,13 @@
      */
     accept(asked: readonly string[], permits: readonly Permit[], answeredAt: Millis, validMs: Millis): void {
         const usableUntil = answeredAt + validMs - PERMIT_MARGIN_MS;
+        const allowed = new Set(permits.map(permit => permit.workerId));
         for (const { workerId, token } of permits) {
             this.held.set(workerId, { token, usableUntil });
             this.denied.delete(workerId);
         }
         for (const workerId of asked) {
-            if (!this.held.has(workerId)) {
+            if (!allowed.has(workerId)) {
                 this.refuseWorker(workerId, answeredAt);
             }
         }
@@ -114,6 +118,7 @@
     private refuseWorker(workerId: string, now: Millis): void {
         const last = this.denied.get(workerId)?.pauseMs;
         const pauseMs = last === undefined ? FIRST_DENIAL_MS : Math.min(LONGEST_DENIAL_MS, last * 2);
+        this.held.delete(workerId);
         this.denied.set(workerId, { until: now + pauseMs, pauseMs });
     }
 }
