A renewal names the workers that were chosen first

Callers saw an accepted task, or a gang, wait for ever with room on all workers that may run it. Its best place, nearest to its data and nearly full, had a permit that had run out; renewals named the emptiest workers first and stopped there. With more allowed workers than questions can name while a permit is valid, the one that was chosen was never named. Now it always is, so one answer decides: the task starts there, or the worker is denied and the next pass takes another.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -221,21 +221,25 @@
             this.starts.push(...found.filter(start => start.permit !== undefined));
         }
         if (lacking.length > 0) {
-            this.renewPermits(current, permits);
+            this.renewPermits(current, permits, placements);
         }
     }
 
     /**
-     * Asks again for workers whose permit has run out, the emptiest first, and for more than those chosen now: by the
-     * time of the answer others may have taken that room, and most of the service's time goes to a question as such.
+     * Asks again for workers whose permit has run out, those chosen now and then the emptiest: by the time of the answer
+     * others may have taken that room, and most of the service's time goes to a question as such.
      */
-    private renewPermits(current: WaitingStep, permits: StepPermits): void {
+    private renewPermits(
+        current: WaitingStep,
+        permits: StepPermits,
+        placements: readonly Placement[],
+    ): void {
         if (!permits.canAsk(this.input.now)) {
             return;
         }
         const expired = current.candidates
             .filter(slot => permits.getUsable(slot.id, this.input.now) === undefined);
-        this.addWish(current.urgency, expired, RENEWAL_SHARE);
+        this.addWish(current.urgency, expired, RENEWAL_SHARE, new Set(placements.map(({ slot }) => slot)));
     }
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
@@ -246,7 +250,7 @@
             this.keepingGangs += 1;
             if (permits !== undefined) {
                 // Its room may come free at any moment, and must not stand idle for as long as a question takes.
-                this.renewPermits(current, permits);
+                this.renewPermits(current, permits, placements);
             }
             return;
         }
@@ -310,15 +314,21 @@
         this.addWish(urgency, wanted, this.input.getAllowedShare(urgency.queue.name));
     }
 
-    private addWish(urgency: Urgency, slots: readonly Slot[], allowedShare: number): void {
+    private addWish(
+        urgency: Urgency,
+        slots: readonly Slot[],
+        allowedShare: number,
+        chosen: ReadonlySet<Slot> = new Set(),
+    ): void {
         const { step, queue } = urgency;
         if (queue.advice === undefined || slots.length === 0) {
             return;
         }
         const need = { spec: step.spec, tasks: step.waiting, policy: queue.advice, allowedShare };
-        const askable = slots.map(({ id, capacity, free }): AskableWorker => {
+        const askable = slots.map((slot): AskableWorker => {
+            const { id, capacity, free } = slot;
             const cpuMillis = Math.max(0, free.cpuMillis - this.input.getClaimedCpu(id));
-            return { id, capacity, free: { ...free, cpuMillis } };
+            return { id, capacity, free: { ...free, cpuMillis }, isChosen: chosen.has(slot) };
         });
         this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need) });
     }
--- a/src/process/dispatch/question-size.ts
+++ b/src/process/dispatch/question-size.ts
@@ -15,6 +15,8 @@
     readonly id: string;
     readonly capacity: Resources;
     readonly free: Resources;
+    /** Whether tasks were placed there that wait for its permit; left out where there are none. */
+    readonly isChosen?: boolean;
 }
 
 /** Workers that one question may name at most. */
@@ -70,14 +72,27 @@
 
 /**
  * Chooses whom to ask about: the workers with the most room for the step, as many as it is expected to need.
+ *
+ * @remarks Failure guarded against: tasks are placed on the fullest worker that fits, and by its room it comes last here.
+ * With more allowed workers than can be named while a permit is valid it was never named, and its task waited for ever. So
+ * workers that were chosen are named first.
  * @param workers - Those not asked about yet.
  * @param need - What the step needs.
  */
 export function selectWorkersToAsk(workers: readonly AskableWorker[], need: QuestionNeed): readonly string[] {
     const { spec, tasks, policy, allowedShare } = need;
     const rooms = workers
-        .map(worker => ({ id: worker.id, free: worker.free.cpuMillis, room: computeRoom(spec, worker) }))
-        .sort((left, right) => right.room - left.room || right.free - left.free);
+        .map(worker => ({
+            id: worker.id,
+            isChosen: worker.isChosen === true,
+            free: worker.free.cpuMillis,
+            room: computeRoom(spec, worker),
+        }))
+        .sort((left, right) =>
+            Number(right.isChosen) - Number(left.isChosen) ||
+            right.room - left.room ||
+            right.free - left.free
+        );
     const wanted = tasks * (spec.isGang ? GANG_ROOM_FACTOR : ROOM_FACTOR) / allowedShare;
     const cheap = policy.perWorkerMs === 0 ?
         MAX_ASKED_WORKERS :
@@ -85,8 +100,8 @@
     const least = Math.max(LEAST_ASKED_WORKERS, cheap);
     const ids: string[] = [];
     let expected = 0;
-    for (const { id, room } of rooms) {
-        const isEnough = expected >= wanted && ids.length >= least;
+    for (const { id, isChosen, room } of rooms) {
+        const isEnough = !isChosen && expected >= wanted && ids.length >= least;
         if (isEnough || ids.length >= MAX_ASKED_WORKERS) {
             break;
         }
