Test: a step whose orders one worker refuses starts on another one

Red for now: the worker is the best place again in the next pass, for late, outdated and unreadable orders, and for orders without an answer, whose pause is over before the reports have settled them.

--- /dev/null
+++ b/src/test/leader/refused-orders_test.ts
@@ -0,0 +1,66 @@
+/** Workers that refuse the orders of one step while others would take them. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
+import { OrderRefusal } from "../../process/ports/task-worker-port.js";
+import type { WorkerAnswer } from "../../process/ports/task-worker-port.js";
+import { LeaderCell, makeJobId, makeSpec, QUEUE } from "../leader/leader-cell.js";
+
+const ADVICE = { decideMs: 20, perWorkerMs: 1, validMs: 2_500 };
+const ADDRESS = "10.0.0.1:80";
+
+/** Runs jobs under a leader whose worker `w1` answers each order for job 1 in one way. */
+async function runCell(answer: WorkerAnswer<Millis>, jobCount = 1): Promise<LeaderCell> {
+    const cell = new LeaderCell(2);
+    cell.config = { ...cell.config, queues: [{ ...QUEUE, advice: ADVICE }] };
+    const model = cell.getModel(ADDRESS);
+    const start = model.start.bind(model);
+    model.start = order => order.task.startsWith(makeJobId(1)) ? answer : start(order);
+    const leader = await cell.startLeader();
+    leader.leader.addCaller({
+        nodeName: "node-1",
+        requestPermits: (...[, workerIds]) =>
+            Promise.resolve({
+                kind: "done",
+                permits: workerIds.map(workerId => ({ workerId, token: "token" })),
+            }),
+    });
+    await cell.clock.step(300);
+    for (let number = 1; number <= jobCount; number++) {
+        await cell.submit(leader, number, makeSpec({}));
+        await cell.clock.step(1_000);
+    }
+    await cell.clock.step(10_000);
+    return cell;
+}
+
+describe("a step whose orders one worker refuses", () => {
+    const reasons = [OrderRefusal.late, OrderRefusal.outdated, OrderRefusal.invalid, OrderRefusal.noPermit];
+    for (const reason of reasons) {
+        it(`starts on another worker where the reason is "${reason}"`, async () => {
+            // An accepted task waits for ever beside a worker that would take it. Another one looks like the better place,
+            // refuses each order, and is the better place again a moment later.
+            const cell = await runCell({ kind: "refused", reason });
+            const start = cell.starts.find(({ task }) => task.startsWith(makeJobId(1)));
+            assert.equal(start?.workerId, "w2");
+            assert.ok(start.at < 1_500, `started at ${start.at}`);
+            assert.deepEqual(cell.faults, []);
+        });
+    }
+
+    it("starts on another worker where orders stay without an answer", async () => {
+        // As above; the worker answers reports but no order, and the pause that it got was over before the reports had
+        // settled the order.
+        const cell = await runCell({ kind: "unknown", message: "no answer" });
+        const start = cell.starts.find(({ task }) => task.startsWith(makeJobId(1)));
+        assert.equal(start?.workerId, "w2");
+        assert.ok(start.at < 4_000, `started at ${start.at}`);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("leaves the worker to other steps where the reason is about the step", async () => {
+        const cell = await runCell({ kind: "refused", reason: OrderRefusal.outdated }, 2);
+        const other = cell.starts.find(({ task }) => task.startsWith(makeJobId(2)));
+        assert.equal(other?.workerId, "w1");
+    });
+});
