A worker that did not take an order of a step is left out for that step for a while

Callers saw an accepted task wait for ever beside workers that would take it: the best place refused each order as late, as outdated or as unreadable, and was the best place again in the next pass; the same with orders that were never answered, where the pause of the worker ended before the reports had settled the order. A refusal now pauses the worker for that step, 300 ms at first and twice as long each time, up to 10 s, so the next pass chooses another one; other steps go on using the worker. An order without an answer counts from when the reports have settled it.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -40,6 +40,8 @@
     readonly getClaimedCpu: (workerId: string) => number;
     /** Share of the workers named that a queue's policy is expected to allow. */
     readonly getAllowedShare: (queue: string) => number;
+    /** Whether a worker did not take orders of a step lately. */
+    readonly isRefusing: (step: Step, workerId: string) => boolean;
     readonly now: Millis;
 }
 
@@ -122,9 +124,10 @@
         const { step, queue } = urgency;
         const pool = this.getPool(queue.pool);
         const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
-        const candidates = permits === undefined ?
+        const allowed = permits === undefined ?
             pool.slots.filter(slot => slot.isSuitable(step)) :
             listAllowed(step, pool, permits);
+        const candidates = allowed.filter(slot => !this.input.isRefusing(step, slot.id));
         const current: WaitingStep = { urgency, step, pool, permits, candidates };
         const placements = this.placeTasks(current);
         const isWhole = placements.length === step.waiting;
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -215,6 +215,7 @@
             preemptionLooks: this.preemptionLooks,
             getClaimedCpu: workerId => this.claims.getCpu(workerId),
             getAllowedShare: queue => this.allowedShares.getShare(queue),
+            isRefusing: (step, workerId) => this.starter.refusals.isPaused(step, workerId, begin),
             now: begin,
         });
         this.starter.startAll(plan.starts);
--- /dev/null
+++ b/src/process/leader/order-refusals.ts
@@ -0,0 +1,41 @@
+/** Which workers did not take the orders of which step lately. */
+import type { Millis } from "../../common/clock.js";
+import type { Step } from "../jobs/job.js";
+
+/** Pause of a worker for a step after its first refusal; it doubles with each further one, up to the longest. */
+const FIRST_PAUSE_MS: Millis = 300;
+const LONGEST_PAUSE_MS: Millis = 10_000;
+
+interface Pause {
+    /** On our clock. */
+    readonly until: Millis;
+    readonly lengthMs: Millis;
+}
+
+/**
+ * Refusals of orders, by step and worker.
+ *
+ * @remarks Failure guarded against: the worker that is the best place for a task refuses its order for a reason that
+ * changes nothing about the worker, and is the best place again in the next pass. The task never starts, while others would
+ * take it. The reason may be about the step alone, so the worker stays open to all other steps.
+ */
+export class OrderRefusals {
+    private readonly pauses = new WeakMap<Step, Map<string, Pause>>();
+
+    /**
+     * Takes in that a worker did not take an order.
+     * @param from - When the task can be given to a worker again.
+     */
+    observe(step: Step, workerId: string, from: Millis): void {
+        const workers = this.pauses.get(step) ?? new Map<string, Pause>();
+        const last = workers.get(workerId)?.lengthMs;
+        const lengthMs = last === undefined ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, last * 2);
+        this.pauses.set(step, workers.set(workerId, { until: from + lengthMs, lengthMs }));
+    }
+
+    /** Tells whether a worker gets nothing of a step for now. */
+    isPaused(step: Step, workerId: string, now: Millis): boolean {
+        const pause = this.pauses.get(step)?.get(workerId);
+        return pause !== undefined && now < pause.until;
+    }
+}
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -11,17 +11,23 @@
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 import type { Fleet } from "./fleet.js";
+import { OrderRefusals } from "./order-refusals.js";
 
 /**
  * Time on the worker's clock for which an order may still be carried out. It is short so that an order without an
  * answer is settled by the next report after it; the worker's lease is longer and not shortened by it.
  */
 const ORDER_LIFE_MS: Millis = 1_000;
+/** Time in which reports settle an order without an answer: its life, and the longest wait of a report. */
+const SETTLE_MS: Millis = ORDER_LIFE_MS + 1_000;
 /** A worker that calls itself unhealthy, or that cannot be reached, gets nothing new for this long. */
 const UNHEALTHY_PAUSE_MS: Millis = 1_000;
 
 /** The starter; see the module comment. */
 export class Starter {
+    /** What planning has to leave out. */
+    readonly refusals = new OrderRefusals();
+
     /**
      * @param context - Shared parts.
      * @param fleet - Workers.
@@ -138,8 +144,10 @@
                 this.settleNotRun(worker, record, "not sent");
                 return;
             case "unknown":
-                // The reports settle it: see `settledAfter`. Until then room and task stay taken.
+                // The reports settle it: see `settledAfter`. Until then room and task stay taken, so the pause for the
+                // step counts from then: one that is over by then would give the worker the next order too.
                 worker.avoidedUntil = this.context.clock.now() + UNHEALTHY_PAUSE_MS;
+                this.refusals.observe(step, worker.id, this.context.clock.now() + SETTLE_MS);
                 this.context.log.warn("CR1616", "orderUnanswered", {
                     task: record.task,
                     run: record.run,
@@ -162,6 +170,7 @@
 
     private handleRefusal(start: PlannedStart, reason: OrderRefusal): void {
         const { worker, step } = start;
+        this.refusals.observe(step, worker.id, this.context.clock.now());
         if (reason === OrderRefusal.noPermit) {
             this.getPermits(step).drop(worker.id);
         }
