Every question to the advice service is settled within its timeout

Callers saw an accepted task stand still beside empty workers: a question whose caller threw, rejected or never answered was never settled, and a step puts one question at a time. The desk now has a timer of its own, a little after the caller's, and takes an error as a failed question; both are logged as CR1617 with the step and the node.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -6,13 +6,15 @@
  * caller would fall behind for ever; with every node asking, each is busy for a quarter of the time. Some nodes are
  * kept for short questions, else the quick work waits behind a question that takes longer than its whole slack.
  */
-import type { Clock, Millis } from "../../common/clock.js";
+import type { Clock, Millis, Timer } from "../../common/clock.js";
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
+import type { Log } from "../telemetry.js";
 
 /** A node that can ask. */
 export interface AdviceCaller {
     readonly nodeName: string;
+    /** Is to settle within the timeout; see {@link AdviceDesk} for what does not. */
     requestPermits(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
 }
 
@@ -42,6 +44,8 @@
 /** Time allowed on top of what the question takes, as a factor and a constant. */
 const TIMEOUT_FACTOR = 2;
 const TIMEOUT_MARGIN_MS: Millis = 600;
+/** Time for a caller's own word that its timeout has passed. */
+const SILENCE_MARGIN_MS: Millis = 200;
 
 /** A node whose question failed is asked last for this long: it may be cut off from the service. */
 const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
@@ -64,13 +68,22 @@
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
 
-/** The desk; see the module comment. */
+/**
+ * The desk; see the module comment.
+ *
+ * @remarks Failure guarded against: a caller throws, or never answers. A step puts one question at a time, so one that is
+ * never settled keeps it from asking for ever, and its tasks stand still beside empty workers. Every question is settled
+ * within its timeout, as failed if need be, whatever the caller does.
+ */
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
     private waiting: AdviceQuestion[] = [];
 
-    /** @param clock - For timeouts and estimates. */
-    constructor(private readonly clock: Clock) {}
+    /**
+     * @param clock - For timeouts and estimates.
+     * @param log - For callers that throw or do not answer.
+     */
+    constructor(private readonly clock: Clock, private readonly log: Log) {}
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
@@ -140,7 +153,7 @@
         state.underWay += 1;
         state.busyUntil = begin + took;
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
-        const answer = await state.caller.requestPermits(question.step, question.workerIds, timeout);
+        const answer = await this.requestAnswer(state.caller, question, timeout);
         state.underWay -= 1;
         if (answer.kind !== "done") {
             state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
@@ -148,4 +161,27 @@
         question.settle(answer, askedAt);
         this.dispatch();
     }
+
+    private async requestAnswer(
+        caller: AdviceCaller,
+        { step, workerIds }: AdviceQuestion,
+        timeout: Millis,
+    ): Promise<AdviceAnswer> {
+        const limit = timeout + SILENCE_MARGIN_MS;
+        let timer: Timer | undefined;
+        const silence = new Promise<never>((...[, reject]) => {
+            timer = this.clock.schedule(limit, () => reject(new Error(`no answer within ${limit} ms`)));
+        });
+        try {
+            return await Promise.race([caller.requestPermits(step, workerIds, timeout), silence]);
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            this.log.warn("CR1617", "adviceCallerFailed", { step, nodeName: caller.nodeName, message });
+            return { kind: "failed", message };
+        }
+        finally {
+            timer?.cancel();
+        }
+    }
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -82,7 +82,7 @@
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
         this.journal = this.buildJournal();
-        this.advice = new AdviceDesk(options.clock);
+        this.advice = new AdviceDesk(options.clock, options.log);
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
--- a/src/test/dispatch/advice-desk_test.ts
+++ b/src/test/dispatch/advice-desk_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { AdviceDesk } from "../../process/dispatch/advice-desk.js";
 import { FakeClock } from "../fakes/fake-clock.js";
+import { createFakeLog } from "../fakes/fake-telemetry.js";
 
 const LONG = { decideMs: 559, perWorkerMs: 8, validMs: 2_000 };
 const MEDIUM = { decideMs: 130, perWorkerMs: 2, validMs: 2_000 };
@@ -12,7 +13,7 @@
         // Many gangs wait for room and ask again and again, a second each. A job of their own queue that has asked nothing
         // yet waited behind all of them.
         const clock = new FakeClock();
-        const desk = new AdviceDesk(clock);
+        const desk = new AdviceDesk(clock, createFakeLog());
         const sent: string[] = [];
         const enqueue = (step: string, policy: typeof LONG, priority: number, isFirst = true): void =>
             desk.enqueue({
--- a/src/test/dispatch/silent-callers_test.ts
+++ b/src/test/dispatch/silent-callers_test.ts
@@ -4,6 +4,7 @@
 import { AdviceDesk } from "../../process/dispatch/advice-desk.js";
 import type { AdviceAnswer } from "../../process/ports/task-worker-port.js";
 import { FakeClock } from "../fakes/fake-clock.js";
+import { createFakeLog, listCodes } from "../fakes/fake-telemetry.js";
 
 const POLICY = { decideMs: 82, perWorkerMs: 1.2, validMs: 2_500 };
 
@@ -18,7 +19,8 @@
             // A step puts one question at a time. The question was never settled, so the step was never asked about again: its
             // accepted task waited for ever beside empty workers, while steps whose questions other nodes answered went on.
             const clock = new FakeClock();
-            const desk = new AdviceDesk(clock);
+            const log = createFakeLog();
+            const desk = new AdviceDesk(clock, log);
             const settled: (string | undefined)[] = [];
             desk.addCaller({ nodeName: "node-1", requestPermits: ask });
             for (const step of ["first", "second", "third"]) {
@@ -35,6 +37,7 @@
             await clock.step(5_000);
             assert.deepEqual(settled, ["failed", "failed", "failed"]);
             assert.equal(desk.countWaiting(), 0);
+            assert.deepEqual(listCodes(log), ["CR1617", "CR1617", "CR1617"]);
         });
     }
 });
