A node's estimate follows the answers of a service that is quicker than its figures

Callers would see an accepted task stand still for minutes after one lost answer: each answer that came earlier than the figures say left the node's next free moment further ahead, and a question's timeout counts from that moment. An answer now takes the estimate back to what is still under way.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -53,6 +53,8 @@
 interface CallerState {
     readonly caller: AdviceCaller;
     underWay: number;
+    /** What its questions under way take together, by the policy's figures. */
+    underWayMs: Millis;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
 }
@@ -87,7 +89,7 @@
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
-        this.callers.set(caller.nodeName, { caller, underWay: 0, busyUntil: 0 });
+        this.callers.set(caller.nodeName, { caller, underWay: 0, underWayMs: 0, busyUntil: 0 });
         this.dispatch();
     }
 
@@ -151,13 +153,18 @@
         const took = estimateQuestionMs(question);
         const begin = Math.max(askedAt, state.busyUntil);
         state.underWay += 1;
+        state.underWayMs += took;
         state.busyUntil = begin + took;
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
         const answer = await this.requestAnswer(state.caller, question, timeout);
         state.underWay -= 1;
-        if (answer.kind !== "done") {
-            state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
-        }
+        state.underWayMs -= took;
+        const now = this.clock.now();
+        // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count from
+        // there, and one lost answer would hold its step up for minutes.
+        state.busyUntil = answer.kind === "done" ?
+            Math.min(state.busyUntil, now + state.underWayMs) :
+            now + FAILED_CALLER_PAUSE_MS;
         question.settle(answer, askedAt);
         this.dispatch();
     }
