Long questions go to the nodes for short ones while all others are cut off

Callers of jobs whose questions are long saw them never start: with three nodes one alone may put long questions, and while it was cut off from the advice service each of them failed there, again and again, beside two idle nodes. A node whose last question failed counts as cut off for a second; while all that may put long questions are, any node may.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -57,6 +57,8 @@
     underWayMs: Millis;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
+    /** Until when it counts as cut off from the service. */
+    failedUntil: Millis;
 }
 
 /** Returns how long the service takes for a question. */
@@ -89,7 +91,13 @@
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
-        this.callers.set(caller.nodeName, { caller, underWay: 0, underWayMs: 0, busyUntil: 0 });
+        this.callers.set(caller.nodeName, {
+            caller,
+            underWay: 0,
+            underWayMs: 0,
+            busyUntil: 0,
+            failedUntil: 0,
+        });
         this.dispatch();
     }
 
@@ -132,12 +140,19 @@
         unwanted.forEach(question => question.settle(undefined, 0));
     }
 
-    /** Chooses the node that is free first; nothing for a long question while only kept nodes are free. */
+    /**
+     * Chooses the node that is free first; nothing for a long question while only kept nodes are free.
+     *
+     * @remarks Failure guarded against: the few nodes that may put long questions are cut off from the service, and every
+     * long question fails there while the kept nodes have nothing to do. Those take long questions too then.
+     */
     private chooseCaller(question: AdviceQuestion): CallerState | undefined {
         const states = [...this.callers.values()];
         const kept = states.length < 2 ? 0 : Math.min(MAX_KEPT_NODES, Math.ceil(states.length * SHORT_SHARE));
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
-        const eligible = isShort ? states : states.slice(kept);
+        const usual = isShort ? states : states.slice(kept);
+        const now = this.clock.now();
+        const eligible = usual.some(state => now >= state.failedUntil) ? usual : states;
         let best: CallerState | undefined;
         for (const state of eligible) {
             const limit = isShort ? MAX_UNDER_WAY : 1;
@@ -162,9 +177,13 @@
         const now = this.clock.now();
         // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count from
         // there, and one lost answer would hold its step up for minutes.
-        state.busyUntil = answer.kind === "done" ?
-            Math.min(state.busyUntil, now + state.underWayMs) :
-            now + FAILED_CALLER_PAUSE_MS;
+        if (answer.kind === "done") {
+            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
+        }
+        else {
+            state.failedUntil = now + FAILED_CALLER_PAUSE_MS;
+            state.busyUntil = state.failedUntil;
+        }
         question.settle(answer, askedAt);
         this.dispatch();
     }
