--- /dev/null
+++ b/src/test/node/odd-advice_test.ts
@@ -0,0 +1,49 @@
+/** Answers of other nodes to questions for the advice service. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { LinkAnswer } from "../../connection/node-link.js";
+import type { AdviceCaller } from "../../process/dispatch/advice-desk.js";
+import type { LeaderSeat } from "../../process/node/leader-seat.js";
+import type { InboundLink } from "../../process/node/link-server.js";
+import { addRemoteCaller } from "../../process/node/remote-advice.js";
+
+function makeCaller(answer: LinkAnswer): AdviceCaller {
+    const callers: AdviceCaller[] = [];
+    const seat = { addCaller: (caller: AdviceCaller) => callers.push(caller) };
+    const inbound = { status: { nodeName: "node-2" }, link: { call: () => Promise.resolve(answer) } };
+    addRemoteCaller(seat as unknown as LeaderSeat, inbound as unknown as InboundLink);
+    assert(callers[0] !== undefined);
+    return callers[0];
+}
+
+describe("addRemoteCaller", () => {
+    const permits = [{ workerId: "w1", token: "token" }];
+    const cases: { name: string; body: unknown; kind: string; }[] = [
+        { name: "nothing", body: undefined, kind: "failed" },
+        { name: "a number", body: 5, kind: "failed" },
+        { name: "that the node does not lead", body: { kind: "notLeading" }, kind: "failed" },
+        { name: "advice without an answer", body: { kind: "advised" }, kind: "failed" },
+        { name: "an answer of no kind", body: { kind: "advised", answer: {} }, kind: "failed" },
+        {
+            name: "an answer without permits",
+            body: { kind: "advised", answer: { kind: "done" } },
+            kind: "failed",
+        },
+        {
+            name: "a permit of no worker",
+            body: { kind: "advised", answer: { kind: "done", permits: [undefined] } },
+            kind: "failed",
+        },
+        { name: "a full line", body: { kind: "advised", answer: { kind: "busy" } }, kind: "busy" },
+        { name: "permits", body: { kind: "advised", answer: { kind: "done", permits } }, kind: "done" },
+    ];
+    for (const { name, body, kind } of cases) {
+        it(`takes ${name} as ${kind}`, async () => {
+            // A node answers a question with something else. The leader read a field of it that is not there; the error was
+            // nobody's, the process ended, and with it the leadership.
+            const caller = makeCaller({ kind: "answered", body });
+            const answer = await caller.requestPermits("step", ["w1"], 100);
+            assert.equal(answer.kind, kind);
+        });
+    }
+});
