A gang keeps no room where services hold what it lacks

Callers of the queues behind it saw accepted tasks stand still beside an empty worker: whether a gang can ever be whole was judged by the workers' whole capacity, so one that needs what a lasting service holds kept the rest for as long as it could be in time. Room of runs that last until they are stopped no longer counts for gangs, also under a new leader.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -365,16 +365,17 @@
 }
 
 /**
- * Tells whether a step's tasks fit, all at once, onto workers that run nothing else.
+ * Tells whether a step's tasks fit, all at once, onto workers that run nothing else; for a gang also beside runs that last.
  *
- * @remarks Failure guarded against: a gang that is larger than all workers that may run it keeps room for as long as it
- * waits, and everything behind it starves.
+ * @remarks Failure guarded against: a gang that is larger than all workers that may run it, or than what services leave of
+ * them, keeps room for as long as it waits, and everything behind it starves.
  */
 function canEverHold(step: Step, slots: readonly Slot[]): boolean {
     const { demand, maxPerWorker, taskCount } = step.spec;
     let tasks = 0;
-    for (const { capacity } of slots) {
-        tasks += Math.min(countFitting(demand, capacity), maxPerWorker ?? Infinity);
+    for (const { capacity, obtainable } of slots) {
+        const room = isAllOrNothing(step) ? obtainable : capacity;
+        tasks += Math.min(countFitting(demand, room), maxPerWorker ?? Infinity);
     }
     return tasks >= taskCount;
 }
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -14,6 +14,8 @@
 export class Slot {
     readonly id: string;
     readonly capacity: Resources;
+    /** What comes free by itself: the capacity less runs that last until they are stopped. */
+    readonly obtainable: Resources;
     free: Resources;
     /** Logarithm of how much longer runs take here than elsewhere. */
     readonly slowness: number;
@@ -28,6 +30,7 @@
     constructor(readonly worker: WorkerState, now: Millis, readonly isOpen = true) {
         this.id = worker.id;
         this.capacity = worker.record.capacity;
+        this.obtainable = computeObtainable(worker);
         this.free = isOpen ? worker.free : NO_RESOURCES;
         this.slowness = worker.getSlowness(now);
     }
@@ -74,6 +77,14 @@
     }
 }
 
+function computeObtainable({ record, runs }: WorkerState): Resources {
+    let obtainable = record.capacity;
+    for (const run of runs.values()) {
+        obtainable = run.isLasting ? removeResources(obtainable, run.demand) : obtainable;
+    }
+    return obtainable;
+}
+
 /** The view; see the module comment. */
 export class PoolView {
     readonly slots: readonly Slot[];
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -40,6 +40,8 @@
      * has done.
      */
     readonly yieldsBelow: number | undefined;
+    /** Whether it runs until it is stopped, so that its room does not come free. */
+    readonly isLasting: boolean;
     /** Run time to expect; infinite where nothing is known of it. */
     readonly expectedMs: Millis;
     checkpoint: string;
@@ -58,6 +60,7 @@
         isDemandKnown: true,
         wasSeen: false,
         isInherited: false,
+        isLasting: false,
         yieldsBelow: undefined,
         expectedMs: Infinity,
         checkpoint: "",
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -94,6 +94,7 @@
             // The first report carries the new epoch, so orders of earlier leaders have no effect after it.
             settledAfter: 0,
             isInherited: true,
+            isLasting: step.spec.isLongRunning,
             yieldsBelow: this.context.findYieldLimit(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -66,6 +66,7 @@
             phase: RunPhase.reserved,
             settledAfter: Infinity,
             yieldsBelow: this.context.findYieldLimit(step),
+            isLasting: step.spec.isLongRunning,
             expectedMs: this.context.predictRunMs(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
