--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -6,13 +6,15 @@
  * caller would fall behind for ever; with every node asking, each is busy for a quarter of the time. Some nodes are
  * kept for short questions, else the quick work waits behind a question that takes longer than its whole slack.
  */
-import type { Clock, Millis } from "../../common/clock.js";
+import type { Clock, Millis, Timer } from "../../common/clock.js";
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
+import type { Log } from "../telemetry.js";
 
 /** A node that can ask. */
 export interface AdviceCaller {
     readonly nodeName: string;
+    /** Is to settle within the timeout; see {@link AdviceDesk} for what does not. */
     requestPermits(step: string, workerIds: readonly string[], timeout: Millis): Promise<AdviceAnswer>;
 }
 
@@ -44,6 +46,8 @@
 /** Time allowed on top of what the question takes, as a factor and a constant. */
 const TIMEOUT_FACTOR = 2;
 const TIMEOUT_MARGIN_MS: Millis = 600;
+/** Time for a caller's own word that its timeout has passed. */
+const SILENCE_MARGIN_MS: Millis = 200;
 
 /** A node whose question failed is asked last for this long: it may be cut off from the service. */
 const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
@@ -51,8 +55,12 @@
 interface CallerState {
     readonly caller: AdviceCaller;
     underWay: number;
+    /** What its questions under way take together, by the policy's figures. */
+    underWayMs: Millis;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
+    /** Until when it counts as cut off from the service. */
+    failedUntil: Millis;
 }
 
 /** Returns how long the service takes for a question. */
@@ -66,17 +74,32 @@
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
 
-/** The desk; see the module comment. */
+/**
+ * The desk; see the module comment.
+ *
+ * @remarks Failure guarded against: a caller throws, or never answers. A step puts one question at a time, so one that is
+ * never settled keeps it from asking for ever, and its tasks stand still beside empty workers. Every question is settled
+ * within its timeout, as failed if need be, whatever the caller does.
+ */
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
     private waiting: AdviceQuestion[] = [];
 
-    /** @param clock - For timeouts and estimates. */
-    constructor(private readonly clock: Clock) {}
+    /**
+     * @param clock - For timeouts and estimates.
+     * @param log - For callers that throw or do not answer.
+     */
+    constructor(private readonly clock: Clock, private readonly log: Log) {}
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
-        this.callers.set(caller.nodeName, { caller, underWay: 0, busyUntil: 0 });
+        this.callers.set(caller.nodeName, {
+            caller,
+            underWay: 0,
+            underWayMs: 0,
+            busyUntil: 0,
+            failedUntil: 0,
+        });
         this.dispatch();
     }
 
@@ -119,12 +142,19 @@
         unwanted.forEach(question => question.settle(undefined, 0));
     }
 
-    /** Chooses the node that is free first; nothing for a long question while only kept nodes are free. */
+    /**
+     * Chooses the node that is free first; nothing for a long question while only kept nodes are free.
+     *
+     * @remarks Failure guarded against: the few nodes that may put long questions are cut off from the service, and every
+     * long question fails there while the kept nodes have nothing to do. Those take long questions too then.
+     */
     private chooseCaller(question: AdviceQuestion): CallerState | undefined {
         const states = [...this.callers.values()];
         const kept = states.length < 2 ? 0 : Math.min(MAX_KEPT_NODES, Math.ceil(states.length * SHORT_SHARE));
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
-        const eligible = isShort ? states : states.slice(kept);
+        const usual = isShort ? states : states.slice(kept);
+        const now = this.clock.now();
+        const eligible = usual.some(state => now >= state.failedUntil) ? usual : states;
         let best: CallerState | undefined;
         for (const state of eligible) {
             const limit = isShort ? MAX_UNDER_WAY : 1;
@@ -140,15 +170,47 @@
         const took = estimateQuestionMs(question);
         const begin = Math.max(askedAt, state.busyUntil);
         state.underWay += 1;
+        state.underWayMs += took;
         state.busyUntil = begin + took;
         question.handleSent(state.caller.nodeName);
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
-        const answer = await state.caller.requestPermits(question.step, question.workerIds, timeout);
+        const answer = await this.requestAnswer(state.caller, question, timeout);
         state.underWay -= 1;
-        if (answer.kind !== "done") {
-            state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
+        state.underWayMs -= took;
+        const now = this.clock.now();
+        // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count from
+        // there, and one lost answer would hold its step up for minutes.
+        if (answer.kind === "done") {
+            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
+        }
+        else {
+            state.failedUntil = now + FAILED_CALLER_PAUSE_MS;
+            state.busyUntil = state.failedUntil;
         }
         question.settle(answer, askedAt);
         this.dispatch();
     }
+
+    private async requestAnswer(
+        caller: AdviceCaller,
+        { step, workerIds }: AdviceQuestion,
+        timeout: Millis,
+    ): Promise<AdviceAnswer> {
+        const limit = timeout + SILENCE_MARGIN_MS;
+        let timer: Timer | undefined;
+        const silence = new Promise<never>((...[, reject]) => {
+            timer = this.clock.schedule(limit, () => reject(new Error(`no answer within ${limit} ms`)));
+        });
+        try {
+            return await Promise.race([caller.requestPermits(step, workerIds, timeout), silence]);
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            this.log.warn("CR1619", "adviceCallerFailed", { step, nodeName: caller.nodeName, message });
+            return { kind: "failed", message };
+        }
+        finally {
+            timer?.cancel();
+        }
+    }
 }
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -40,6 +40,8 @@
     readonly getClaimedCpu: (workerId: string) => number;
     /** Share of the workers named that a queue's policy is expected to allow. */
     readonly getAllowedShare: (queue: string) => number;
+    /** Whether a worker did not take orders of a step lately. */
+    readonly isRefusing: (step: Step, workerId: string) => boolean;
     readonly now: Millis;
 }
 
@@ -125,9 +127,10 @@
         const { step, queue } = urgency;
         const pool = this.getPool(queue.pool);
         const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
-        const candidates = permits === undefined ?
+        const allowed = permits === undefined ?
             pool.slots.filter(slot => slot.isSuitable(step)) :
             listAllowed(step, pool, permits);
+        const candidates = allowed.filter(slot => !this.input.isRefusing(step, slot.id));
         const current: WaitingStep = { urgency, step, pool, permits, candidates };
         const placements = this.placeTasks(current);
         const isWhole = placements.length === step.waiting;
@@ -224,21 +227,25 @@
             this.starts.push(...found.filter(start => start.permit !== undefined));
         }
         if (lacking.length > 0) {
-            this.renewPermits(current, permits);
+            this.renewPermits(current, permits, placements);
         }
     }
 
     /**
-     * Asks again for workers whose permit has run out, the emptiest first, and for more than those chosen now: by the
-     * time of the answer others may have taken that room, and most of the service's time goes to a question as such.
+     * Asks again for workers whose permit has run out, those chosen now and then the emptiest: by the time of the answer
+     * others may have taken that room, and most of the service's time goes to a question as such.
      */
-    private renewPermits(current: WaitingStep, permits: StepPermits): void {
+    private renewPermits(
+        current: WaitingStep,
+        permits: StepPermits,
+        placements: readonly Placement[],
+    ): void {
         if (!permits.canAsk(this.input.now)) {
             return;
         }
         const expired = current.candidates
             .filter(slot => permits.getUsable(slot.id, this.input.now) === undefined);
-        this.addWish(current.urgency, expired, RENEWAL_SHARE);
+        this.addWish(current.urgency, expired, RENEWAL_SHARE, new Set(placements.map(({ slot }) => slot)));
     }
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
@@ -249,7 +256,7 @@
             this.keepers.push(step);
             if (permits !== undefined) {
                 // Its room may come free at any moment, and must not stand idle for as long as a question takes.
-                this.renewPermits(current, permits);
+                this.renewPermits(current, permits, placements);
             }
             return;
         }
@@ -303,18 +310,31 @@
         const unknown = pool.slots.filter(slot =>
             permits.isUnknown(slot.id) && (isAllWanted || slot.canTake(step)) && slot.isSuitable(step)
         );
-        this.addWish(urgency, unknown, this.input.getAllowedShare(urgency.queue.name));
+        // An answer may have left out workers that would be allowed now, and nobody else is left to ask about.
+        const isDeniedWanted = isAllWanted && unknown.length === 0;
+        const wanted = isDeniedWanted ?
+            pool.slots.filter(slot =>
+                permits.isDenialOver(slot.id, this.input.now) && slot.isSuitable(step)
+            ) :
+            unknown;
+        this.addWish(urgency, wanted, this.input.getAllowedShare(urgency.queue.name));
     }
 
-    private addWish(urgency: Urgency, slots: readonly Slot[], allowedShare: number): void {
+    private addWish(
+        urgency: Urgency,
+        slots: readonly Slot[],
+        allowedShare: number,
+        chosen: ReadonlySet<Slot> = new Set(),
+    ): void {
         const { step, queue } = urgency;
         if (queue.advice === undefined || slots.length === 0) {
             return;
         }
         const need = { spec: step.spec, tasks: step.waiting, policy: queue.advice, allowedShare };
-        const askable = slots.map(({ id, capacity, free }): AskableWorker => {
+        const askable = slots.map((slot): AskableWorker => {
+            const { id, capacity, free } = slot;
             const cpuMillis = Math.max(0, free.cpuMillis - this.input.getClaimedCpu(id));
-            return { id, capacity, free: { ...free, cpuMillis } };
+            return { id, capacity, free: { ...free, cpuMillis }, isChosen: chosen.has(slot) };
         });
         this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need) });
     }
@@ -348,16 +368,17 @@
 }
 
 /**
- * Tells whether a step's tasks fit, all at once, onto workers that run nothing else.
+ * Tells whether a step's tasks fit, all at once, onto workers that run nothing else; for a gang also beside runs that last.
  *
- * @remarks Failure guarded against: a gang that is larger than all workers that may run it keeps room for as long as it
- * waits, and everything behind it starves.
+ * @remarks Failure guarded against: a gang that is larger than all workers that may run it, or than what services leave of
+ * them, keeps room for as long as it waits, and everything behind it starves.
  */
 function canEverHold(step: Step, slots: readonly Slot[]): boolean {
     const { demand, maxPerWorker, taskCount } = step.spec;
     let tasks = 0;
-    for (const { capacity } of slots) {
-        tasks += Math.min(countFitting(demand, capacity), maxPerWorker ?? Infinity);
+    for (const { capacity, obtainable } of slots) {
+        const room = isAllOrNothing(step) ? obtainable : capacity;
+        tasks += Math.min(countFitting(demand, room), maxPerWorker ?? Infinity);
     }
     return tasks >= taskCount;
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -83,7 +83,7 @@
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
         this.journal = this.buildJournal();
-        this.advice = new AdviceDesk(options.clock);
+        this.advice = new AdviceDesk(options.clock, options.log);
         this.permits = new PermitDesk(this.context, this.advice);
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
@@ -239,6 +239,7 @@
             preemptionLooks: this.preemptionLooks,
             getClaimedCpu: workerId => this.permits.claims.getCpu(workerId),
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
+            isRefusing: (step, workerId) => this.starter.refusals.isPaused(step, workerId, begin),
             now: begin,
         });
         this.starter.startAll(plan.starts);
