Questions to the advice service are put anew until they are sent, and each queue has its share of the nodes

Cause: starvation and congestion collapse in the line of questions. One line ordered by the queue's priority alone: while larger jobs put questions as fast as nodes asked them, the last queue's were never sent. Questions were put once and sent seconds later, when their room had gone: permits ran out unused and were asked for again, four times over. A third of the nodes was kept for short questions and idle, since a last queue's question is just too long to count as short.

Why this mend holds: a question that waits is replaced every 250 ms by what its step wants now, with the workers that have room now, and leaves the line when the step has no room; what could start with its answer goes first, so answers are used. A queue of which a question has waited for a second gets its share of the nodes' time, so no queue waits for ever behind another. Nodes are kept only as far as short questions keep them busy. Also: refusing workers are looked up once a step.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -10,6 +10,7 @@
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import type { Log } from "../telemetry.js";
+import { LoadMeter } from "./load-meter.js";
 
 /** A node that can ask. */
 export interface AdviceCaller {
@@ -25,6 +26,10 @@
     readonly policy: AdvicePolicy;
     /** Priority of its queue; 0 goes first. */
     readonly priority: number;
+    /** Whether something could probably start with the answer. */
+    readonly isReady: boolean;
+    /** When its step first wanted the answer. */
+    readonly since: Millis;
     /** Whether its step has had no answer yet: such questions go before those that come again. */
     readonly isFirst: boolean;
     /** Whether the answer is still wanted; asked before the question is sent. */
@@ -37,10 +42,15 @@
 
 /** Questions longer than this are kept off the nodes for short ones. */
 const SHORT_QUESTION_MS: Millis = 120;
-/** Share of the nodes that is kept for short questions, where there are at least two. */
+/** Share of the nodes that is kept for short questions at most, where there are at least two. */
 const SHORT_SHARE = 0.34;
-/** Nodes kept for them at most: at the heaviest hour of 210 short questions of 22 ms a second they are busy for 0.6. */
 const MAX_KEPT_NODES = 8;
+/** Nodes kept for each one that short questions keep busy: they come unevenly. */
+const SHORT_ROOM = 2;
+/** Below this many busy nodes no node is kept: there are no short questions. */
+const LEAST_SHORT_LOAD = 0.02;
+/** A queue of which a question has waited this long gets its share of the nodes' time. */
+const QUEUE_PATIENCE_MS: Millis = 1_000;
 /** Questions under way on one node: the second is on its way while the first is answered. */
 const MAX_UNDER_WAY = 2;
 /** Time allowed on top of what the question takes, as a factor and a constant. */
@@ -69,7 +79,8 @@
 }
 
 function compareQuestions(left: AdviceQuestion, right: AdviceQuestion): number {
-    return left.priority - right.priority ||
+    return Number(right.isReady) - Number(left.isReady) ||
+        left.priority - right.priority ||
         Number(right.isFirst) - Number(left.isFirst) ||
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
@@ -83,13 +94,19 @@
  */
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
-    private waiting: AdviceQuestion[] = [];
+    private waiting: readonly AdviceQuestion[] = [];
+    /** Nodes that questions of each priority keep busy. */
+    private readonly queueLoads = new Map<number, LoadMeter>();
+    /** Nodes that short questions keep busy. */
+    private readonly shortLoad: LoadMeter;
 
     /**
      * @param clock - For timeouts and estimates.
      * @param log - For callers that throw or do not answer.
      */
-    constructor(private readonly clock: Clock, private readonly log: Log) {}
+    constructor(private readonly clock: Clock, private readonly log: Log) {
+        this.shortLoad = new LoadMeter(clock);
+    }
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
@@ -109,15 +126,17 @@
     }
 
     /**
-     * Takes a question: the queue that goes first, then steps that have had no answer, then short questions.
+     * Takes all questions that wait, in place of those that waited before: what could start with its answer goes first,
+     * then the queue that goes first, then steps that have had no answer, then short questions.
      *
      * @remarks Were short questions to go first whatever their queue, all jobs of the last queue would be in time with
-     * slack to spare, and fill the room that large gangs of the queue before it need: work as a whole earns 0.82 of its
-     * worth then, and 0.86 in this order.
+     * slack to spare, and fill the room that large gangs of the queue before it need.
+     *
+     * Failure guarded against: a queue that goes first puts questions as fast as the nodes ask them, and those behind it wait
+     * for as long as that lasts, though their tasks would fit beside everything. So each queue gets its turn.
      */
-    enqueue(question: AdviceQuestion): void {
-        const index = this.waiting.findIndex(other => compareQuestions(question, other) < 0);
-        this.waiting.splice(index < 0 ? this.waiting.length : index, 0, question);
+    replaceWaiting(questions: readonly AdviceQuestion[]): void {
+        this.waiting = [...questions].sort(compareQuestions);
         this.dispatch();
     }
 
@@ -128,20 +147,72 @@
 
     private dispatch(): void {
         const unwanted: AdviceQuestion[] = [];
-        this.waiting = this.waiting.filter(question => {
+        const left: AdviceQuestion[] = [];
+        for (const question of this.orderByTurn()) {
+            const state = question.isWanted() ? this.chooseCaller(question) : undefined;
             if (!question.isWanted()) {
                 unwanted.push(question);
-                return false;
             }
-            const state = this.chooseCaller(question);
-            if (state !== undefined) {
+            else if (state === undefined) {
+                left.push(question);
+            }
+            else {
                 void this.send(state, question);
             }
-            return state === undefined;
-        });
+        }
+        this.waiting = left.sort(compareQuestions);
         unwanted.forEach(question => question.settle(undefined, 0));
     }
 
+    /**
+     * Puts one question of each queue that has waited too long in front, the queue first that has had the least of the nodes'
+     * time: the one that has waited longest.
+     */
+    private orderByTurn(): readonly AdviceQuestion[] {
+        const now = this.clock.now();
+        const longest = new Map<number, AdviceQuestion>();
+        for (const question of this.waiting) {
+            const { priority, since, isReady } = question;
+            const isLate = isReady && now - since >= QUEUE_PATIENCE_MS;
+            if (isLate && since < (longest.get(priority)?.since ?? Infinity)) {
+                longest.set(priority, question);
+            }
+        }
+        const first = [...longest.values()].sort((left, right) =>
+            this.getQueueLoad(left.priority).compute() - this.getQueueLoad(right.priority).compute()
+        );
+        return first.length === 0 ?
+            this.waiting :
+            [...first, ...this.waiting.filter(question => !first.includes(question))];
+    }
+
+    private getQueueLoad(priority: number): LoadMeter {
+        const known = this.queueLoads.get(priority);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = new LoadMeter(this.clock);
+        this.queueLoads.set(priority, created);
+        return created;
+    }
+
+    /** Counts the nodes that are kept for short questions, by how busy those keep them. */
+    private countKept(): number {
+        const nodes = this.callers.size;
+        const load = this.shortLoad.compute();
+        if (nodes < 2 || load < LEAST_SHORT_LOAD) {
+            return 0;
+        }
+        return Math.min(MAX_KEPT_NODES, Math.ceil(nodes * SHORT_SHARE), Math.ceil(load * SHORT_ROOM));
+    }
+
+    private observeSent(question: AdviceQuestion, tookMs: Millis): void {
+        this.getQueueLoad(question.priority).add(tookMs);
+        if (tookMs <= SHORT_QUESTION_MS) {
+            this.shortLoad.add(tookMs);
+        }
+    }
+
     /**
      * Chooses the node that is free first; nothing for a long question while only kept nodes are free.
      *
@@ -150,7 +221,7 @@
      */
     private chooseCaller(question: AdviceQuestion): CallerState | undefined {
         const states = [...this.callers.values()];
-        const kept = states.length < 2 ? 0 : Math.min(MAX_KEPT_NODES, Math.ceil(states.length * SHORT_SHARE));
+        const kept = this.countKept();
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
         const usual = isShort ? states : states.slice(kept);
         const now = this.clock.now();
@@ -172,6 +243,7 @@
         state.underWay += 1;
         state.underWayMs += took;
         state.busyUntil = begin + took;
+        this.observeSent(question, took);
         question.handleSent(state.caller.nodeName);
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
         const answer = await this.requestAnswer(state.caller, question, timeout);
--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -9,13 +9,17 @@
  */
 const PERMIT_MARGIN_MS: Millis = 300;
 
+/** A question that waits is put anew this often: room comes and goes. */
+const REFRESH_MS: Millis = 250;
 /** Pause after a question that failed: other nodes may still reach the service. */
 const FAILURE_PAUSE_MS: Millis = 150;
 
 /** A question that waits or is under way. */
 export interface OpenQuestion {
-    /** When it was put. */
+    /** When it was first put. */
     readonly since: Millis;
+    /** When it was last put, with the workers that had room then. */
+    readonly refreshedAt: Millis;
     /** Workers that it names. */
     readonly workers: number;
     /** Node that was asked; undefined while the question waits for one. */
@@ -44,6 +48,8 @@
 export class StepPermits {
     /** The question that is waiting or under way. */
     private question: OpenQuestion | undefined;
+    /** Since when an answer is wanted; undefined once there is one. */
+    private wantedSince: Millis | undefined;
     private questions = 0;
     private failures = 0;
     /** After a question that failed, when the next may be put. */
@@ -51,10 +57,12 @@
     private readonly held = new Map<string, HeldPermit>();
     private readonly denied = new Map<string, Denial>();
 
-    /** Takes in that a question is put. */
+    /** Takes in that a question is put, or that one that still waits names other workers now. */
     startQuestion(now: Millis, workers: number): void {
-        this.questions += 1;
-        this.question = { since: now, workers, nodeName: undefined, sentAt: undefined };
+        const since = this.question?.since ?? now;
+        this.questions += this.question === undefined ? 1 : 0;
+        this.wantedSince ??= now;
+        this.question = { since, refreshedAt: now, workers, nodeName: undefined, sentAt: undefined };
     }
 
     /** Takes in which node was asked. */
@@ -65,6 +73,18 @@
         }
     }
 
+    /** Returns since when an answer is wanted, through all questions that were withdrawn. */
+    getWantedSince(): Millis | undefined {
+        return this.wantedSince;
+    }
+
+    /** Tells whether a question waits that was put so long ago that its content may be of no use any more. */
+    isQuestionStale(now: Millis): boolean {
+        const { question } = this;
+        return question !== undefined && question.sentAt === undefined &&
+            now - question.refreshedAt >= REFRESH_MS;
+    }
+
     /** Takes in that the question is settled. */
     endQuestion(): void {
         this.question = undefined;
@@ -75,7 +95,7 @@
         return this.question;
     }
 
-    /** Counts the questions that were put. */
+    /** Counts the questions that were put; one that was withdrawn and put again counts twice. */
     countQuestions(): number {
         return this.questions;
     }
@@ -111,6 +131,7 @@
      */
     accept(asked: readonly string[], permits: readonly Permit[], answeredAt: Millis, validMs: Millis): void {
         this.failures = 0;
+        this.wantedSince = undefined;
         const usableUntil = answeredAt + validMs - PERMIT_MARGIN_MS;
         const allowed = new Set(permits.map(permit => permit.workerId));
         for (const { workerId, token } of permits) {
@@ -135,9 +156,9 @@
         this.pausedUntil = now + FAILURE_PAUSE_MS;
     }
 
-    /** Tells whether a question may be put now. */
+    /** Tells whether a question may be put now, or put anew in place of one that waits. */
     canAsk(now: Millis): boolean {
-        return this.question === undefined && now >= this.pausedUntil;
+        return (this.question === undefined || this.isQuestionStale(now)) && now >= this.pausedUntil;
     }
 
     /** Tells whether any question was answered. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -9,12 +9,12 @@
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
 import type { StepPermits } from "./permits.js";
-import { PoolView } from "./pool-view.js";
+import { canEverHold, countPlaces, isAllOrNothing, PoolView } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
 import type { PreemptionLooks } from "./preemption-looks.js";
 import { choosePreemptions } from "./preemption.js";
 import type { Preemption } from "./preemption.js";
-import { countFitting, selectWorkersToAsk } from "./question-size.js";
+import { selectWorkersToAsk } from "./question-size.js";
 import type { AskableWorker } from "./question-size.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
@@ -40,8 +40,8 @@
     readonly getClaimedCpu: (workerId: string) => number;
     /** Share of the workers named that a queue's policy is expected to allow. */
     readonly getAllowedShare: (queue: string) => number;
-    /** Whether a worker did not take orders of a step lately. */
-    readonly isRefusing: (step: Step, workerId: string) => boolean;
+    /** Workers that did not take orders of a step lately. */
+    readonly listRefusing: (step: Step) => ReadonlySet<string>;
     readonly now: Millis;
 }
 
@@ -57,6 +57,8 @@
 export interface PermitWish {
     readonly urgency: Urgency;
     readonly workerIds: readonly string[];
+    /** Whether something could probably start with the answer, as there is room for it now. */
+    readonly isReady: boolean;
 }
 
 /** What to do. */
@@ -106,6 +108,17 @@
     readonly candidates: readonly Slot[];
 }
 
+/** What a step asks. */
+interface Question {
+    /** Workers that it may name. */
+    readonly slots: readonly Slot[];
+    /** Share of them that will probably be allowed and still have room then. */
+    readonly allowedShare: number;
+    readonly isReady: boolean;
+    /** Workers on which tasks were placed that wait for a permit. */
+    readonly chosen: ReadonlySet<Slot>;
+}
+
 class Pass {
     private readonly starts: PlannedStart[] = [];
     private readonly wishes: PermitWish[] = [];
@@ -130,7 +143,8 @@
         const allowed = permits === undefined ?
             pool.slots.filter(slot => slot.isSuitable(step)) :
             listAllowed(step, pool, permits);
-        const candidates = allowed.filter(slot => !this.input.isRefusing(step, slot.id));
+        const refusing = this.input.listRefusing(step);
+        const candidates = refusing.size === 0 ? allowed : allowed.filter(slot => !refusing.has(slot.id));
         const current: WaitingStep = { urgency, step, pool, permits, candidates };
         const placements = this.placeTasks(current);
         const isWhole = placements.length === step.waiting;
@@ -227,7 +241,7 @@
             this.starts.push(...found.filter(start => start.permit !== undefined));
         }
         if (lacking.length > 0) {
-            this.renewPermits(current, permits, placements);
+            this.renewPermits(current, permits, placements, true);
         }
     }
 
@@ -239,13 +253,15 @@
         current: WaitingStep,
         permits: StepPermits,
         placements: readonly Placement[],
+        isReady: boolean,
     ): void {
         if (!permits.canAsk(this.input.now)) {
             return;
         }
         const expired = current.candidates
             .filter(slot => permits.getUsable(slot.id, this.input.now) === undefined);
-        this.addWish(current.urgency, expired, RENEWAL_SHARE, new Set(placements.map(({ slot }) => slot)));
+        const chosen = new Set(placements.map(({ slot }) => slot));
+        this.addWish(current.urgency, { slots: expired, allowedShare: RENEWAL_SHARE, isReady, chosen });
     }
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
@@ -256,7 +272,7 @@
             this.keepers.push(step);
             if (permits !== undefined) {
                 // Its room may come free at any moment, and must not stand idle for as long as a question takes.
-                this.renewPermits(current, permits, placements);
+                this.renewPermits(current, permits, placements, false);
             }
             return;
         }
@@ -317,15 +333,13 @@
                 permits.isDenialOver(slot.id, this.input.now) && slot.isSuitable(step)
             ) :
             unknown;
-        this.addWish(urgency, wanted, this.input.getAllowedShare(urgency.queue.name));
+        const allowedShare = this.input.getAllowedShare(urgency.queue.name);
+        const needed = isAllOrNothing(step) ? step.waiting : 1;
+        const isReady = countPlaces(step, wanted) * allowedShare >= needed;
+        this.addWish(urgency, { slots: wanted, allowedShare, isReady, chosen: new Set() });
     }
 
-    private addWish(
-        urgency: Urgency,
-        slots: readonly Slot[],
-        allowedShare: number,
-        chosen: ReadonlySet<Slot> = new Set(),
-    ): void {
+    private addWish(urgency: Urgency, { slots, allowedShare, isReady, chosen }: Question): void {
         const { step, queue } = urgency;
         if (queue.advice === undefined || slots.length === 0) {
             return;
@@ -336,7 +350,7 @@
             const cpuMillis = Math.max(0, free.cpuMillis - this.input.getClaimedCpu(id));
             return { id, capacity, free: { ...free, cpuMillis }, isChosen: chosen.has(slot) };
         });
-        this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need) });
+        this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need), isReady });
     }
 }
 
@@ -361,24 +375,3 @@
     }
     return allowed;
 }
-
-/** Members that are missing from a gang that has started join it one by one. */
-function isAllOrNothing(step: Step): boolean {
-    return step.spec.isGang && step.repairRun === undefined;
-}
-
-/**
- * Tells whether a step's tasks fit, all at once, onto workers that run nothing else; for a gang also beside runs that last.
- *
- * @remarks Failure guarded against: a gang that is larger than all workers that may run it, or than what services leave of
- * them, keeps room for as long as it waits, and everything behind it starves.
- */
-function canEverHold(step: Step, slots: readonly Slot[]): boolean {
-    const { demand, maxPerWorker, taskCount } = step.spec;
-    let tasks = 0;
-    for (const { capacity, obtainable } of slots) {
-        const room = isAllOrNothing(step) ? obtainable : capacity;
-        tasks += Math.min(countFitting(demand, room), maxPerWorker ?? Infinity);
-    }
-    return tasks >= taskCount;
-}
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -8,6 +8,7 @@
 import { addResources, isWithin, NO_RESOURCES, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { Step } from "../jobs/job.js";
+import { countFitting } from "./question-size.js";
 import type { WorkerState } from "./worker-state.js";
 
 /** A worker with what a pass has left of it. */
@@ -123,3 +124,39 @@
         return this.slots.reduce((most, slot) => Math.max(most, read(slot.free)), 0);
     }
 }
+
+/**
+ * Tells whether a step's tasks fit, all at once, onto workers that run nothing else; for a gang also beside runs that last.
+ *
+ * @remarks Failure guarded against: a gang that is larger than all workers that may run it, or than what services leave of
+ * them, keeps room for as long as it waits, and everything behind it starves.
+ */
+export function canEverHold(step: Step, slots: readonly Slot[]): boolean {
+    const { demand, maxPerWorker, taskCount } = step.spec;
+    let tasks = 0;
+    for (const { capacity, obtainable } of slots) {
+        const room = isAllOrNothing(step) ? obtainable : capacity;
+        tasks += Math.min(countFitting(demand, room), maxPerWorker ?? Infinity);
+    }
+    return tasks >= taskCount;
+}
+
+/** Counts the tasks of a step that workers have room for now. */
+export function countPlaces(step: Step, slots: readonly Slot[]): number {
+    let places = 0;
+    for (const slot of slots) {
+        if (slot.isOpen) {
+            places += Math.min(
+                countFitting(step.spec.demand, slot.free),
+                slot.countPlacesLeft(step),
+                step.waiting,
+            );
+        }
+    }
+    return places;
+}
+
+/** Members that are missing from a gang that has started join it one by one. */
+export function isAllOrNothing(step: Step): boolean {
+    return step.spec.isGang && step.repairRun === undefined;
+}
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -239,11 +239,11 @@
             preemptionLooks: this.preemptionLooks,
             getClaimedCpu: workerId => this.permits.claims.getCpu(workerId),
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
-            isRefusing: (step, workerId) => this.starter.refusals.isPaused(step, workerId, begin),
+            listRefusing: step => this.starter.refusals.listPaused(step, begin),
             now: begin,
         });
         this.starter.startAll(plan.starts);
-        plan.wishes.forEach(wish => this.permits.requestPermits(wish));
+        this.permits.requestPermits(plan.wishes);
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
         this.lastPassAt = begin;
         this.keepers = plan.keepers;
--- a/src/process/leader/order-refusals.ts
+++ b/src/process/leader/order-refusals.ts
@@ -33,9 +33,14 @@
         this.pauses.set(step, workers.set(workerId, { until: from + lengthMs, lengthMs }));
     }
 
-    /** Tells whether a worker gets nothing of a step for now. */
-    isPaused(step: Step, workerId: string, now: Millis): boolean {
-        const pause = this.pauses.get(step)?.get(workerId);
-        return pause !== undefined && now < pause.until;
+    /** Lists the workers that get nothing of a step for now. */
+    listPaused(step: Step, now: Millis): ReadonlySet<string> {
+        const workers = this.pauses.get(step);
+        if (workers === undefined) {
+            return NOBODY;
+        }
+        return new Set([...workers].filter(([, { until }]) => now < until).map(([workerId]) => workerId));
     }
 }
+
+const NOBODY: ReadonlySet<string> = new Set();
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -1,6 +1,6 @@
 /** Puts steps' questions to the advice service and keeps what it says. */
 import type { Millis } from "../../common/clock.js";
-import type { AdviceDesk } from "../dispatch/advice-desk.js";
+import type { AdviceDesk, AdviceQuestion } from "../dispatch/advice-desk.js";
 import { StepPermits } from "../dispatch/permits.js";
 import type { PermitWish } from "../dispatch/planner.js";
 import { AllowedShares } from "../dispatch/question-size.js";
@@ -25,6 +25,8 @@
     /** Which share of the workers named is allowed. */
     readonly allowedShares = new AllowedShares();
     private readonly permits = new WeakMap<Step, StepPermits>();
+    /** Questions that no node has taken yet. */
+    private readonly waiting = new Map<Step, AdviceQuestion>();
     private closed = false;
 
     /**
@@ -44,37 +46,66 @@
         return created;
     }
 
-    /** Puts a question unless one is under way: a step may want permits renewed and new workers named in one pass. */
-    requestPermits({ urgency, workerIds }: PermitWish): void {
+    /**
+     * Puts the questions of a pass: one for each step, unless its question is under way.
+     *
+     * @remarks Failure guarded against: more questions are put than the nodes can ask. One that is answered after seconds in
+     * the line comes when its step's room has gone; the permits run out unused and are asked for again, until hardly any answer
+     * leads to a start and jobs stand still beside empty workers. So what waits is put anew again and again with what has
+     * room, and is taken out of the line once its step does not want it.
+     */
+    requestPermits(wishes: readonly PermitWish[]): void {
+        const now = this.context.clock.now();
+        const stale = this.takeStale(now);
+        wishes.forEach(wish => this.addQuestion(wish, now));
+        stale.filter(step => !this.waiting.has(step)).forEach(step => this.getPermits(step).endQuestion());
+        this.advice.replaceWaiting([...this.waiting.values()]);
+    }
+
+    /** Wants no answer any more. */
+    close(): void {
+        this.closed = true;
+    }
+
+    private takeStale(now: Millis): readonly Step[] {
+        const stale = [...this.waiting.keys()].filter(step => this.getPermits(step).isQuestionStale(now));
+        stale.forEach(step => this.waiting.delete(step));
+        return stale;
+    }
+
+    private addQuestion({ urgency, workerIds, isReady }: PermitWish, now: Millis): void {
         const { step, queue } = urgency;
-        const { clock } = this.context;
         const permits = this.getPermits(step);
-        if (queue.advice === undefined || permits.getQuestion() !== undefined) {
+        // A step may want permits renewed and new workers named in one pass: the first wish counts.
+        if (queue.advice === undefined || this.waiting.has(step) || !permits.canAsk(now)) {
             return;
         }
-        permits.startQuestion(clock.now(), workerIds.length);
-        this.claims.add(step, workerIds);
+        permits.startQuestion(now, workerIds.length);
         const put: PutQuestion = { step, permits, workerIds, validMs: queue.advice.validMs };
-        this.advice.enqueue({
+        this.waiting.set(step, {
             step: step.name,
             workerIds,
             policy: queue.advice,
             priority: queue.priority,
+            isReady,
             isFirst: !permits.hasAnswer(),
+            since: permits.getWantedSince() ?? now,
             isWanted: () => !this.closed && step.job.spec !== undefined && step.waiting > 0,
-            handleSent: nodeName => permits.observeSent(nodeName, clock.now()),
+            handleSent: nodeName => this.handleSent(put, nodeName),
             settle: (answer, askedAt) => this.settle(put, answer, askedAt),
         });
     }
 
-    /** Wants no answer any more. */
-    close(): void {
-        this.closed = true;
+    private handleSent({ step, permits, workerIds }: PutQuestion, nodeName: string): void {
+        this.waiting.delete(step);
+        this.claims.add(step, workerIds);
+        permits.observeSent(nodeName, this.context.clock.now());
     }
 
     private settle(put: PutQuestion, answer: AdviceAnswer | undefined, askedAt: Millis): void {
         const nodeName = put.permits.getQuestion()?.nodeName;
         put.permits.endQuestion();
+        this.waiting.delete(put.step);
         this.claims.remove(put.step);
         if (answer === undefined) {
             return;
