--- /dev/null
+++ b/src/test/node/second-links_test.ts
@@ -0,0 +1,48 @@
+/** Nodes that have two links to the leader for a while. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { systemClock } from "../../common/clock.js";
+import { connectToLeader } from "../../process/node/leader-dialer.js";
+import { waitUntil } from "../fakes/wait-until.js";
+import { makeSpec, QUEUE } from "../leader/leader-cell.js";
+import { CALL_MS, makeAddress, makeConfig, NodeCell } from "./node-cell.js";
+
+const JOBS = 12;
+
+describe("a node whose second link to the leader is closed", () => {
+    it("is still asked to question the advice service", async context => {
+        // A node that the store turns away asks others who leads, the leader among them, over a short link of its own. The
+        // leader took that link for the node's way to the advice service and kept it after its end: every question over it
+        // failed, until the node's first link was opened anew.
+        const advice = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
+        const cell = new NodeCell(makeConfig(1, { queues: [{ ...QUEUE, advice }] }));
+        context.after(() => cell.close());
+        const leader = await cell.startNode("node-1");
+        await waitUntil(() => leader.node.isReady(), "node 1 is ready");
+        const follower = await cell.startNode("node-2");
+        await waitUntil(() => follower.node.isReady(), "node 2 is ready");
+        const second = await connectToLeader(leader.node.buildStatus().address, systemClock, {
+            buildStatus: () => follower.node.buildStatus(),
+            handleCall: () => Promise.resolve({ kind: "notLeading" }),
+            handleNote: () => undefined,
+        });
+        assert(second.kind === "up");
+        await second.link.firstStatus;
+        second.link.link.close("the question was answered");
+        await waitUntil(
+            () => leader.log.lines.some(line => line.event === "linkClosed"),
+            "the link is closed",
+        );
+        const submitted = Array.from(
+            { length: JOBS },
+            (...[, number]) =>
+                leader.node.serve(
+                    { kind: "submit", ...makeAddress(number + 1), spec: makeSpec({}) },
+                    CALL_MS,
+                ),
+        );
+        await Promise.all(submitted);
+        await waitUntil(() => cell.starts.length === JOBS, "all tasks have started");
+        assert.ok(follower.asked.length > 0, "the node was not asked");
+    });
+});
