A node's remaining link is its way to the advice service once a newer one has closed

Callers waited longer for permits: a node that asks who leads over a short second link took the place of its own good link with it, and after the end of the short one every question to that node failed, until its first link was opened anew. When a link ends and the node has another one, that one becomes the way to it again.

--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -370,9 +370,15 @@
 
     private handleInboundClosed(inbound: InboundLink): void {
         const nodeName = inbound.status?.nodeName;
-        const isStillLinked = [...this.server.links].some(other => other.status?.nodeName === nodeName);
-        if (nodeName !== undefined && !isStillLinked) {
-            this.seat?.removeCaller(nodeName);
+        const remaining = [...this.server.links].find(other => other.status?.nodeName === nodeName);
+        if (nodeName === undefined || this.seat === undefined) {
+            return;
+        }
+        if (remaining === undefined) {
+            this.seat.removeCaller(nodeName);
+            return;
         }
+        // The newest link of a node is its way to the advice service; kept after its end, every question over it would fail.
+        addRemoteCaller(this.seat, remaining);
     }
 }
