Test: a job whose queue is dropped is neither run nor ended

A job is accepted, and its queue leaves the configuration while tasks of it wait. Leader.rankWaiting passes over steps whose queue it does not find, without a line of log, and EndDesk takes the attempts for unlimited. Measured on the test: 4 of 8 tasks start; a failing task is started 1 time in place of 5.

--- /dev/null
+++ b/src/test/leader/dropped-queues_test.ts
@@ -0,0 +1,110 @@
+/** Jobs whose queue the operator removes while they have work to do. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { QueueConfig } from "../../version/cluster-config.js";
+import { CORE, LeaderCell, makeSpec, QUEUE } from "./leader-cell.js";
+import type { TestLeader } from "./leader-cell.js";
+
+/** Twice what the only worker has room for, so that half of the tasks wait when the queue is dropped. */
+const TASKS = 8;
+const LONG_MS = 30_000;
+
+/** Puts a newer configuration in force. */
+function setQueues(cell: LeaderCell, { leader }: TestLeader, queues: readonly QueueConfig[]): void {
+    cell.config = { ...cell.config, version: cell.config.version + 1, queues };
+    leader.handleConfig();
+}
+
+/** Starts the next leader on a process that has only seen the configuration in force. */
+async function replaceLeader(cell: LeaderCell, leader: TestLeader): Promise<TestLeader> {
+    leader.clock.kill();
+    const next = await cell.startLeader();
+    next.leader.handleConfig();
+    return next;
+}
+
+const CHANGES = [
+    { name: "under the same leader", hasNewLeader: false },
+    { name: "through a change of the leader", hasNewLeader: true },
+];
+
+for (const { name, hasNewLeader } of CHANGES) {
+    describe(`a job whose queue is dropped, ${name}`, () => {
+        async function dropQueue(cell: LeaderCell, leader: TestLeader): Promise<TestLeader> {
+            setQueues(cell, leader, []);
+            await cell.clock.step(200);
+            return hasNewLeader ? replaceLeader(cell, leader) : leader;
+        }
+
+        it("is finished", async () => {
+            // A job is accepted, and its queue leaves the configuration while tasks of it wait. Its steps were left out of
+            // the order of waiting work without a word: the job neither ran nor ended, with all workers free.
+            const cell = new LeaderCell(1);
+            const first = await cell.startLeader();
+            assert.deepEqual(await cell.submit(first, 1, makeSpec({ taskCount: TASKS })), {
+                kind: "accepted",
+            });
+            await cell.clock.step(300);
+            const leader = await dropQueue(cell, first);
+            await cell.clock.step(LONG_MS);
+            assert.equal(cell.countStarts(1), TASKS);
+            assert.deepEqual(cell.faults, []);
+            setQueues(cell, leader, [QUEUE]);
+            assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        });
+
+        it("fails after the attempts that its queue allowed last", async () => {
+            // The queue's settings change after the job was accepted, and then the queue is dropped. With no limit known,
+            // a task that fails each time was never given up.
+            const cell = new LeaderCell(1);
+            cell.getBehavior = () => ({ demand: CORE, runMs: 500, end: "failed" });
+            const first = await cell.startLeader();
+            await cell.submit(first, 1, makeSpec({}));
+            setQueues(cell, first, [{ ...QUEUE, maxAttempts: 5 }]);
+            await cell.clock.step(200);
+            const leader = await dropQueue(cell, first);
+            await cell.clock.step(LONG_MS);
+            assert.equal(cell.countStarts(1), 5);
+            setQueues(cell, leader, [QUEUE]);
+            assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "failed" });
+        });
+
+        it("follows its queue's settings once a later configuration has it again", async () => {
+            const cell = new LeaderCell(1);
+            cell.getBehavior = () => ({ demand: CORE, runMs: 500, end: "failed" });
+            const first = await cell.startLeader();
+            await cell.submit(first, 1, makeSpec({}));
+            const leader = await dropQueue(cell, first);
+            setQueues(cell, leader, [{ ...QUEUE, maxAttempts: 6 }]);
+            await cell.clock.step(LONG_MS);
+            assert.equal(cell.countStarts(1), 6);
+        });
+
+        it("takes no new requests", async () => {
+            const cell = new LeaderCell(1);
+            const first = await cell.startLeader();
+            await cell.submit(first, 1, makeSpec({}));
+            const leader = await dropQueue(cell, first);
+            assert.deepEqual(await cell.submit(leader, 2, makeSpec({})), { kind: "noQueue" });
+            assert.deepEqual(await cell.show(leader, 1), { kind: "noQueue" });
+        });
+    });
+}
+
+describe("a leader that has seen an older configuration than the one before it", () => {
+    it("keeps to the newer settings", async () => {
+        // The leader that knew the newest configuration is lost, and a node that lags takes over. Attempts that the newer
+        // settings allow must not be cut by the older ones.
+        const cell = new LeaderCell(1);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 500, end: "failed" });
+        const first = await cell.startLeader();
+        await cell.submit(first, 1, makeSpec({}));
+        const older = cell.config;
+        setQueues(cell, first, [{ ...QUEUE, maxAttempts: 5 }]);
+        await cell.clock.step(200);
+        cell.config = older;
+        await replaceLeader(cell, first);
+        await cell.clock.step(LONG_MS);
+        assert.equal(cell.countStarts(1), 5);
+    });
+});
