A job is finished under the settings its queue last had

What callers saw: a job was accepted, its queue left the configuration, and tasks that still waited were never started again, with all workers free; a failing task had no limit of attempts.

Cause: the leader took a queue's settings only from the configuration in force. A step without a queue had no place in the order of waiting work, and its job no limit of attempts.

The settings are now part of the durable state: `queueConfigured`, with the version of the configuration, is recorded ahead of the acceptance of a queue's first job and with each change while jobs of it are open, so any later leader reads them back, also one that never saw the queue. `queueForgotten` drops them once the queue is gone and has no open job. Journals of the previous version hold no settings: for their jobs the line CR1619 `jobsWaitForQueue` says that the queue has to be put back.

--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -3,7 +3,14 @@
  * lets its effects out only once the event is durable; a new leader applies what it finds in the store.
  */
 import { JobPhase, RunEnd } from "./job-events.js";
-import type { JobAccepted, JobClosed, JobEvent, RunAssigned, RunEnded } from "./job-events.js";
+import type {
+    JobAccepted,
+    JobClosed,
+    JobEvent,
+    QueueConfigured,
+    RunAssigned,
+    RunEnded,
+} from "./job-events.js";
 import { formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
 import type { JobSpec } from "./job-spec.js";
 import { isStepRunnable, listSteps, TaskState } from "./job.js";
@@ -22,6 +29,8 @@
     private readonly open = new Map<string, Job>();
     /** Last leader that adopted each worker. */
     private readonly adoptions = new Map<string, number>();
+    /** Settings that jobs of a queue follow when no configuration in force has it. */
+    private readonly queues = new Map<string, QueueConfigured>();
 
     /** Returns the epoch of the last leader that adopted a worker; undefined where that is not known. */
     getAdoption(workerId: string): number | undefined {
@@ -39,6 +48,21 @@
         return [...this.adoptions].filter(([workerId]) => busy.has(workerId));
     }
 
+    /** Returns the settings that a queue had last; undefined where they are not known. */
+    getQueue(name: string): QueueConfigured | undefined {
+        return this.queues.get(name);
+    }
+
+    /** Lists the settings of queues that are kept. */
+    listQueues(): Iterable<QueueConfigured> {
+        return this.queues.values();
+    }
+
+    /** Lists the names of queues with open jobs. */
+    listOpenQueues(): ReadonlySet<string> {
+        return new Set([...this.open.values()].map(job => job.queue));
+    }
+
     /** Lists the tasks that are assigned to workers. */
     *listAssigned(): Iterable<FoundTask> {
         for (const step of this.listOpenSteps()) {
@@ -131,6 +155,12 @@
                 return;
             case "adopted":
                 this.adoptions.set(event.workerId, event.epoch);
+                return;
+            case "queueConfigured":
+                this.queues.set(event.queue.name, event);
+                return;
+            case "queueForgotten":
+                this.queues.delete(event.name);
         }
     }
 
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -1,4 +1,5 @@
 /** The durable events of jobs. Applying them in order rebuilds the state, so a new leader starts from them. */
+import type { QueueConfig } from "../../version/cluster-config.js";
 import type { JobSpec } from "./job-spec.js";
 
 /** How a run ended, or that it never began. */
@@ -90,6 +91,20 @@
     readonly epoch: number;
 }
 
+/** The settings that a queue's jobs follow from now on, also when a later configuration drops it. */
+export interface QueueConfigured {
+    readonly type: "queueConfigured";
+    /** Version of the configuration that they are from. */
+    readonly version: number;
+    readonly queue: QueueConfig;
+}
+
+/** A queue that was dropped has no open jobs any more: its settings are no longer kept. */
+export interface QueueForgotten {
+    readonly type: "queueForgotten";
+    readonly name: string;
+}
+
 /** A durable event. */
 export type JobEvent =
     | JobAccepted
@@ -98,4 +113,6 @@
     | JobCancelled
     | JobClosed
     | JobForgotten
-    | WorkerAdopted;
+    | WorkerAdopted
+    | QueueConfigured
+    | QueueForgotten;
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -1,6 +1,7 @@
 /** Jobs as text and back: the part of the journal that a snapshot covers. */
 import { buildJob, buildOccurrence, JobBook } from "./job-book.js";
 import { JobPhase } from "./job-events.js";
+import type { QueueConfigured } from "./job-events.js";
 import type { JobSpec } from "./job-spec.js";
 import { TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
@@ -51,6 +52,8 @@
     readonly ended: readonly StoredEndedJob[];
     /** Workers with the epochs of the leaders that adopted them; not in snapshots of earlier versions. */
     readonly adoptions?: readonly (readonly [string, number])[];
+    /** Settings of queues; not in snapshots of earlier versions. */
+    readonly queues?: readonly QueueConfigured[];
 }
 
 /** Encodes all jobs. */
@@ -67,7 +70,9 @@
         const { hasStarted, nextOccurrence } = job;
         open.push({ id, queue, at, spec, hasStarted, nextOccurrence, occurrences });
     }
-    return JSON.stringify({ open, ended, adoptions: book.listAdoptions() } satisfies StoredBook);
+    const adoptions = book.listAdoptions();
+    const queues = [...book.listQueues()];
+    return JSON.stringify({ open, ended, adoptions, queues } satisfies StoredBook);
 }
 
 /**
@@ -85,6 +90,7 @@
     for (const [workerId, epoch] of stored.adoptions ?? []) {
         book.apply({ type: "adopted", workerId, epoch });
     }
+    stored.queues?.forEach(queue => book.apply(queue));
     for (const entry of stored.open) {
         book.restore(rebuildOpenJob(entry));
     }
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -23,7 +23,7 @@
     /** Leases given by earlier leaders. */
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
-    /** Finds a job's queue by name; undefined once the operator has removed it. */
+    /** Finds the settings for a queue's jobs, also where it was removed; undefined where no leader has known them. */
     readonly findQueueByName: (name: string) => QueueConfig | undefined;
     /** Returns the run time to expect of a step's tasks; infinite where they run until they are stopped. */
     readonly predictRunMs: (step: Step) => Millis;
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -166,7 +166,7 @@
         });
     }
 
-    /** What the job's time is to be compared with; undefined where its queue has been removed. */
+    /** What the job's time is to be compared with; undefined where its queue is not known. */
     private estimateObjectiveMs(job: Job): Millis | undefined {
         const queue = this.context.findQueueByName(job.queue);
         if (queue === undefined || job.spec === undefined) {
--- a/src/process/leader/job-desk.ts
+++ b/src/process/leader/job-desk.ts
@@ -1,12 +1,14 @@
 /** Answers callers' requests at the leader. */
 import type { Millis } from "../../common/clock.js";
 import { findQueue } from "../../version/cluster-config.js";
+import type { QueueConfig } from "../../version/cluster-config.js";
 import { JobPhase } from "../jobs/job-events.js";
 import type { JobSpec } from "../jobs/job-spec.js";
 import type { Job } from "../jobs/job.js";
 import type { Journal } from "../journal/journal.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
+import type { QueueSettings } from "./queue-settings.js";
 import { RefusalReason } from "./requests.js";
 import type { CallerReply, CallerRequest } from "./requests.js";
 
@@ -29,11 +31,13 @@
      * @param context - Shared parts.
      * @param journal - Knows whether the store is away.
      * @param ends - Stops what cancelled jobs run.
+     * @param queues - Keeps the settings that accepted jobs are run under.
      */
     constructor(
         private readonly context: LeaderContext,
         private readonly journal: Journal,
         private readonly ends: EndDesk,
+        private readonly queues: QueueSettings,
     ) {}
 
     /** Answers a request; the promise settles once the answer is true for good. */
@@ -63,8 +67,9 @@
         });
     }
 
-    /** Forgets jobs whose end is older than callers may ask for. */
+    /** Forgets jobs whose end is older than callers may ask for, and queues that no job needs. */
     forgetOld(): void {
+        this.queues.forgetUnused();
         const limit = this.context.clock.wallNow() - RETENTION_MS;
         for (const job of this.context.book.listAll()) {
             if (job.endedAt !== 0 && job.endedAt < limit) {
@@ -98,7 +103,7 @@
         }
         switch (request.kind) {
             case "submit":
-                return this.submit(rest, queue.name, request.spec, reply);
+                return this.submit(rest, queue, request.spec, reply);
             case "show":
                 return this.show(rest, reply);
             case "cancel":
@@ -106,7 +111,7 @@
         }
     }
 
-    private submit(jobId: string, queue: string, spec: JobSpec, reply: Reply): void {
+    private submit(jobId: string, queue: QueueConfig, spec: JobSpec, reply: Reply): void {
         const waiting = this.waiting.get(jobId);
         if (waiting !== undefined) {
             waiting.push(reply);
@@ -117,14 +122,15 @@
             return;
         }
         if (this.journal.isStalled()) {
-            this.logDecision(jobId, queue, "refused", "the store does not answer");
+            this.logDecision(jobId, queue.name, "refused", "the store does not answer");
             reply(buildStoreAway());
             return;
         }
         this.waiting.set(jobId, [reply]);
         const at = this.context.clock.wallNow();
-        this.context.record({ type: "accepted", jobId, queue, spec, at }, () => {
-            this.logDecision(jobId, queue, "accepted", "durable");
+        this.queues.store(queue);
+        this.context.record({ type: "accepted", jobId, queue: queue.name, spec, at }, () => {
+            this.logDecision(jobId, queue.name, "accepted", "durable");
             this.finishWaiting(jobId, { kind: "accepted" });
             this.context.requestPass();
         });
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -1,6 +1,6 @@
 /** One leadership: everything that decides, from the take-over until another node leads. */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
-import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
 import { AdviceDesk } from "../dispatch/advice-desk.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { StepPermits } from "../dispatch/permits.js";
@@ -26,6 +26,7 @@
 import { EndDesk } from "./end-desk.js";
 import { Fleet } from "./fleet.js";
 import { JobDesk } from "./job-desk.js";
+import { QueueSettings } from "./queue-settings.js";
 import type { CallerReply, CallerRequest } from "./requests.js";
 import { Starter } from "./starter.js";
 
@@ -61,6 +62,7 @@
     readonly advice: AdviceDesk;
     private readonly context: LeaderContext;
     private readonly journal: Journal;
+    private readonly queues: QueueSettings;
     private readonly ends: EndDesk;
     private readonly fleet: Fleet;
     private readonly desk: JobDesk;
@@ -71,8 +73,6 @@
     /** How long the last pass took. */
     private passTookMs: Millis = 0;
     private readonly allowedShares = new AllowedShares();
-    private indexedConfig: ClusterConfig | undefined;
-    private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
     private readonly permits = new WeakMap<Step, StepPermits>();
     private passTimer: Timer | undefined;
     private sweepTimer: Timer | undefined;
@@ -82,15 +82,17 @@
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
         this.journal = this.buildJournal();
+        this.queues = new QueueSettings(this.context);
         this.advice = new AdviceDesk(options.clock);
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
-        this.desk = new JobDesk(this.context, this.journal, this.ends);
+        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues);
         this.starter = new Starter(this.context, this.fleet, this.ends, step => this.getPermits(step));
         for (const job of options.loaded.book.listAll()) {
             job.isEndDurable = job.endedAt !== 0;
         }
+        this.queues.storeAll();
         this.sweep();
     }
 
@@ -106,6 +108,7 @@
 
     /** Takes in that a newer configuration is in force. */
     handleConfig(): void {
+        this.queues.storeAll();
         this.requestPass();
     }
 
@@ -146,7 +149,7 @@
                 spec.isLongRunning ? Infinity : this.runTimes.estimate(job.queue, spec.estimateMs),
             findYieldLimit: step => this.findYieldLimit(step),
             confirmLeading: options.confirmLeading,
-            findQueueByName: name => this.findQueueByName(name),
+            findQueueByName: name => this.queues.find(name),
             record: (event, handleCommitted) => {
                 if (!this.closed) {
                     options.loaded.book.apply(event);
@@ -159,20 +162,10 @@
         };
     }
 
-    /** Looked up for every waiting step of a pass and every end, among up to hundreds of queues. */
-    private findQueueByName(name: string): QueueConfig | undefined {
-        const config = this.options.getConfig();
-        if (config !== this.indexedConfig) {
-            this.indexedConfig = config;
-            this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]));
-        }
-        return this.queuesByName.get(name);
-    }
-
     /** Members of a gang lose what they have done when one of them is stopped. */
     private findYieldLimit({ spec, job }: Step): number | undefined {
         const isUnharmed = spec.savesCheckpoints && !spec.isGang && !spec.isLongRunning;
-        return isUnharmed ? this.findQueueByName(job.queue)?.priority : undefined;
+        return isUnharmed ? this.queues.find(job.queue)?.priority : undefined;
     }
 
     private buildJournal(): Journal {
--- a/src/test/leader/dropped-queues_test.ts
+++ b/src/test/leader/dropped-queues_test.ts
@@ -1,8 +1,11 @@
 /** Jobs whose queue the operator removes while they have work to do. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { makeRecordKey, RECORD_PREFIX } from "../../process/journal/keys.js";
+import { encodeJournalRecord } from "../../process/journal/records.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
-import { CORE, LeaderCell, makeSpec, QUEUE } from "./leader-cell.js";
+import { listCodes } from "../fakes/fake-telemetry.js";
+import { CORE, LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
 import type { TestLeader } from "./leader-cell.js";
 
 /** Twice what the only worker has room for, so that half of the tasks wait when the queue is dropped. */
@@ -108,3 +111,33 @@
         assert.equal(cell.countStarts(1), 5);
     });
 });
+
+describe("the settings of a queue that is dropped", () => {
+    it("are forgotten once nothing of it is left to run", async () => {
+        const cell = new LeaderCell(1);
+        const first = await cell.startLeader();
+        await cell.submit(first, 1, makeSpec({}));
+        setQueues(cell, first, []);
+        await cell.clock.step(20_000);
+        const loaded = await replaceLeader(cell, first);
+        const keys = cell.store.list(RECORD_PREFIX);
+        const texts = keys.kind === "done" ? keys.value.records.map(record => record.value) : [];
+        assert.equal(texts.filter(text => text.includes('"queueForgotten"')).length, 1);
+        assert.deepEqual(listCodes(loaded.log), []);
+    });
+
+    it("are missing in journals of earlier versions: a line says that the jobs wait for their queue", async () => {
+        const cell = new LeaderCell(1);
+        const jobId = makeJobId(1);
+        const accepted = { type: "accepted", jobId, queue: QUEUE.name, spec: makeSpec({}), at: 0 } as const;
+        const record = encodeJournalRecord({ epoch: 1, sequence: 1, events: [accepted] });
+        cell.store.putDirectly(makeRecordKey(1), record);
+        cell.config = { ...cell.config, queues: [] };
+        const leader = await cell.startLeader();
+        await cell.clock.step(5_000);
+        assert.deepEqual(listCodes(leader.log), ["CR1619"]);
+        setQueues(cell, leader, [QUEUE]);
+        await cell.clock.step(5_000);
+        assert.equal(cell.countStarts(1), 1);
+    });
+});
