--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -57,7 +57,12 @@
 /** An appended event and what waits for it. */
 interface Entry {
     readonly event: JobEvent;
+    /** Told once the event is durable, and never if it is withdrawn. */
+    readonly handleCommitted: (() => void) | undefined;
+    /** Told once everything up to the event is durable or withdrawn. */
     readonly waiters: (() => void)[];
+    /** Whether the next event goes into another record: a snapshot holds the state up to here. */
+    endsRecord: boolean;
 }
 
 /** A record that was sent. */
@@ -103,7 +108,7 @@
      * @param handleCommitted - Called once it is durable; never if it does not become so.
      */
     append(event: JobEvent, handleCommitted?: () => void): void {
-        this.queue.push({ event, waiters: handleCommitted === undefined ? [] : [handleCommitted] });
+        this.queue.push({ event, handleCommitted, waiters: [], endsRecord: false });
         this.scheduleRecord();
     }
 
@@ -138,8 +143,7 @@
                 }
                 this.withdrawals += 1;
                 handleWithdrawn(entry.event.jobId);
-                // The first waiter is the caller of the job itself; the others wait for everything before it.
-                entry.waiters.slice(1).forEach(notify =>
+                entry.waiters.forEach(notify =>
                     previous === undefined ? notify() : previous.waiters.push(notify)
                 );
             }
@@ -175,7 +179,7 @@
     }
 
     private async writeRecord(): Promise<void> {
-        const entries = this.queue.splice(0, MAX_EVENTS);
+        const entries = this.takeEntries();
         if (entries.length === 0) {
             return;
         }
@@ -207,6 +211,12 @@
         this.scheduleRecord();
     }
 
+    /** Takes the events of the next record. */
+    private takeEntries(): Entry[] {
+        const last = this.queue.findIndex(entry => entry.endsRecord);
+        return this.queue.splice(0, last === -1 ? MAX_EVENTS : Math.min(last + 1, MAX_EVENTS));
+    }
+
     /**
      * Tells whether the next record would overwrite one that no snapshot covers.
      *
@@ -248,24 +258,42 @@
     private finishEntries(entries: readonly Entry[]): void {
         this.options.metrics.count("journal.events", entries.length);
         for (const entry of entries) {
+            entry.handleCommitted?.();
             entry.waiters.forEach(notify => notify());
         }
     }
 
+    /**
+     * Begins a snapshot of the state as it is now, once enough records have been written since the last one.
+     *
+     * @remarks Failure guarded against: a snapshot that holds events beyond the records that it covers has them applied
+     * again by the next leader. That is not the same state: an older end put an older checkpoint back on a whole gang.
+     * So the events that the state holds fill records of their own up to here, and the snapshot covers the last of them:
+     * what follows it is what the state does not hold.
+     */
     private startSnapshotIfDue(): void {
         if (this.snapshotting || this.sequence - this.coveredSequence < SNAPSHOT_EVERY) {
             return;
         }
         this.snapshotting = true;
         const text = this.options.encodeState();
-        const { withdrawals, sequence } = this;
-        // The state is ahead of the store by what is queued; the snapshot counts once that is durable too. Events
-        // that it holds and that also stand in later records have no effect when they are applied again.
-        this.runWhenCommitted(() => void this.writeSnapshot(text, sequence, withdrawals));
+        const { withdrawals } = this;
+        const last = this.queue.at(-1);
+        if (last !== undefined) {
+            last.endsRecord = true;
+        }
+        this.runWhenCommitted(() => {
+            if (withdrawals === this.withdrawals) {
+                void this.writeSnapshot(text, this.sequence);
+                return;
+            }
+            // The text holds an acceptance that was withdrawn. The end of the next record begins another snapshot.
+            this.snapshotting = false;
+        });
     }
 
     /** Writes the parts, then the head that makes them count. */
-    private async writeSnapshot(text: string, sequence: number, withdrawals: number): Promise<void> {
+    private async writeSnapshot(text: string, sequence: number): Promise<void> {
         const parts = splitText(text);
         const generation = this.generation + 1;
         for (const [part, value] of parts.entries()) {
@@ -273,19 +301,14 @@
                 return;
             }
         }
-        if (withdrawals === this.withdrawals) {
-            const head = encodeSnapshotHead({ generation, parts: parts.length, sequence });
-            if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
-                return;
-            }
-            this.generation = generation;
-            this.coveredSequence = sequence;
-            this.options.log.info("snapshotWritten", {
-                sequence,
-                parts: parts.length,
-                characters: text.length,
-            });
+        const head = encodeSnapshotHead({ generation, parts: parts.length, sequence });
+        if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
+            return;
         }
+        this.generation = generation;
+        this.coveredSequence = sequence;
+        const characters = text.length;
+        this.options.log.info("snapshotWritten", { sequence, parts: parts.length, characters });
         this.snapshotting = false;
         this.startSnapshotIfDue();
         this.scheduleRecord();
