An assignment says which leader has adopted the worker

What callers saw: after a change of leader, tasks of a worker that was gone too started elsewhere later than they could.

The field is optional: assignments of the previous version load as before.

--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -221,6 +221,9 @@
         task.state = TaskState.assigned;
         task.run = event.run;
         task.workerId = event.workerId;
+        if (event.epoch !== undefined) {
+            this.adoptions.set(event.workerId, event.epoch);
+        }
         step.waiting -= 1;
         step.assigned += 1;
         job.hasStarted = true;
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -50,6 +50,11 @@
     /** Rises with each run of the task. */
     readonly run: number;
     readonly workerId: string;
+    /**
+     * The leader's, which has adopted the worker. Snapshots leave out adoptions of idle workers, so it is said again here;
+     * not in events of earlier versions.
+     */
+    readonly epoch?: number;
 }
 
 /** A run ended. It is durable before the worker is told that the end was seen. */
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -66,7 +66,7 @@
         });
         worker.addRun(record);
         this.context.record(
-            { type: "assigned", task: task.name, run, workerId: worker.id },
+            { type: "assigned", task: task.name, run, workerId: worker.id, epoch: this.context.epoch },
             () => void this.order(start, record),
         );
     }
