--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -14,6 +14,8 @@
     readonly failures: number;
     readonly workerId?: string;
     readonly checkpoint: string;
+    /** Workers that a run failed on; not in snapshots of earlier versions. */
+    readonly failedOn?: readonly string[];
 }
 
 /** A step that differs from a fresh one. */
@@ -118,10 +120,11 @@
     }
     step.failures = stored.failures;
     step.lastFailedRun = stored.lastFailedRun;
-    for (const { index, state, run, failures, workerId, checkpoint } of stored.tasks) {
+    for (const { index, state, run, failures, workerId, checkpoint, failedOn } of stored.tasks) {
         const task = step.tasks[index];
         if (task !== undefined) {
             Object.assign(task, { state, run, failures, workerId, checkpoint });
+            failedOn?.forEach(id => task.failedOn.add(id));
         }
     }
     step.done = step.tasks.filter(task => task.state === TaskState.done).length;
@@ -145,10 +148,13 @@
 }
 
 function isChanged(task: Task): boolean {
-    return task.run > 0 || task.state !== TaskState.waiting;
+    // A member of a gang has the gang's checkpoint, also where it was never assigned itself.
+    return task.run > 0 || task.state !== TaskState.waiting || task.checkpoint !== "";
 }
 
 function convertTask(task: Task): StoredTask {
     const { index, state, run, failures, workerId, checkpoint } = task;
-    return { index, state, run, failures, workerId, checkpoint };
+    const isFailedOnNeeded = state !== TaskState.done && task.failedOn.size > 0;
+    const failedOn = isFailedOnNeeded ? [...task.failedOn] : undefined;
+    return { index, state, run, failures, workerId, checkpoint, failedOn };
 }
