--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -301,7 +301,8 @@
                 return;
             }
         }
-        const head = encodeSnapshotHead({ generation, parts: parts.length, sequence });
+        const { epoch } = this.options;
+        const head = encodeSnapshotHead({ generation, parts: parts.length, sequence, epoch });
         if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
             return;
         }
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -8,7 +8,7 @@
 import type { Log } from "../telemetry.js";
 import { makeSnapshotKey, RECORD_PREFIX, SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX } from "./keys.js";
 import { decodeJournalRecord, decodeSnapshotHead } from "./records.js";
-import type { JournalRecord } from "./records.js";
+import type { JournalRecord, SnapshotHead } from "./records.js";
 
 /** The state as the store has it. */
 export interface LoadedJournal {
@@ -84,7 +84,7 @@
 ): LoadedJournal {
     const values = new Map(snapshotRecords.map(record => [record.key, record.value]));
     const headText = values.get(SNAPSHOT_HEAD_KEY);
-    const head = headText === undefined ?
+    const head: SnapshotHead = headText === undefined ?
         { generation: 0, parts: 0, sequence: 0 } :
         decodeSnapshotHead(headText);
     const parts = Array.from({ length: head.parts }, (...[, part]) => {
@@ -93,7 +93,7 @@
     const book = head.parts === 0 ? new JobBook() : decodeBook(parts.join(""));
     const later = selectConnected(
         log,
-        head.sequence,
+        head,
         records.map(record => decodeJournalRecord(record.value)),
     );
     for (const record of later) {
@@ -113,11 +113,12 @@
  *
  * @remarks Records are sent several at a time, so a leader that died may have left some beyond one that was never
  * written. No effect of those was let out, and they are dropped. A later leader writes from the gap on; what still
- * stands beyond its own last record has a lower epoch and is no continuation of it.
+ * stands beyond its own last record has a lower epoch and is no continuation of it, nor of a snapshot that it wrote:
+ * all records after that one are its own or a later leader's.
  */
 function selectConnected(
     log: Log,
-    covered: number,
+    { sequence: covered, epoch: snapshotEpoch = 0 }: SnapshotHead,
     records: readonly JournalRecord[],
 ): readonly JournalRecord[] {
     const later = records
@@ -127,7 +128,7 @@
     for (const record of later) {
         const last = connected.at(-1);
         const follows = record.sequence === (last?.sequence ?? covered) + 1;
-        if (!follows || record.epoch < (last?.epoch ?? 0)) {
+        if (!follows || record.epoch < (last?.epoch ?? snapshotEpoch)) {
             break;
         }
         connected.push(record);
--- a/src/process/journal/records.ts
+++ b/src/process/journal/records.ts
@@ -15,6 +15,8 @@
     readonly parts: number;
     /** Last record that it covers. */
     readonly sequence: number;
+    /** Epoch of the leader that wrote it; not in heads of earlier versions. */
+    readonly epoch?: number;
 }
 
 export function encodeJournalRecord(record: JournalRecord): string {
