A new leader closes the jobs that are over

What callers saw: after a change of leader, a job whose work was all done was shown as running for good; one that had used up its attempts was given one more.

Cause: a job's last end and the close that follows from it are two events, and only an end made a leader look whether its job is over. Split over two records, with the leader lost between them, no end of the job came any more.

A leader now closes what is over when it takes over; by then it has read all ends that anybody was told of. An attempt that is under way is left to end, also where the queue allows fewer since it began: otherwise a change of leader alone would fail a job that goes on under the same leader.

--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -92,10 +92,22 @@
         if (step.spec.isGang) {
             this.gangs.handleEnd(step, run, end);
         }
-        this.closeIfOver(step);
+        this.closeIfOver(step.job, [step]);
         context.requestPass();
     }
 
+    /**
+     * Closes the jobs that are over. Call it when a leader takes over.
+     *
+     * @remarks Failure guarded against: a job's last end is durable, and the leader is lost before the close that follows
+     * from it. No end of the job comes any more, so it would never be closed, or be given an attempt too many.
+     */
+    closeAllOver(): void {
+        for (const job of [...this.context.book.listOpen()]) {
+            this.closeIfOver(job, listSteps(job));
+        }
+    }
+
     private observeRunTime(step: Step, ranMs: Millis, state: WorkerState | undefined): void {
         const { queue } = step.job;
         const expected = this.runTimes.estimate(queue, step.spec.estimateMs);
@@ -135,8 +147,12 @@
         }
     }
 
-    private closeIfOver(step: Step): void {
-        const { job } = step;
+    /**
+     * Closes a job that is done or has used up its attempts.
+     * @param job - The job.
+     * @param steps - Those of its steps in which something has failed since it was last looked at.
+     */
+    private closeIfOver(job: Job, steps: Iterable<Step>): void {
         if (job.endedAt !== 0) {
             return;
         }
@@ -144,16 +160,23 @@
             this.closeJob(job, "completed");
             return;
         }
-        const maxAttempts = this.context.findQueueByName(job.queue)?.maxAttempts ?? Infinity;
-        const failures = step.spec.isGang ?
-            step.failures :
-            Math.max(...step.tasks.map(task => task.failures));
-        if (failures >= maxAttempts && !step.spec.isLongRunning) {
+        if ([...steps].some(step => this.hasUsedAttempts(step))) {
             this.stopJob(job);
             this.closeJob(job, "failed");
         }
     }
 
+    /** An attempt that is under way may still succeed, also where the queue has come to allow fewer since it began. */
+    private hasUsedAttempts({ job, spec, tasks, failures, lastFailedRun }: Step): boolean {
+        const maxAttempts = this.context.findQueueByName(job.queue)?.maxAttempts ?? Infinity;
+        const idle = tasks.filter(task => task.state !== TaskState.assigned);
+        const isGangTrying = tasks.some(({ state, run }) =>
+            state === TaskState.assigned && run > lastFailedRun
+        );
+        const mostFailures = spec.isGang ? failures : Math.max(...idle.map(task => task.failures));
+        return mostFailures >= maxAttempts && !spec.isLongRunning && !(spec.isGang && isGangTrying);
+    }
+
     private closeJob(job: Job, phase: "completed" | "failed"): void {
         const { context } = this;
         const at = context.clock.wallNow();
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -93,6 +93,7 @@
             job.isEndDurable = job.endedAt !== 0;
         }
         this.queues.storeAll();
+        this.ends.closeAllOver();
         this.sweep();
     }
 
--- a/src/test/leader/unclosed-jobs_test.ts
+++ b/src/test/leader/unclosed-jobs_test.ts
@@ -5,7 +5,7 @@
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import { makeRecordKey } from "../../process/journal/keys.js";
 import { encodeJournalRecord } from "../../process/journal/records.js";
-import { LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+import { CORE, LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
 
 const TASK = `${makeJobId(1)}.0.0.0`;
 
@@ -67,4 +67,33 @@
             assert.deepEqual(await cell.show(next, 1), { kind: "state", phase });
         });
     }
+
+    for (
+        const { name, step } of [{ name: "a task", step: {} }, {
+            name: "a gang",
+            step: { taskCount: 2, isGang: true },
+        }]
+    ) {
+        it(`is left its attempt under way, of ${name}, by a leader under which fewer are allowed`, async () => {
+            const cell = new LeaderCell(1);
+            cell.config = { ...cell.config, queues: [{ ...QUEUE, maxAttempts: 5 }] };
+            cell.getBehavior = (...[, run]) => ({
+                demand: CORE,
+                runMs: run <= QUEUE.maxAttempts ? 100 : 8_000,
+                end: run <= QUEUE.maxAttempts ? "failed" : "done",
+            });
+            const first = await cell.startLeader();
+            await cell.submit(first, 1, makeSpec(step));
+            await cell.clock.step(3_000);
+            const lastRun = QUEUE.maxAttempts + 1;
+            assert.equal(cell.starts.at(-1)?.run, lastRun);
+            const starts = cell.countStarts(1);
+            first.clock.kill();
+            cell.config = { ...cell.config, version: cell.config.version + 1, queues: [QUEUE] };
+            const next = await cell.startLeader();
+            await cell.clock.step(10_000);
+            assert.deepEqual(await cell.show(next, 1), { kind: "state", phase: "completed" });
+            assert.equal(cell.countStarts(1), starts);
+        });
+    }
 });
