A refusal after an answer that was lost is in doubt

What callers saw: a request was refused although an earlier leader had carried it out: the refused job ran, or the job whose cancelling was refused was gone.

Cause: a node asks the next leader once an answer is lost, and passed on whatever that one said. A leader refuses for itself, for instance as it is cut off from the store; it knows nothing of what the other one did.

Once an earlier leader may have acted, a refusal no longer ends the request: it is sent again for as long as answers in doubt are waited for, and ends as unknown then. All other answers come from the state and are passed on.

--- a/src/process/node/caller-way.ts
+++ b/src/process/node/caller-way.ts
@@ -52,10 +52,12 @@
             return { kind: "refused", reason: RefusalReason.noConfig, retryAfterMs: NO_LEADER_RETRY_MS };
         }
         const reply = await tryServe(way, request, limit - (clock.now() - begin));
-        if (reply !== undefined && reply.kind !== "unknown") {
+        mayHaveRun ||= reply?.kind === "unknown";
+        // A leader refuses for itself: one that is cut off knows nothing of what another one has done.
+        const isInDoubt = reply?.kind === "unknown" || reply?.kind === "refused" && mayHaveRun;
+        if (reply !== undefined && !isInDoubt) {
             return reply;
         }
-        mayHaveRun ||= reply?.kind === "unknown";
         if (!mayHaveRun && clock.now() - begin > LEADER_PATIENCE_MS) {
             return { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
         }
