A cancellation stops the job's runs once it is durable

What callers saw: a cancellation ended without an answer, the job went on, and took longer than it would have: its runs had been stopped, and what they had done was lost.

Cause: runs were stopped as soon as the cancellation came in. Where the leader was lost before it was durable, the next one knew nothing of it and began the job's tasks again.

--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -115,9 +115,9 @@
         this.runTimes.observe(queue, step.spec.estimateMs, ranMs);
     }
 
-    /** Stops everything that a job has on workers. */
-    stopJob(job: Job): void {
-        for (const step of listSteps(job)) {
+    /** Stops everything that steps have on workers, also those of a job that is over. */
+    stopSteps(steps: Iterable<Step>): void {
+        for (const step of steps) {
             this.stopStep(step);
         }
     }
@@ -161,7 +161,7 @@
             return;
         }
         if ([...steps].some(step => this.hasUsedAttempts(step))) {
-            this.stopJob(job);
+            this.stopSteps(listSteps(job));
             this.closeJob(job, "failed");
         }
     }
--- a/src/process/leader/job-desk.ts
+++ b/src/process/leader/job-desk.ts
@@ -4,6 +4,7 @@
 import type { QueueConfig } from "../../version/cluster-config.js";
 import { JobPhase } from "../jobs/job-events.js";
 import type { JobSpec } from "../jobs/job-spec.js";
+import { listSteps } from "../jobs/job.js";
 import type { Job } from "../jobs/job.js";
 import type { Journal } from "../journal/journal.js";
 import type { LeaderContext } from "./context.js";
@@ -161,10 +162,13 @@
             reply(buildStoreAway());
             return;
         }
-        this.ends.stopJob(job);
+        // Nothing more of the job starts from here on. What runs goes on until the cancellation is durable: if this leader
+        // is lost before that, the job is not cancelled, and its work must not have been thrown away.
+        const steps = [...listSteps(job)];
         const at = this.context.clock.wallNow();
         this.context.record({ type: "cancelled", jobId, at }, () => {
             job.isEndDurable = true;
+            this.ends.stopSteps(steps);
             this.logDecision(jobId, job.queue, "cancelled", "durable");
             reply({ kind: "cancelled" });
         });
