--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -1,4 +1,5 @@
 /** The durable events of jobs. Applying them in order rebuilds the state, so a new leader starts from them. */
+import type { QueueConfig } from "../../version/cluster-config.js";
 import type { JobSpec } from "./job-spec.js";
 
 /** How a run ended, or that it never began. */
@@ -49,6 +50,11 @@
     /** Rises with each run of the task. */
     readonly run: number;
     readonly workerId: string;
+    /**
+     * The leader's, which has adopted the worker. Snapshots leave out adoptions of idle workers, so it is said again here;
+     * not in events of earlier versions.
+     */
+    readonly epoch?: number;
 }
 
 /** A run ended. It is durable before the worker is told that the end was seen. */
@@ -90,6 +96,20 @@
     readonly epoch: number;
 }
 
+/** The settings that a queue's jobs follow from now on, also when a later configuration drops it. */
+export interface QueueConfigured {
+    readonly type: "queueConfigured";
+    /** Version of the configuration that they are from. */
+    readonly version: number;
+    readonly queue: QueueConfig;
+}
+
+/** A queue that was dropped has no open jobs any more: its settings are no longer kept. */
+export interface QueueForgotten {
+    readonly type: "queueForgotten";
+    readonly name: string;
+}
+
 /** A durable event. */
 export type JobEvent =
     | JobAccepted
@@ -98,4 +118,6 @@
     | JobCancelled
     | JobClosed
     | JobForgotten
-    | WorkerAdopted;
+    | WorkerAdopted
+    | QueueConfigured
+    | QueueForgotten;
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -1,6 +1,7 @@
 /** Jobs as text and back: the part of the journal that a snapshot covers. */
 import { buildJob, buildOccurrence, JobBook } from "./job-book.js";
 import { JobPhase } from "./job-events.js";
+import type { QueueConfigured } from "./job-events.js";
 import type { JobSpec } from "./job-spec.js";
 import { TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
@@ -13,6 +14,8 @@
     readonly failures: number;
     readonly workerId?: string;
     readonly checkpoint: string;
+    /** Workers that a run failed on; not in snapshots of earlier versions. */
+    readonly failedOn?: readonly string[];
 }
 
 /** A step that differs from a fresh one. */
@@ -51,6 +54,8 @@
     readonly ended: readonly StoredEndedJob[];
     /** Workers with the epochs of the leaders that adopted them; not in snapshots of earlier versions. */
     readonly adoptions?: readonly (readonly [string, number])[];
+    /** Settings of queues; not in snapshots of earlier versions. */
+    readonly queues?: readonly QueueConfigured[];
 }
 
 /** Encodes all jobs. */
@@ -67,7 +72,9 @@
         const { hasStarted, nextOccurrence } = job;
         open.push({ id, queue, at, spec, hasStarted, nextOccurrence, occurrences });
     }
-    return JSON.stringify({ open, ended, adoptions: book.listAdoptions() } satisfies StoredBook);
+    const adoptions = book.listAdoptions();
+    const queues = [...book.listQueues()];
+    return JSON.stringify({ open, ended, adoptions, queues } satisfies StoredBook);
 }
 
 /**
@@ -85,6 +92,7 @@
     for (const [workerId, epoch] of stored.adoptions ?? []) {
         book.apply({ type: "adopted", workerId, epoch });
     }
+    stored.queues?.forEach(queue => book.apply(queue));
     for (const entry of stored.open) {
         book.restore(rebuildOpenJob(entry));
     }
@@ -112,10 +120,11 @@
     }
     step.failures = stored.failures;
     step.lastFailedRun = stored.lastFailedRun;
-    for (const { index, state, run, failures, workerId, checkpoint } of stored.tasks) {
+    for (const { index, state, run, failures, workerId, checkpoint, failedOn } of stored.tasks) {
         const task = step.tasks[index];
         if (task !== undefined) {
             Object.assign(task, { state, run, failures, workerId, checkpoint });
+            failedOn?.forEach(id => task.failedOn.add(id));
         }
     }
     step.done = step.tasks.filter(task => task.state === TaskState.done).length;
@@ -139,10 +148,13 @@
 }
 
 function isChanged(task: Task): boolean {
-    return task.run > 0 || task.state !== TaskState.waiting;
+    // A member of a gang has the gang's checkpoint, also where it was never assigned itself.
+    return task.run > 0 || task.state !== TaskState.waiting || task.checkpoint !== "";
 }
 
 function convertTask(task: Task): StoredTask {
     const { index, state, run, failures, workerId, checkpoint } = task;
-    return { index, state, run, failures, workerId, checkpoint };
+    const isFailedOnNeeded = state !== TaskState.done && task.failedOn.size > 0;
+    const failedOn = isFailedOnNeeded ? [...task.failedOn] : undefined;
+    return { index, state, run, failures, workerId, checkpoint, failedOn };
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -1,6 +1,6 @@
 /** One leadership: everything that decides, from the take-over until another node leads. */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
-import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
 import { AdviceDesk } from "../dispatch/advice-desk.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { planStarts } from "../dispatch/planner.js";
@@ -23,6 +23,7 @@
 import { Fleet } from "./fleet.js";
 import { JobDesk } from "./job-desk.js";
 import { PermitDesk } from "./permit-desk.js";
+import { QueueSettings } from "./queue-settings.js";
 import type { CallerReply, CallerRequest } from "./requests.js";
 import { Starter } from "./starter.js";
 import { StateReport } from "./state-report.js";
@@ -60,6 +61,7 @@
     readonly advice: AdviceDesk;
     private readonly context: LeaderContext;
     private readonly journal: Journal;
+    private readonly queues: QueueSettings;
     private readonly ends: EndDesk;
     private readonly fleet: Fleet;
     private readonly desk: JobDesk;
@@ -68,8 +70,6 @@
     private readonly preemptionLooks = new PreemptionLooks();
     /** How long the last pass took. */
     private passTookMs: Millis = 0;
-    private indexedConfig: ClusterConfig | undefined;
-    private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
     private readonly permits: PermitDesk;
     private readonly report: StateReport;
     private lastPassAt: Millis | undefined;
@@ -83,12 +83,13 @@
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
         this.journal = this.buildJournal();
+        this.queues = new QueueSettings(this.context);
         this.advice = new AdviceDesk(options.clock, options.log);
         this.permits = new PermitDesk(this.context, this.advice);
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
-        this.desk = new JobDesk(this.context, this.journal, this.ends);
+        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues);
         this.starter = new Starter(
             this.context,
             this.fleet,
@@ -99,6 +100,8 @@
         for (const job of options.loaded.book.listAll()) {
             job.isEndDurable = job.endedAt !== 0;
         }
+        this.queues.storeAll();
+        this.ends.closeAllOver();
         this.sweep();
     }
 
@@ -114,6 +117,7 @@
 
     /** Takes in that a newer configuration is in force. */
     handleConfig(): void {
+        this.queues.storeAll();
         this.report.handleConfig();
         this.requestPass();
     }
@@ -157,7 +161,7 @@
                 spec.isLongRunning ? Infinity : this.runTimes.estimate(job.queue, spec.estimateMs),
             findYieldLimit: step => this.findYieldLimit(step),
             confirmLeading: options.confirmLeading,
-            findQueueByName: name => this.findQueueByName(name),
+            findQueueByName: name => this.queues.find(name),
             record: (event, handleCommitted) => {
                 if (!this.closed) {
                     options.loaded.book.apply(event);
@@ -170,20 +174,10 @@
         };
     }
 
-    /** Looked up for every waiting step of a pass and every end, among up to hundreds of queues. */
-    private findQueueByName(name: string): QueueConfig | undefined {
-        const config = this.options.getConfig();
-        if (config !== this.indexedConfig) {
-            this.indexedConfig = config;
-            this.queuesByName = new Map(config.queues.map(queue => [queue.name, queue]));
-        }
-        return this.queuesByName.get(name);
-    }
-
     /** Members of a gang lose what they have done when one of them is stopped. */
     private findYieldLimit({ spec, job }: Step): number | undefined {
         const isUnharmed = spec.savesCheckpoints && !spec.isGang && !spec.isLongRunning;
-        return isUnharmed ? this.findQueueByName(job.queue)?.priority : undefined;
+        return isUnharmed ? this.queues.find(job.queue)?.priority : undefined;
     }
 
     private buildJournal(): Journal {
--- a/src/process/leader/missing-queues.ts
+++ b/src/process/leader/missing-queues.ts
@@ -5,8 +5,9 @@
 /**
  * The check; see the module comment.
  *
- * @remarks Failure guarded against: the operator removes a queue while jobs of it are open. They are left out of every pass,
- * so they neither run nor end, and their callers wait. Each queue is named once, when it goes missing.
+ * @remarks Failure guarded against: the operator has removed a queue with open jobs that an earlier version accepted, without
+ * recording its settings. They are left out of every pass, so they neither run nor end, and their callers wait. Each queue is
+ * named once.
  */
 export class MissingQueues {
     private checked: ClusterConfig | undefined;
