--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -95,6 +95,8 @@
         this.revisions = loaded.revisions;
         this.coveredSequence = loaded.coveredSequence;
         this.generation = loaded.generation;
+        // Leaders that were lost one after the other may have left the ring full: no record can be written before a snapshot.
+        this.startSnapshotIfDue();
     }
 
     /**
