--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -154,6 +154,7 @@
             previous = record.entries.at(-1) ?? previous;
         }
         this.queue = withdraw(this.queue);
+        this.startSnapshotIfDue();
     }
 
     /** Stops for good; what is not durable is given up. */
@@ -263,11 +264,21 @@
         const { withdrawals, sequence } = this;
         // The state is ahead of the store by what is queued; the snapshot counts once that is durable too. Events
         // that it holds and that also stand in later records have no effect when they are applied again.
-        this.runWhenCommitted(() => void this.writeSnapshot(text, sequence, withdrawals));
+        this.runWhenCommitted(() => {
+            // What it holds is durable now, so a later withdrawal is of none of it and must not spoil it: with the ring
+            // full by then, the next one would wait for events that no record can take.
+            if (withdrawals === this.withdrawals) {
+                void this.writeSnapshot(text, sequence);
+            }
+            else {
+                // The next one begins with the next record, or once all withdrawals of this moment are through.
+                this.snapshotting = false;
+            }
+        });
     }
 
     /** Writes the parts, then the head that makes them count. */
-    private async writeSnapshot(text: string, sequence: number, withdrawals: number): Promise<void> {
+    private async writeSnapshot(text: string, sequence: number): Promise<void> {
         const parts = splitText(text);
         const generation = this.generation + 1;
         for (const [part, value] of parts.entries()) {
@@ -275,19 +286,17 @@
                 return;
             }
         }
-        if (withdrawals === this.withdrawals) {
-            const head = encodeSnapshotHead({ generation, parts: parts.length, sequence });
-            if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
-                return;
-            }
-            this.generation = generation;
-            this.coveredSequence = sequence;
-            this.options.log.info("snapshotWritten", {
-                sequence,
-                parts: parts.length,
-                characters: text.length,
-            });
+        const head = encodeSnapshotHead({ generation, parts: parts.length, sequence });
+        if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
+            return;
         }
+        this.generation = generation;
+        this.coveredSequence = sequence;
+        this.options.log.info("snapshotWritten", {
+            sequence,
+            parts: parts.length,
+            characters: text.length,
+        });
         this.snapshotting = false;
         this.startSnapshotIfDue();
         this.scheduleRecord();
