--- a/src/stand-ins/task-worker-model.ts
+++ b/src/stand-ins/task-worker-model.ts
@@ -22,6 +22,10 @@
     readonly runMs: Millis;
     /** How its run ends by itself. */
     readonly end: "done" | "failed";
+    /** Whether its run saves checkpoints: one for each second of work, and one at a stop. */
+    readonly savesCheckpoints?: boolean;
+    /** Whether its work begins only once {@link TaskWorkerModel.startWork} says that the whole gang is there. */
+    readonly waitsForGang?: boolean;
 }
 
 /** What a model is made from. */
@@ -31,13 +35,23 @@
     readonly capacity: Resources;
     /** What the worker's clock shows when ours is at 0. */
     readonly clockOffset?: Millis;
+    /** How fast the worker's clock runs; 1 where left out. */
+    readonly clockRate?: number;
+    /** Time that a stop takes. */
+    readonly stopMs?: Millis;
+    /** Whether it refuses what does not fit. */
+    readonly checksAdmission?: boolean;
+    /** Whether it takes orders; it does where left out. */
+    readonly isHealthy?: () => boolean;
     readonly getBehavior: (task: string, run: number) => TaskBehavior;
     /** Told of each run that begins, with all that then runs here. */
-    readonly handleStart?: (task: string, run: number, used: Resources, payload: string) => void;
+    readonly handleStart?: (task: string, run: number, used: Resources, order: StartOrder) => void;
     /** Told of each run that ends. */
     readonly handleEnd?: (task: string, run: number, end: RunEnd) => void;
     /** Told of each end that the worker may forget. */
     readonly handleSeen?: (ended: EndedRun) => void;
+    /** Told that the lease on all runs has run out. */
+    readonly handleLapse?: () => void;
     /** Permits that the worker takes; without it none is needed. */
     readonly isPermitted?: (task: string, permit: string | undefined) => boolean;
 }
@@ -47,11 +61,16 @@
     readonly run: number;
     readonly behavior: TaskBehavior;
     timer: Timer | undefined;
-    startedAt: Millis;
+    /** Work done by earlier runs. */
+    readonly restoredMs: Millis;
+    /** When its own work begins; undefined while it waits for its gang. */
+    workBegin: Millis | undefined;
 }
 
-/** Time that a stop takes. */
-const STOP_MS: Millis = 100;
+const DEFAULT_STOP_MS: Millis = 100;
+const CHECKPOINT_EVERY_MS: Millis = 1_000;
+/** Time that a run takes to go on from a checkpoint. */
+const RESTORE_MS: Millis = 600;
 
 /** The model; see the module comment. */
 export class TaskWorkerModel {
@@ -95,7 +114,8 @@
         this.highestOver.set(order.task, Math.max(order.run, this.highestOver.get(order.task) ?? 0));
         const run = this.runs.get(order.task);
         if (run !== undefined && run.run <= order.run) {
-            this.options.clock.schedule(STOP_MS, () => this.endRun(run, RunEnd.stopped));
+            const stopMs = this.options.stopMs ?? DEFAULT_STOP_MS;
+            this.options.clock.schedule(stopMs, () => this.endRun(run, RunEnd.stopped));
         }
         return { kind: "done", value: this.getNow() };
     }
@@ -128,7 +148,7 @@
 
     /** Returns the worker's time. */
     getNow(): Millis {
-        return this.options.clock.now() + (this.options.clockOffset ?? 0);
+        return this.options.clock.now() * this.getRate() + (this.options.clockOffset ?? 0);
     }
 
     /** Lists the tasks that run. */
@@ -136,7 +156,35 @@
         return [...this.runs.keys()];
     }
 
+    /** Begins the work of a member of a gang that is whole now. */
+    startWork(task: string, run: number): void {
+        const found = this.findRun(task, run);
+        if (found !== undefined) {
+            this.scheduleEnd(found);
+        }
+    }
+
+    /** Ends a run from outside, as the end of another member of its gang does. */
+    finishRun(task: string, run: number, end: RunEnd): void {
+        const found = this.findRun(task, run);
+        if (found !== undefined) {
+            this.endRun(found, end);
+        }
+    }
+
+    private findRun(task: string, run: number): ModelRun | undefined {
+        const found = this.runs.get(task);
+        return found?.run === run ? found : undefined;
+    }
+
+    private getRate(): number {
+        return this.options.clockRate ?? 1;
+    }
+
     private findRefusal(order: StartOrder): OrderRefusal | undefined {
+        if (this.options.isHealthy?.() === false) {
+            return OrderRefusal.unhealthy;
+        }
         if (order.epoch < this.epoch) {
             return OrderRefusal.fenced;
         }
@@ -147,21 +195,65 @@
             return OrderRefusal.late;
         }
         const isPermitted = this.options.isPermitted?.(order.task, order.permit) ?? true;
-        return isPermitted ? undefined : OrderRefusal.noPermit;
+        if (!isPermitted) {
+            return OrderRefusal.noPermit;
+        }
+        return this.options.checksAdmission === true && !this.hasRoom(order) ?
+            OrderRefusal.noRoom :
+            undefined;
+    }
+
+    private hasRoom({ task, run }: StartOrder): boolean {
+        const { demand } = this.options.getBehavior(task, run);
+        return this.runs.has(task) || isWithin(addResources(this.sumUse(), demand), this.options.capacity);
+    }
+
+    private sumUse(): Resources {
+        return [...this.runs.values()]
+            .reduce((sum, other) => addResources(sum, other.behavior.demand), NO_RESOURCES);
     }
 
     private startRun(order: StartOrder): void {
         const { task, run: number } = order;
         const behavior = this.options.getBehavior(task, number);
-        const run: ModelRun = { task, run: number, behavior, timer: undefined, startedAt: this.getNow() };
+        const restoredMs = behavior.savesCheckpoints === true ? Number(order.checkpoint) : 0;
+        const run: ModelRun = {
+            task,
+            run: number,
+            behavior,
+            timer: undefined,
+            restoredMs,
+            workBegin: undefined,
+        };
         this.runs.set(task, run);
-        const used = [...this.runs.values()]
-            .reduce((sum, other) => addResources(sum, other.behavior.demand), NO_RESOURCES);
+        const used = this.sumUse();
         if (!isWithin(used, this.peak)) {
             this.peak = used;
         }
-        this.options.handleStart?.(task, number, used, order.payload);
-        run.timer = this.options.clock.schedule(behavior.runMs, () => this.endRun(run, behavior.end));
+        if (behavior.waitsForGang !== true) {
+            this.scheduleEnd(run);
+        }
+        this.options.handleStart?.(task, number, used, order);
+    }
+
+    private scheduleEnd(run: ModelRun): void {
+        const { clock } = this.options;
+        const { behavior, restoredMs } = run;
+        const restoreMs = restoredMs > 0 ? RESTORE_MS : 0;
+        const workMs = Math.max(0, behavior.runMs - restoredMs);
+        run.workBegin = clock.now() + restoreMs;
+        run.timer = clock.schedule(restoreMs + workMs, () => this.endRun(run, behavior.end));
+    }
+
+    /** Returns the newest checkpoint of a run, or that of a stop at this moment. */
+    private getCheckpoint(run: ModelRun, isStop: boolean): string {
+        if (run.behavior.savesCheckpoints !== true) {
+            return "";
+        }
+        const ownMs = Math.max(0, this.options.clock.now() - (run.workBegin ?? Infinity));
+        const savedMs = isStop ? ownMs : ownMs - ownMs % CHECKPOINT_EVERY_MS;
+        const workMs = Math.round(run.restoredMs + savedMs);
+        return workMs === 0 ? "" : String(workMs);
     }
 
     private endRun(run: ModelRun, end: RunEnd): void {
@@ -172,7 +264,8 @@
         this.runs.delete(run.task);
         this.highestOver.set(run.task, Math.max(run.run, this.highestOver.get(run.task) ?? 0));
         this.lastEnd += 1;
-        this.ended.push({ number: this.lastEnd, task: run.task, run: run.run, end, checkpoint: "" });
+        const checkpoint = this.getCheckpoint(run, end === RunEnd.stopped);
+        this.ended.push({ number: this.lastEnd, task: run.task, run: run.run, end, checkpoint });
         this.options.handleEnd?.(run.task, run.run, end);
         this.waiters.forEach(wake => wake());
     }
@@ -180,7 +273,9 @@
     private extendLease(deadline: Millis): void {
         this.deadline = Math.max(this.deadline, deadline);
         this.leaseTimer?.cancel();
-        this.leaseTimer = this.options.clock.schedule(this.deadline - this.getNow(), () => {
+        const leftMs = (this.deadline - this.getNow()) / this.getRate();
+        this.leaseTimer = this.options.clock.schedule(leftMs, () => {
+            this.options.handleLapse?.();
             for (const run of [...this.runs.values()]) {
                 this.endRun(run, RunEnd.lapsed);
             }
@@ -194,7 +289,8 @@
     }
 
     private buildReport(): WorkerReport {
-        const running = [...this.runs.values()].map(({ task, run }) => ({ task, run, checkpoint: "" }));
+        const running = [...this.runs.values()]
+            .map(run => ({ task: run.task, run: run.run, checkpoint: this.getCheckpoint(run, false) }));
         return { workerNow: this.getNow(), running, ended: [...this.ended] };
     }
 
--- /dev/null
+++ b/src/test/leader/day-witness.ts
@@ -0,0 +1,263 @@
+/** What the workers of a random day have seen, and the promises that it breaks. */
+import type { Clock, Millis } from "../../common/clock.js";
+import { isWithin } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
+import { RunEnd } from "../../process/jobs/job-events.js";
+import type { JobSpec, StepSpec } from "../../process/jobs/job-spec.js";
+import { formatStepName, formatTaskName, parseTaskName } from "../../process/jobs/job-spec.js";
+import type { EndedRun, StartOrder } from "../../process/ports/task-worker-port.js";
+import type { TaskWorkerModel } from "../../stand-ins/index.js";
+import { findStepSpec } from "./day-work.js";
+
+/** Time that the members of a gang wait for each other. */
+const GANG_WAIT_MS: Millis = 3_000;
+
+/** A run on a worker. */
+interface LiveRun {
+    readonly task: string;
+    readonly run: number;
+    readonly workerId: string;
+    readonly model: TaskWorkerModel;
+}
+
+interface DoneEnd {
+    readonly workerId: string;
+    readonly task: string;
+    hasLapsed: boolean;
+    /** Whether a leader has taken note of it, for good. */
+    isSeen: boolean;
+    /** Runs of the same work that began later. */
+    readonly laterStarts: string[];
+}
+
+/** A line of what happened to runs. */
+export interface SeenEvent {
+    readonly at: Millis;
+    readonly text: string;
+    readonly task: string;
+}
+
+/** The witness; see the module comment. */
+export class DayWitness {
+    readonly faults: string[] = [];
+    readonly events: SeenEvent[] = [];
+    private readonly live = new Map<string, LiveRun>();
+    private readonly doneEnds = new Map<string, DoneEnd[]>();
+    private readonly gangs = new Map<string, LiveRun[]>();
+    private readonly workingGangs = new Set<string>();
+    /** Newest checkpoint that a leader has taken note of, by single task. */
+    private readonly checkpoints = new Map<string, { readonly run: number; readonly workMs: number; }>();
+    /** What the members of a gang's run went on from. */
+    private readonly gangCheckpoints = new Map<string, string>();
+    private readonly failures = new Map<string, Set<number>>();
+
+    /**
+     * @param clock - Of the whole test.
+     * @param findSpec - Finds a job as it was handed in.
+     * @param handleStopped - Told of each run that an order has ended.
+     * @param isTaken - Whether a leader took an end for that of the task's current run, and not for a late one.
+     */
+    constructor(
+        private readonly clock: Clock,
+        private readonly findSpec: (jobId: string) => JobSpec | undefined,
+        private readonly handleStopped: () => void,
+        private readonly isTaken: (task: string, run: number) => boolean,
+    ) {}
+
+    /** Takes in that a run begins. */
+    observeStart(model: TaskWorkerModel, order: StartOrder, used: Resources, capacity: Resources): void {
+        const { task, run, checkpoint } = order;
+        const { workerId } = model;
+        this.note(task, `start ${run} on ${workerId} by epoch ${order.epoch} from ${checkpoint || "0"}`);
+        const spec = this.findSpec(parseTaskName(task)?.jobId ?? "");
+        const step = findStepSpec(spec, task);
+        if (spec === undefined || step === undefined) {
+            this.faults.push(`${task} was never handed in`);
+            return;
+        }
+        const other = this.live.get(task);
+        if (other !== undefined) {
+            this.faults.push(`${task} runs on ${other.workerId} and on ${workerId}`);
+        }
+        if (!isWithin(used, capacity)) {
+            this.faults.push(`${workerId} is over its capacity`);
+        }
+        if (order.payload !== spec.payload) {
+            this.faults.push(`${task} got another payload`);
+        }
+        this.checkOrder(task, spec);
+        this.checkCheckpoint(task, step, run, checkpoint);
+        for (const done of this.doneEnds.get(getWork(task, step)) ?? []) {
+            done.laterStarts.push(`${task}#${run}`);
+            if (done.isSeen) {
+                this.faults.push(`${task}#${run} began after it was known to be done`);
+            }
+        }
+        const started = { task, run, workerId, model };
+        this.live.set(task, started);
+        if (step.isGang) {
+            this.addMember(started, step);
+        }
+    }
+
+    /** Takes in that a run has ended. */
+    observeEnd(workerId: string, task: string, run: number, end: RunEnd): void {
+        this.note(task, `end ${run} on ${workerId}: ${end}`);
+        if (this.live.get(task)?.workerId === workerId) {
+            this.live.delete(task);
+        }
+        const step = findStepSpec(this.findSpec(parseTaskName(task)?.jobId ?? ""), task);
+        if (step === undefined) {
+            return;
+        }
+        if (end === RunEnd.done) {
+            const work = getWork(task, step);
+            const done = { workerId, task, hasLapsed: false, isSeen: false, laterStarts: [] };
+            this.doneEnds.set(work, [...this.doneEnds.get(work) ?? [], done]);
+        }
+        if (step.isGang) {
+            this.endGang(task, run, end);
+        }
+        if (end === RunEnd.stopped) {
+            this.handleStopped();
+        }
+    }
+
+    /** Takes in that a worker may forget an end: a leader has taken note of it. */
+    observeSeen(workerId: string, { task, run, end, checkpoint }: EndedRun): void {
+        const step = findStepSpec(this.findSpec(parseTaskName(task)?.jobId ?? ""), task);
+        if (step === undefined) {
+            return;
+        }
+        const work = getWork(task, step);
+        const done = this.doneEnds.get(work)?.find(other =>
+            other.workerId === workerId && other.task === task
+        );
+        if (end === RunEnd.done && done?.hasLapsed === false) {
+            done.isSeen = true;
+            if (done.laterStarts.length > 0) {
+                this.faults.push(`${task} was done, and ${done.laterStarts.join(", ")} began later`);
+            }
+        }
+        if (end === RunEnd.failed) {
+            this.failures.set(work, (this.failures.get(work) ?? new Set()).add(run));
+        }
+        const known = this.checkpoints.get(work);
+        if (!step.isGang && checkpoint !== "" && run >= (known?.run ?? 0) && this.isTaken(task, run)) {
+            const workMs = Math.max(Number(checkpoint), known?.run === run ? known.workMs : 0);
+            this.checkpoints.set(work, { run, workMs });
+        }
+    }
+
+    /** Takes in that a worker's lease has run out: ends that it lists later need not count. */
+    observeLapse(workerId: string): void {
+        for (const done of [...this.doneEnds.values()].flat()) {
+            if (done.workerId === workerId) {
+                done.hasLapsed = true;
+            }
+        }
+    }
+
+    /** Returns the most failed ends of one task, or gang, of a job. */
+    countFailures(jobId: string): number {
+        const counts = [...this.failures].filter(([work]) => work.startsWith(jobId)).map(([, runs]) =>
+            runs.size
+        );
+        return Math.max(0, ...counts);
+    }
+
+    /** Lists what happened to a job's runs. */
+    describeJob(jobId: string): readonly string[] {
+        return this.events
+            .filter(event => event.task.startsWith(jobId))
+            .map(event => `${Math.round(event.at)} ${event.task} ${event.text}`);
+    }
+
+    private note(task: string, text: string): void {
+        this.events.push({ at: this.clock.now(), task, text });
+    }
+
+    /** All tasks of earlier steps have ended as done. */
+    private checkOrder(task: string, spec: JobSpec): void {
+        const ref = parseTaskName(task);
+        for (const number of ref === undefined ? [] : spec.steps[ref.step]?.after ?? []) {
+            const earlier = spec.steps[number];
+            for (let index = 0; ref !== undefined && index < (earlier?.taskCount ?? 0); index++) {
+                const name = formatTaskName({ ...ref, step: number, index });
+                if (earlier !== undefined && !this.doneEnds.has(getWork(name, earlier))) {
+                    this.faults.push(`${task} began before ${name} was done`);
+                }
+            }
+        }
+    }
+
+    /** A single task goes on from its newest checkpoint; the members of a gang from the same one, of any member. */
+    private checkCheckpoint(task: string, step: StepSpec, run: number, checkpoint: string): void {
+        if (step.isGang) {
+            const key = makeGangKey(task, run);
+            const other = this.gangCheckpoints.get(key) ?? checkpoint;
+            this.gangCheckpoints.set(key, other);
+            if (other !== checkpoint) {
+                this.faults.push(
+                    `${task}#${run} went on from ${checkpoint || "0"}, other members from ${other || "0"}`,
+                );
+            }
+            return;
+        }
+        const known = this.checkpoints.get(task);
+        if (known !== undefined && run > known.run && Number(checkpoint) < known.workMs) {
+            this.faults.push(`${task}#${run} went on from ${checkpoint || "0"}, not from ${known.workMs}`);
+        }
+    }
+
+    private addMember(started: LiveRun, step: StepSpec): void {
+        const key = makeGangKey(started.task, started.run);
+        const members = this.gangs.get(key) ?? [];
+        members.push(started);
+        this.gangs.set(key, members);
+        if (members.length === 1) {
+            this.clock.schedule(GANG_WAIT_MS, () => this.endWait(key));
+        }
+        if (members.length === step.taskCount) {
+            this.workingGangs.add(key);
+            members.forEach(({ model, task, run }) => model.startWork(task, run));
+        }
+    }
+
+    private endWait(key: string): void {
+        if (!this.workingGangs.has(key)) {
+            this.finishGang(key, RunEnd.alone);
+        }
+    }
+
+    private endGang(task: string, run: number, end: RunEnd): void {
+        const key = makeGangKey(task, run);
+        const isWorking = this.workingGangs.has(key);
+        const members = (this.gangs.get(key) ?? []).filter(member => member.task !== task);
+        this.gangs.set(key, members);
+        if (isWorking) {
+            this.workingGangs.delete(key);
+            this.finishGang(key, end === RunEnd.done ? RunEnd.done : RunEnd.broken);
+        }
+    }
+
+    private finishGang(key: string, end: RunEnd): void {
+        const members = this.gangs.get(key) ?? [];
+        this.gangs.delete(key);
+        members.forEach(({ model, task, run }) => model.finishRun(task, run, end));
+    }
+}
+
+function getStepName(task: string): string {
+    const ref = parseTaskName(task);
+    return ref === undefined ? task : formatStepName(ref);
+}
+
+function makeGangKey(task: string, run: number): string {
+    return `${getStepName(task)}#${run}`;
+}
+
+/** What ends as a whole: a gang, or a single task. */
+function getWork(task: string, step: StepSpec): string {
+    return step.isGang ? getStepName(task) : task;
+}
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -6,6 +6,7 @@
 import type { Resources } from "../../common/resources.js";
 import { buildRunRecord, RunPhase } from "../../process/dispatch/worker-state.js";
 import type { RunRecord } from "../../process/dispatch/worker-state.js";
+import type { JobBook } from "../../process/jobs/job-book.js";
 import type { JobSpec, StepSpec } from "../../process/jobs/job-spec.js";
 import { GuardedStore } from "../../process/journal/guarded-store.js";
 import { loadJournal } from "../../process/journal/load-journal.js";
@@ -18,7 +19,7 @@
 import { claimLeadership, readLeader } from "../../process/leadership/leader-record.js";
 import type { WorkerRecord } from "../../process/ports/task-worker-port.js";
 import { StoreModel, TaskWorkerModel } from "../../stand-ins/index.js";
-import type { TaskBehavior } from "../../stand-ins/index.js";
+import type { TaskBehavior, TaskWorkerModelOptions } from "../../stand-ins/index.js";
 import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
 import { CallPath } from "../fakes/call-path.js";
 import { FakeClock } from "../fakes/fake-clock.js";
@@ -103,6 +104,7 @@
 export interface TestLeader {
     readonly leader: Leader;
     readonly epoch: number;
+    readonly book: JobBook;
     readonly clock: PausableClock;
     readonly storePath: CallPath;
     readonly workers: FakeTaskWorkers;
@@ -149,8 +151,11 @@
         }
     }
 
-    /** Adds a worker, or another life at the address of one. */
-    addWorker(workerId: string, address: string): void {
+    /**
+     * Adds a worker, or another life at the address of one.
+     * @param change - What differs from the cell's usual workers.
+     */
+    addWorker(workerId: string, address: string, change: Partial<TaskWorkerModelOptions> = {}): void {
         this.models.get(address)?.kill();
         this.models.set(
             address,
@@ -162,9 +167,17 @@
                 getBehavior: (task, run) => this.getBehavior(task, run),
                 handleStart: (task, run, used) => this.observeStart(workerId, task, run, used),
                 handleEnd: (task, run) => this.observeEnd(workerId, task, run),
+                ...change,
             }),
         );
-        this.records.set(workerId, makeWorkerRecord(workerId, { address }));
+        const { capacity = WORKER_CAPACITY } = change;
+        this.records.set(workerId, makeWorkerRecord(workerId, { address, capacity }));
+    }
+
+    /** Ends the life at an address; nothing answers there any more. */
+    killWorker(address: string): void {
+        this.models.get(address)?.kill();
+        this.models.delete(address);
     }
 
     /** Removes a worker from the list; it may go on. */
@@ -173,8 +186,8 @@
     }
 
     /** Puts a worker back into the list. */
-    restoreToList(workerId: string, address: string): void {
-        this.records.set(workerId, makeWorkerRecord(workerId, { address }));
+    restoreToList(workerId: string, address: string, change: Partial<WorkerRecord> = {}): void {
+        this.records.set(workerId, makeWorkerRecord(workerId, { address, ...change }));
     }
 
     getModel(address: string): TaskWorkerModel {
@@ -246,7 +259,7 @@
             handleDeposed,
         });
         leader.setWorkers(new Map(this.records));
-        return { leader, epoch: claim.epoch, clock, storePath, workers, log, deposed };
+        return { leader, epoch: claim.epoch, book: loaded.book, clock, storePath, workers, log, deposed };
     }
 
     /** Shows a leader the worker list as it is now. */
--- /dev/null
+++ b/src/test/leader/random-days_test.ts
@@ -0,0 +1,38 @@
+/**
+ * Random days of a cluster with several queues, from fixed seeds.
+ *
+ * What must hold, whatever happens: no task runs twice at once or after it is known to be done, none begins before the
+ * steps it depends on are done, no worker is over its capacity, no refused job starts, a task goes on from its newest
+ * checkpoint, and once everything is well again every accepted job ends.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { chooseDayOptions, RandomDay } from "./random-day.js";
+import type { DayOptions } from "./random-day.js";
+
+const SEEDS = 10;
+
+const kinds: readonly { readonly name: string; readonly change: Partial<DayOptions>; }[] = [
+    { name: "all queues are back in the end", change: {} },
+    { name: "queues stay dropped", change: { leavesQueuesDropped: true } },
+];
+
+describe("random days", () => {
+    /** Lines of all leaders' logs that show what the days held. */
+    const events = ["runPreempted", "snapshotWritten", "foreignRunStopped", "runsLost", "runNotStarted"];
+    const cover = new Map(events.map(event => [event, 0]));
+
+    for (let seed = 1; seed <= SEEDS; seed++) {
+        const { name, change } = kinds[seed % kinds.length] as (typeof kinds)[number];
+        it(`seed ${seed}, ${name}`, async () => {
+            const day = new RandomDay(seed, chooseDayOptions(seed, change));
+            assert.deepEqual(await day.run(), [], day.describe());
+            cover.forEach((count, event) => cover.set(event, count + day.leaders.countLines(event)));
+        });
+    }
+
+    it("hold preemption, snapshots, lost and refused runs", () => {
+        const missing = [...cover].filter(([, count]) => count === 0).map(([event]) => event);
+        assert.deepEqual(missing, []);
+    });
+});
--- /dev/null
+++ b/src/test/random-days.ts
@@ -0,0 +1,52 @@
+/**
+ * More random days of leaders than the tests have: `npm run random-days -- --seed N --runs N`.
+ * A failure prints the command that repeats it.
+ */
+import { parseArgs } from "node:util";
+import { chooseDayOptions, RandomDay } from "./leader/random-day.js";
+
+const DEFAULT_RUNS = 200;
+const REPORT_EVERY = 20;
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string" },
+        runs: { type: "string" },
+        "leave-dropped": { type: "boolean" },
+        "advise-by-list": { type: "boolean" },
+    },
+});
+const firstSeed = Number(values.seed ?? 1);
+const runs = Number(values.runs ?? DEFAULT_RUNS);
+if (!Number.isInteger(firstSeed) || !Number.isInteger(runs) || runs < 1) {
+    console.error("usage: npm run random-days -- --seed N --runs N [--leave-dropped] [--advise-by-list]");
+    process.exit(2);
+}
+
+const switches = [
+    values["leave-dropped"] === true ? " --leave-dropped" : "",
+    values["advise-by-list"] === true ? " --advise-by-list" : "",
+].join("");
+let failures = 0;
+for (let done = 1; done <= runs; done++) {
+    await runDay(firstSeed + done - 1);
+    if (done % REPORT_EVERY === 0 || done === runs) {
+        console.log(`${done} of ${runs} days, ${failures} failed`);
+    }
+}
+process.exitCode = failures === 0 ? 0 : 1;
+
+async function runDay(seed: number): Promise<void> {
+    const options = chooseDayOptions(seed, {
+        leavesQueuesDropped: values["leave-dropped"] === true,
+        advisesByList: values["advise-by-list"] === true,
+    });
+    const day = new RandomDay(seed, options);
+    const broken = await day.run();
+    if (broken.length > 0) {
+        failures++;
+        console.log(day.describe());
+        broken.forEach(fault => console.log(`  ${fault}`));
+        console.log(`repeat: npm run random-days -- --seed ${seed} --runs 1${switches}`);
+    }
+}
