A node that goes on failing to ask for advice is asked last for longer each time

Cause: a node's pause after a failure is 1 s and stands in the estimate of when it is free, where nodes that answer are always later while they are busy. Change: the pause doubles with each failure up to 8 s, ends with an answer, and is kept apart from that estimate, so that it lengthens no timeout.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -43,14 +43,26 @@
 const TIMEOUT_FACTOR = 2;
 const TIMEOUT_MARGIN_MS: Millis = 600;
 
-/** A node whose question failed is asked last for this long: it may be cut off from the service. */
-const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
+/**
+ * A node whose question failed is asked last for this long: it may be cut off from the service. The time doubles with each
+ * further failure, up to the longest.
+ *
+ * @remarks Failure guarded against: the nodes that reach the service are always busy, so two that do not seem to be free
+ * first. A step's question that failed at one came to the other just when its pause had passed, and back, for as long as
+ * there was other work. With pauses that grow, it is put to a node that answers.
+ */
+const FIRST_FAILURE_PAUSE_MS: Millis = 1_000;
+const LONGEST_FAILURE_PAUSE_MS: Millis = 8_000;
 
 interface CallerState {
     readonly caller: AdviceCaller;
     underWay: number;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
+    /** Until when it is asked last. Not part of `busyUntil`, as timeouts count from there. */
+    pausedUntil: Millis;
+    /** Questions that failed since one was answered. */
+    failures: number;
 }
 
 /** Returns how long the service takes for a question. */
@@ -64,6 +76,11 @@
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
 
+/** When a node is the one to ask, by the policy's figures and its failures. */
+function getFreeAt({ busyUntil, pausedUntil }: CallerState): Millis {
+    return Math.max(busyUntil, pausedUntil);
+}
+
 /** The desk; see the module comment. */
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
@@ -74,7 +91,7 @@
 
     /** Adds a node that can ask. */
     addCaller(caller: AdviceCaller): void {
-        this.callers.set(caller.nodeName, { caller, underWay: 0, busyUntil: 0 });
+        this.callers.set(caller.nodeName, { caller, underWay: 0, busyUntil: 0, pausedUntil: 0, failures: 0 });
         this.dispatch();
     }
 
@@ -126,13 +143,27 @@
         let best: CallerState | undefined;
         for (const state of eligible) {
             const limit = isShort ? MAX_UNDER_WAY : 1;
-            if (state.underWay < limit && state.busyUntil < (best?.busyUntil ?? Infinity)) {
+            if (state.underWay < limit && (best === undefined || getFreeAt(state) < getFreeAt(best))) {
                 best = state;
             }
         }
         return best;
     }
 
+    private observeAnswer(state: CallerState, answer: AdviceAnswer): void {
+        if (answer.kind === "done") {
+            state.failures = 0;
+            state.pausedUntil = 0;
+            return;
+        }
+        const pauseMs = Math.min(LONGEST_FAILURE_PAUSE_MS, FIRST_FAILURE_PAUSE_MS * 2 ** state.failures);
+        state.failures += 1;
+        const now = this.clock.now();
+        state.pausedUntil = now + pauseMs;
+        // Of what it was to take, nothing is known to be left.
+        state.busyUntil = now;
+    }
+
     private async send(state: CallerState, question: AdviceQuestion): Promise<void> {
         const askedAt = this.clock.now();
         const took = estimateQuestionMs(question);
@@ -142,9 +173,7 @@
         const timeout = (begin - askedAt + took) * TIMEOUT_FACTOR + TIMEOUT_MARGIN_MS;
         const answer = await state.caller.requestPermits(question.step, question.workerIds, timeout);
         state.underWay -= 1;
-        if (answer.kind !== "done") {
-            state.busyUntil = this.clock.now() + FAILED_CALLER_PAUSE_MS;
-        }
+        this.observeAnswer(state, answer);
         question.settle(answer, askedAt);
         this.dispatch();
     }
