--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -100,6 +100,8 @@
         this.revisions = loaded.revisions;
         this.coveredSequence = loaded.coveredSequence;
         this.generation = loaded.generation;
+        // Leaders that were lost one after the other may have left the ring full: no record can be written before a snapshot.
+        this.startSnapshotIfDue();
     }
 
     /**
@@ -156,6 +158,7 @@
             previous = record.entries.at(-1) ?? previous;
         }
         this.queue = withdraw(this.queue);
+        this.startSnapshotIfDue();
     }
 
     /** Stops for good; what is not durable is given up. */
@@ -283,11 +286,14 @@
             last.endsRecord = true;
         }
         this.runWhenCommitted(() => {
+            // What it holds is durable now, so a later withdrawal is of none of it and must not spoil it: with the ring
+            // full by then, the next one would wait for events that no record can take.
             if (withdrawals === this.withdrawals) {
                 void this.writeSnapshot(text, this.sequence);
                 return;
             }
-            // The text holds an acceptance that was withdrawn. The end of the next record begins another snapshot.
+            // The text holds an acceptance that was withdrawn. Another snapshot begins with the end of the next record, or once
+            // all withdrawals of this moment are through.
             this.snapshotting = false;
         });
     }
