A long question that has waited too long is sent beside a short one

Cause: each node has up to two short questions under way, and a long one waits for a node with none. While short questions come faster than the nodes ask, the place that an answer frees is taken by the next short one, so the turn of a late long question never finds a node: a task of the last queue stands still for as long as quick jobs come.

Change: a question whose turn has come may be the second one under way on a node, behind a short one.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -59,8 +59,16 @@
 /** Time for a caller's own word that its timeout has passed. */
 const SILENCE_MARGIN_MS: Millis = 200;
 
-/** A node whose question failed is asked last for this long: it may be cut off from the service. */
-const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
+/**
+ * A node whose question failed is asked last for this long: it may be cut off from the service. The time doubles with each
+ * further failure, up to the longest.
+ *
+ * @remarks Failure guarded against: the nodes that reach the service are always busy, so two that do not seem to be free
+ * first. A step's question that failed at one came to the other just when its pause had passed, and back, for as long as
+ * there was other work. With pauses that grow, it is put to a node that answers.
+ */
+const FIRST_FAILURE_PAUSE_MS: Millis = 1_000;
+const LONGEST_FAILURE_PAUSE_MS: Millis = 8_000;
 
 interface CallerState {
     readonly caller: AdviceCaller;
@@ -69,8 +77,10 @@
     underWayMs: Millis;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
-    /** Until when it counts as cut off from the service. */
-    failedUntil: Millis;
+    /** Until when it is asked last. Not part of `busyUntil`, as timeouts count from there. */
+    pausedUntil: Millis;
+    /** Questions that failed since one was answered. */
+    failures: number;
 }
 
 /** Returns how long the service takes for a question. */
@@ -85,6 +95,11 @@
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
 
+/** When a node is the one to ask, by the policy's figures and its failures. */
+function getFreeAt({ busyUntil, pausedUntil }: CallerState): Millis {
+    return Math.max(busyUntil, pausedUntil);
+}
+
 /**
  * The desk; see the module comment.
  *
@@ -115,7 +130,8 @@
             underWay: 0,
             underWayMs: 0,
             busyUntil: 0,
-            failedUntil: 0,
+            pausedUntil: 0,
+            failures: 0,
         });
         this.dispatch();
     }
@@ -148,8 +164,12 @@
     private dispatch(): void {
         const unwanted: AdviceQuestion[] = [];
         const left: AdviceQuestion[] = [];
-        for (const question of this.orderByTurn()) {
-            const state = question.isWanted() ? this.chooseCaller(question) : undefined;
+        const late = this.chooseLate();
+        const others = this.waiting.filter(question => !late.includes(question));
+        for (const question of [...late, ...others]) {
+            const state = question.isWanted() ?
+                this.chooseCaller(question, late.includes(question)) :
+                undefined;
             if (!question.isWanted()) {
                 unwanted.push(question);
             }
@@ -165,10 +185,10 @@
     }
 
     /**
-     * Puts one question of each queue that has waited too long in front, the queue first that has had the least of the nodes'
-     * time: the one that has waited longest.
+     * Chooses the question of each queue that has waited longest, if that is too long; the queue first that has had the least
+     * of the nodes' time.
      */
-    private orderByTurn(): readonly AdviceQuestion[] {
+    private chooseLate(): readonly AdviceQuestion[] {
         const now = this.clock.now();
         const longest = new Map<number, AdviceQuestion>();
         for (const question of this.waiting) {
@@ -178,12 +198,9 @@
                 longest.set(priority, question);
             }
         }
-        const first = [...longest.values()].sort((left, right) =>
+        return [...longest.values()].sort((left, right) =>
             this.getQueueLoad(left.priority).compute() - this.getQueueLoad(right.priority).compute()
         );
-        return first.length === 0 ?
-            this.waiting :
-            [...first, ...this.waiting.filter(question => !first.includes(question))];
     }
 
     private getQueueLoad(priority: number): LoadMeter {
@@ -218,24 +235,46 @@
      *
      * @remarks Failure guarded against: the few nodes that may put long questions are cut off from the service, and every
      * long question fails there while the kept nodes have nothing to do. Those take long questions too then.
+     *
+     * Failure guarded against: a node with two short questions under way is given the next short one as soon as one is
+     * answered, so while short questions come without end no node is ever without one and no long question is sent. One that
+     * has waited too long is sent beside a short one.
      */
-    private chooseCaller(question: AdviceQuestion): CallerState | undefined {
+    private chooseCaller(question: AdviceQuestion, hasTurn: boolean): CallerState | undefined {
         const states = [...this.callers.values()];
         const kept = this.countKept();
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
         const usual = isShort ? states : states.slice(kept);
         const now = this.clock.now();
-        const eligible = usual.some(state => now >= state.failedUntil) ? usual : states;
+        const eligible = usual.some(state => now >= state.pausedUntil) ? usual : states;
         let best: CallerState | undefined;
         for (const state of eligible) {
-            const limit = isShort ? MAX_UNDER_WAY : 1;
-            if (state.underWay < limit && state.busyUntil < (best?.busyUntil ?? Infinity)) {
+            const isBesideShort = hasTurn && state.underWayMs <= SHORT_QUESTION_MS;
+            const limit = isShort || isBesideShort ? MAX_UNDER_WAY : 1;
+            if (state.underWay < limit && (best === undefined || getFreeAt(state) < getFreeAt(best))) {
                 best = state;
             }
         }
         return best;
     }
 
+    private observeAnswer(state: CallerState, answer: AdviceAnswer): void {
+        const now = this.clock.now();
+        if (answer.kind === "done") {
+            state.failures = 0;
+            state.pausedUntil = 0;
+            // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count
+            // from there, and one lost answer would hold its step up for minutes.
+            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
+            return;
+        }
+        const pauseMs = Math.min(LONGEST_FAILURE_PAUSE_MS, FIRST_FAILURE_PAUSE_MS * 2 ** state.failures);
+        state.failures += 1;
+        state.pausedUntil = now + pauseMs;
+        // Of what it was to take, nothing is known to be left.
+        state.busyUntil = now;
+    }
+
     private async send(state: CallerState, question: AdviceQuestion): Promise<void> {
         const askedAt = this.clock.now();
         const took = estimateQuestionMs(question);
@@ -249,16 +288,7 @@
         const answer = await this.requestAnswer(state.caller, question, timeout);
         state.underWay -= 1;
         state.underWayMs -= took;
-        const now = this.clock.now();
-        // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count from
-        // there, and one lost answer would hold its step up for minutes.
-        if (answer.kind === "done") {
-            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
-        }
-        else {
-            state.failedUntil = now + FAILED_CALLER_PAUSE_MS;
-            state.busyUntil = state.failedUntil;
-        }
+        this.observeAnswer(state, answer);
         question.settle(answer, askedAt);
         this.dispatch();
     }
