Questions of steps without room have a share of the nodes too

Cause: what has no room now goes behind all that has, and only what has room got a turn. A gang's room is made by stops, and these wait for its permits (preemption looks at workers with a usable permit only), so the question of an urgent gang was never put while tasks of the last queue came that had room.

Change: the steps without room of all queues together have one share of the nodes' time, measured for itself.

Measured, on the fake clock: test question-turns, two nodes, 20 s: the gang's question never sent before, sent now.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -49,8 +49,10 @@
 const SHORT_ROOM = 2;
 /** Below this many busy nodes no node is kept: there are no short questions. */
 const LEAST_SHORT_LOAD = 0.02;
-/** A queue of which a question has waited this long gets its share of the nodes' time. */
-const QUEUE_PATIENCE_MS: Millis = 1_000;
+/** Whoever has a question that has waited this long gets a share of the nodes' time. */
+const SHARE_PATIENCE_MS: Millis = 1_000;
+/** Key of what steps without room are given of the nodes' time. */
+const UNREADY = "unready";
 /** Questions under way on one node: the second is on its way while the first is answered. */
 const MAX_UNDER_WAY = 2;
 /** Time allowed on top of what the question takes, as a factor and a constant. */
@@ -83,11 +85,18 @@
     failures: number;
 }
 
+/** Whom a share of the nodes' time belongs to: a queue, by its priority, or the steps of all queues that have no room. */
+type ShareKey = number | typeof UNREADY;
+
 /** Returns how long the service takes for a question. */
 function estimateQuestionMs({ policy, workerIds }: AdviceQuestion): Millis {
     return policy.decideMs + policy.perWorkerMs * workerIds.length;
 }
 
+function getShareKey({ priority, isReady }: AdviceQuestion): ShareKey {
+    return isReady ? priority : UNREADY;
+}
+
 function compareQuestions(left: AdviceQuestion, right: AdviceQuestion): number {
     return Number(right.isReady) - Number(left.isReady) ||
         left.priority - right.priority ||
@@ -110,8 +119,8 @@
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
     private waiting: readonly AdviceQuestion[] = [];
-    /** Nodes that questions of each priority keep busy. */
-    private readonly queueLoads = new Map<number, LoadMeter>();
+    /** Nodes that questions of each share keep busy. */
+    private readonly shareLoads = new Map<ShareKey, LoadMeter>();
     /** Nodes that short questions keep busy. */
     private readonly shortLoad: LoadMeter;
 
@@ -185,31 +194,36 @@
     }
 
     /**
-     * Chooses the question of each queue that has waited longest, if that is too long; the queue first that has had the least
+     * Chooses the question of each share that has waited longest, if that is too long; the share first that has had the least
      * of the nodes' time.
+     *
+     * @remarks Failure guarded against: a gang's room is there only once less urgent work is stopped for it, and nothing is
+     * stopped before it is known which workers may run the gang. Were questions of steps without room sent only while no
+     * other waits, the gang would wait for as long as work comes that has room.
      */
     private chooseLate(): readonly AdviceQuestion[] {
         const now = this.clock.now();
-        const longest = new Map<number, AdviceQuestion>();
+        const longest = new Map<ShareKey, AdviceQuestion>();
         for (const question of this.waiting) {
-            const { priority, since, isReady } = question;
-            const isLate = isReady && now - since >= QUEUE_PATIENCE_MS;
-            if (isLate && since < (longest.get(priority)?.since ?? Infinity)) {
-                longest.set(priority, question);
+            const { since } = question;
+            const key = getShareKey(question);
+            const isLate = now - since >= SHARE_PATIENCE_MS;
+            if (isLate && since < (longest.get(key)?.since ?? Infinity)) {
+                longest.set(key, question);
             }
         }
         return [...longest.values()].sort((left, right) =>
-            this.getQueueLoad(left.priority).compute() - this.getQueueLoad(right.priority).compute()
+            this.getShareLoad(getShareKey(left)).compute() - this.getShareLoad(getShareKey(right)).compute()
         );
     }
 
-    private getQueueLoad(priority: number): LoadMeter {
-        const known = this.queueLoads.get(priority);
+    private getShareLoad(key: ShareKey): LoadMeter {
+        const known = this.shareLoads.get(key);
         if (known !== undefined) {
             return known;
         }
         const created = new LoadMeter(this.clock);
-        this.queueLoads.set(priority, created);
+        this.shareLoads.set(key, created);
         return created;
     }
 
@@ -224,7 +238,7 @@
     }
 
     private observeSent(question: AdviceQuestion, tookMs: Millis): void {
-        this.getQueueLoad(question.priority).add(tookMs);
+        this.getShareLoad(getShareKey(question)).add(tookMs);
         if (tookMs <= SHORT_QUESTION_MS) {
             this.shortLoad.add(tookMs);
         }
--- a/src/test/dispatch/question-turns_test.ts
+++ b/src/test/dispatch/question-turns_test.ts
@@ -67,4 +67,19 @@
         }
         assert.deepEqual(["late", "later"].filter(step => !line.sent.includes(step)), []);
     });
+
+    it("is put also if its step has no room yet", async () => {
+        // A gang of the first queue needed room that only stops of less urgent tasks could make, and no stop is ordered
+        // before it is known which workers may run the gang. Tasks of the last queue had room and came faster than the nodes
+        // could ask, so the gang's question was never put and the gang never started.
+        const line = new Line(new Map());
+        line.enqueue({ step: "busy", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
+        line.enqueue({ step: "busy", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
+        line.enqueue({ step: "gang", workerIds: ["w1"], policy: MEDIUM, priority: 0, isReady: false });
+        for (let at: Millis = 0; at < LOAD_MS; at += 50) {
+            line.enqueue({ step: "task", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
+            await line.clock.step(50);
+        }
+        assert.equal(line.sent.includes("gang"), true);
+    });
 });
--- a/src/test/leader/advice-shortage_test.ts
+++ b/src/test/leader/advice-shortage_test.ts
@@ -13,9 +13,10 @@
 import { describe, it } from "node:test";
 import type { Clock, Millis } from "../../common/clock.js";
 import type { AdviceCaller } from "../../process/dispatch/advice-desk.js";
+import type { StepSpec } from "../../process/jobs/job-spec.js";
 import type { CallerReply } from "../../process/leader/requests.js";
 import type { AdvicePolicy, QueueConfig } from "../../version/cluster-config.js";
-import { HOST, LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+import { HOST, LeaderCell, makeJobId, makeSpec, QUEUE, WORKER_CAPACITY } from "./leader-cell.js";
 import type { TestLeader } from "./leader-cell.js";
 
 const GANG_POLICY: AdvicePolicy = { decideMs: 590, perWorkerMs: 8, validMs: 2_500 };
@@ -93,21 +94,39 @@
         return this.submit("/tasks/", false);
     }
 
+    /** Submits a gang that needs all workers whole. */
+    submitWideGang(): number {
+        GANG_STEPS.add(`${makeJobId(this.jobs + 1)}.0.0`);
+        return this.submit("/gangs/", true, {
+            taskCount: 6,
+            demand: WORKER_CAPACITY,
+            estimateMs: WIDE_RUN_MS,
+        });
+    }
+
+    /** Submits a task that may be stopped. */
+    submitYieldingTask(): number {
+        return this.submit("/tasks/", false, { savesCheckpoints: true, estimateMs: YIELDING_RUN_MS });
+    }
+
     countStarts(job: number): number {
         return this.cell.countStarts(job);
     }
 
-    private submit(prefix: string, isGang: boolean): number {
+    private submit(prefix: string, isGang: boolean, change: Partial<StepSpec> = {}): number {
         this.jobs += 1;
         const path = `${prefix}${makeJobId(this.jobs)}`;
         const demand = { cpuMillis: 500, memoryMib: 64, accelerators: 0 };
-        const spec = makeSpec({ taskCount: isGang ? 2 : 1, isGang, demand, estimateMs: RUN_MS });
+        const spec = makeSpec({ taskCount: isGang ? 2 : 1, isGang, demand, estimateMs: RUN_MS, ...change });
         void this.leader?.leader.serve({ kind: "submit", host: HOST, path, spec })
             .then(reply => this.replies.push(reply));
         return this.jobs;
     }
 }
 
+const YIELDING_RUN_MS: Millis = 1_500;
+const WIDE_RUN_MS: Millis = 2_000;
+
 describe("a shortage of answers from the advice service", () => {
     it("does not keep a task of the last queue from starting beside empty workers", async () => {
         // A caller's job was accepted and one of its tasks stood still for over a minute, though most of the workers were
@@ -157,4 +176,32 @@
         await shortage.cell.clock.step(2_000);
         assert.deepEqual(jobs.filter(job => shortage.countStarts(job) === 0), []);
     });
+
+    it("does not keep a gang from the room that stops of less urgent tasks make for it", async () => {
+        // A gang of the first queue needed all workers. Tasks of the last queue ran there, which may be stopped for it, and
+        // more of them came, which had room. No stop is ordered before it is known which workers may run the gang, and its
+        // question stood behind those of the tasks for as long as these came: the gang never started.
+        const shortage = new Shortage();
+        await shortage.start(2);
+        const wide = new Set<string>();
+        shortage.cell.getBehavior = task => {
+            const isWide = wide.has(task.split(".")[0] ?? "");
+            return {
+                demand: isWide ? WORKER_CAPACITY : { cpuMillis: 500, memoryMib: 64, accelerators: 0 },
+                runMs: isWide ? WIDE_RUN_MS : YIELDING_RUN_MS,
+                end: "done",
+            };
+        };
+        const tasks = async (ms: Millis): Promise<void> => {
+            for (let at: Millis = 0; at < ms; at += 50) {
+                shortage.submitYieldingTask();
+                await shortage.cell.clock.step(50);
+            }
+        };
+        await tasks(5_000);
+        const gang = shortage.submitWideGang();
+        wide.add(makeJobId(gang));
+        await tasks(15_000);
+        assert.notEqual(shortage.countStarts(gang), 0);
+    });
 });
