A late question goes first only while its queue has had less than its share

Cause: the one that has waited longest of each queue went first, whatever its queue had had of the nodes' time. A queue with more questions than the nodes can ask always has a late one, so each question of the queues before it stood behind them until it had waited a second itself: turns did not share, they turned the priorities round.

Change: a late question goes first only while the load of its share is below the nodes divided by the shares that wait.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -61,16 +61,8 @@
 /** Time for a caller's own word that its timeout has passed. */
 const SILENCE_MARGIN_MS: Millis = 200;
 
-/**
- * A node whose question failed is asked last for this long: it may be cut off from the service. The time doubles with each
- * further failure, up to the longest.
- *
- * @remarks Failure guarded against: the nodes that reach the service are always busy, so two that do not seem to be free
- * first. A step's question that failed at one came to the other just when its pause had passed, and back, for as long as
- * there was other work. With pauses that grow, it is put to a node that answers.
- */
-const FIRST_FAILURE_PAUSE_MS: Millis = 1_000;
-const LONGEST_FAILURE_PAUSE_MS: Millis = 8_000;
+/** A node whose question failed is asked last for this long: it may be cut off from the service. */
+const FAILED_CALLER_PAUSE_MS: Millis = 1_000;
 
 interface CallerState {
     readonly caller: AdviceCaller;
@@ -79,10 +71,8 @@
     underWayMs: Millis;
     /** When its questions under way will have been answered, by the policy's figures. */
     busyUntil: Millis;
-    /** Until when it is asked last. Not part of `busyUntil`, as timeouts count from there. */
-    pausedUntil: Millis;
-    /** Questions that failed since one was answered. */
-    failures: number;
+    /** Until when it counts as cut off from the service. */
+    failedUntil: Millis;
 }
 
 /** Whom a share of the nodes' time belongs to: a queue, by its priority, or the steps of all queues that have no room. */
@@ -104,11 +94,6 @@
         estimateQuestionMs(left) - estimateQuestionMs(right);
 }
 
-/** When a node is the one to ask, by the policy's figures and its failures. */
-function getFreeAt({ busyUntil, pausedUntil }: CallerState): Millis {
-    return Math.max(busyUntil, pausedUntil);
-}
-
 /**
  * The desk; see the module comment.
  *
@@ -139,8 +124,7 @@
             underWay: 0,
             underWayMs: 0,
             busyUntil: 0,
-            pausedUntil: 0,
-            failures: 0,
+            failedUntil: 0,
         });
         this.dispatch();
     }
@@ -194,27 +178,35 @@
     }
 
     /**
-     * Chooses the question of each share that has waited longest, if that is too long; the share first that has had the least
-     * of the nodes' time.
+     * Chooses the question of each share that has waited longest, if that is too long and the share has had less than its part
+     * of the nodes' time; the share first that has had the least.
      *
      * @remarks Failure guarded against: a gang's room is there only once less urgent work is stopped for it, and nothing is
      * stopped before it is known which workers may run the gang. Were questions of steps without room sent only while no
      * other waits, the gang would wait for as long as work comes that has room.
+     *
+     * Failure guarded against: a queue has more questions than the nodes can ask, so one of them is always late. Were it to go
+     * first whatever the queue has had, each question of the queues before it would wait until it is late itself.
      */
     private chooseLate(): readonly AdviceQuestion[] {
         const now = this.clock.now();
         const longest = new Map<ShareKey, AdviceQuestion>();
         for (const question of this.waiting) {
-            const { since } = question;
             const key = getShareKey(question);
-            const isLate = now - since >= SHARE_PATIENCE_MS;
-            if (isLate && since < (longest.get(key)?.since ?? Infinity)) {
+            if (question.since < (longest.get(key)?.since ?? Infinity)) {
                 longest.set(key, question);
             }
         }
-        return [...longest.values()].sort((left, right) =>
-            this.getShareLoad(getShareKey(left)).compute() - this.getShareLoad(getShareKey(right)).compute()
-        );
+        const fairLoad = this.callers.size / Math.max(1, longest.size);
+        return [...longest.values()]
+            .filter(question =>
+                now - question.since >= SHARE_PATIENCE_MS && this.getLoadOf(question) < fairLoad
+            )
+            .sort((left, right) => this.getLoadOf(left) - this.getLoadOf(right));
+    }
+
+    private getLoadOf(question: AdviceQuestion): number {
+        return this.getShareLoad(getShareKey(question)).compute();
     }
 
     private getShareLoad(key: ShareKey): LoadMeter {
@@ -260,35 +252,18 @@
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
         const usual = isShort ? states : states.slice(kept);
         const now = this.clock.now();
-        const eligible = usual.some(state => now >= state.pausedUntil) ? usual : states;
+        const eligible = usual.some(state => now >= state.failedUntil) ? usual : states;
         let best: CallerState | undefined;
         for (const state of eligible) {
             const isBesideShort = hasTurn && state.underWayMs <= SHORT_QUESTION_MS;
             const limit = isShort || isBesideShort ? MAX_UNDER_WAY : 1;
-            if (state.underWay < limit && (best === undefined || getFreeAt(state) < getFreeAt(best))) {
+            if (state.underWay < limit && state.busyUntil < (best?.busyUntil ?? Infinity)) {
                 best = state;
             }
         }
         return best;
     }
 
-    private observeAnswer(state: CallerState, answer: AdviceAnswer): void {
-        const now = this.clock.now();
-        if (answer.kind === "done") {
-            state.failures = 0;
-            state.pausedUntil = 0;
-            // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count
-            // from there, and one lost answer would hold its step up for minutes.
-            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
-            return;
-        }
-        const pauseMs = Math.min(LONGEST_FAILURE_PAUSE_MS, FIRST_FAILURE_PAUSE_MS * 2 ** state.failures);
-        state.failures += 1;
-        state.pausedUntil = now + pauseMs;
-        // Of what it was to take, nothing is known to be left.
-        state.busyUntil = now;
-    }
-
     private async send(state: CallerState, question: AdviceQuestion): Promise<void> {
         const askedAt = this.clock.now();
         const took = estimateQuestionMs(question);
@@ -302,7 +277,16 @@
         const answer = await this.requestAnswer(state.caller, question, timeout);
         state.underWay -= 1;
         state.underWayMs -= took;
-        this.observeAnswer(state, answer);
+        const now = this.clock.now();
+        // A service that is quicker than its figures must not push the estimate ahead with each answer: timeouts count from
+        // there, and one lost answer would hold its step up for minutes.
+        if (answer.kind === "done") {
+            state.busyUntil = Math.min(state.busyUntil, now + state.underWayMs);
+        }
+        else {
+            state.failedUntil = now + FAILED_CALLER_PAUSE_MS;
+            state.busyUntil = state.failedUntil;
+        }
         question.settle(answer, askedAt);
         this.dispatch();
     }
--- a/src/test/dispatch/question-turns_test.ts
+++ b/src/test/dispatch/question-turns_test.ts
@@ -11,6 +11,7 @@
 
 const SHORT: AdvicePolicy = { decideMs: 20, perWorkerMs: 1, validMs: 2_500 };
 const MEDIUM: AdvicePolicy = { decideMs: 130, perWorkerMs: 2, validMs: 2_500 };
+const LONG: AdvicePolicy = { decideMs: 590, perWorkerMs: 8, validMs: 2_500 };
 const NODES = 2;
 const LOAD_MS: Millis = 20_000;
 
@@ -82,4 +83,23 @@
         }
         assert.equal(line.sent.includes("gang"), true);
     });
+
+    it("does not go before a more urgent one if its queue has had its share", async () => {
+        // Large jobs came faster than the nodes could ask, so one of their questions had always waited too long and went
+        // first. Each question of the queue before theirs stood behind these until it had waited too long itself.
+        const line = new Line(new Map([["large", LONG], ["urgent", LONG]]));
+        const waits: Millis[] = [];
+        for (let at: Millis = 0; at < LOAD_MS; at += 50) {
+            line.enqueue({ step: "large", workerIds: ["w1"], policy: LONG, priority: 1 });
+            if (at % 3_000 === 700) {
+                const since = line.clock.now();
+                const settle = (): void => void waits.push(line.clock.now() - since);
+                line.enqueue({ step: "urgent", workerIds: ["w1"], policy: LONG, priority: 0, settle });
+            }
+            await line.clock.step(50);
+        }
+        const limit = 2 * (LONG.decideMs + LONG.perWorkerMs);
+        assert.deepEqual(waits.filter(wait => wait > limit), []);
+        assert.equal(waits.length, 7);
+    });
 });
