--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -49,8 +49,10 @@
 const SHORT_ROOM = 2;
 /** Below this many busy nodes no node is kept: there are no short questions. */
 const LEAST_SHORT_LOAD = 0.02;
-/** A queue of which a question has waited this long gets its share of the nodes' time. */
-const QUEUE_PATIENCE_MS: Millis = 1_000;
+/** Whoever has a question that has waited this long gets a share of the nodes' time. */
+const SHARE_PATIENCE_MS: Millis = 1_000;
+/** Key of what steps without room are given of the nodes' time. */
+const UNREADY = "unready";
 /** Questions under way on one node: the second is on its way while the first is answered. */
 const MAX_UNDER_WAY = 2;
 /** Time allowed on top of what the question takes, as a factor and a constant. */
@@ -83,11 +85,18 @@
     failures: number;
 }
 
+/** Whom a share of the nodes' time belongs to: a queue, by its priority, or the steps of all queues that have no room. */
+type ShareKey = number | typeof UNREADY;
+
 /** Returns how long the service takes for a question. */
 function estimateQuestionMs({ policy, workerIds }: AdviceQuestion): Millis {
     return policy.decideMs + policy.perWorkerMs * workerIds.length;
 }
 
+function getShareKey({ priority, isReady }: AdviceQuestion): ShareKey {
+    return isReady ? priority : UNREADY;
+}
+
 function compareQuestions(left: AdviceQuestion, right: AdviceQuestion): number {
     return Number(right.isReady) - Number(left.isReady) ||
         left.priority - right.priority ||
@@ -110,8 +119,8 @@
 export class AdviceDesk {
     private readonly callers = new Map<string, CallerState>();
     private waiting: readonly AdviceQuestion[] = [];
-    /** Nodes that questions of each priority keep busy. */
-    private readonly queueLoads = new Map<number, LoadMeter>();
+    /** Nodes that questions of each share keep busy. */
+    private readonly shareLoads = new Map<ShareKey, LoadMeter>();
     /** Nodes that short questions keep busy. */
     private readonly shortLoad: LoadMeter;
 
@@ -164,8 +173,12 @@
     private dispatch(): void {
         const unwanted: AdviceQuestion[] = [];
         const left: AdviceQuestion[] = [];
-        for (const question of this.orderByTurn()) {
-            const state = question.isWanted() ? this.chooseCaller(question) : undefined;
+        const late = this.chooseLate();
+        const others = this.waiting.filter(question => !late.includes(question));
+        for (const question of [...late, ...others]) {
+            const state = question.isWanted() ?
+                this.chooseCaller(question, late.includes(question)) :
+                undefined;
             if (!question.isWanted()) {
                 unwanted.push(question);
             }
@@ -181,34 +194,44 @@
     }
 
     /**
-     * Puts one question of each queue that has waited too long in front, the queue first that has had the least of the nodes'
-     * time: the one that has waited longest.
+     * Chooses the question of each share that has waited longest, if that is too long and the share has had less than its part
+     * of the nodes' time; the share first that has had the least.
+     *
+     * @remarks Failure guarded against: a gang's room is there only once less urgent work is stopped for it, and nothing is
+     * stopped before it is known which workers may run the gang. Were questions of steps without room sent only while no
+     * other waits, the gang would wait for as long as work comes that has room.
+     *
+     * Failure guarded against: a queue has more questions than the nodes can ask, so one of them is always late. Were it to go
+     * first whatever the queue has had, each question of the queues before it would wait until it is late itself.
      */
-    private orderByTurn(): readonly AdviceQuestion[] {
+    private chooseLate(): readonly AdviceQuestion[] {
         const now = this.clock.now();
-        const longest = new Map<number, AdviceQuestion>();
+        const longest = new Map<ShareKey, AdviceQuestion>();
         for (const question of this.waiting) {
-            const { priority, since, isReady } = question;
-            const isLate = isReady && now - since >= QUEUE_PATIENCE_MS;
-            if (isLate && since < (longest.get(priority)?.since ?? Infinity)) {
-                longest.set(priority, question);
+            const key = getShareKey(question);
+            if (question.since < (longest.get(key)?.since ?? Infinity)) {
+                longest.set(key, question);
             }
         }
-        const first = [...longest.values()].sort((left, right) =>
-            this.getQueueLoad(left.priority).compute() - this.getQueueLoad(right.priority).compute()
-        );
-        return first.length === 0 ?
-            this.waiting :
-            [...first, ...this.waiting.filter(question => !first.includes(question))];
+        const fairLoad = this.callers.size / Math.max(1, longest.size);
+        return [...longest.values()]
+            .filter(question =>
+                now - question.since >= SHARE_PATIENCE_MS && this.getLoadOf(question) < fairLoad
+            )
+            .sort((left, right) => this.getLoadOf(left) - this.getLoadOf(right));
+    }
+
+    private getLoadOf(question: AdviceQuestion): number {
+        return this.getShareLoad(getShareKey(question)).compute();
     }
 
-    private getQueueLoad(priority: number): LoadMeter {
-        const known = this.queueLoads.get(priority);
+    private getShareLoad(key: ShareKey): LoadMeter {
+        const known = this.shareLoads.get(key);
         if (known !== undefined) {
             return known;
         }
         const created = new LoadMeter(this.clock);
-        this.queueLoads.set(priority, created);
+        this.shareLoads.set(key, created);
         return created;
     }
 
@@ -223,7 +246,7 @@
     }
 
     private observeSent(question: AdviceQuestion, tookMs: Millis): void {
-        this.getQueueLoad(question.priority).add(tookMs);
+        this.getShareLoad(getShareKey(question)).add(tookMs);
         if (tookMs <= SHORT_QUESTION_MS) {
             this.shortLoad.add(tookMs);
         }
@@ -234,8 +257,12 @@
      *
      * @remarks Failure guarded against: the few nodes that may put long questions are cut off from the service, and every
      * long question fails there while the kept nodes have nothing to do. Those take long questions too then.
+     *
+     * Failure guarded against: a node with two short questions under way is given the next short one as soon as one is
+     * answered, so while short questions come without end no node is ever without one and no long question is sent. One that
+     * has waited too long is sent beside a short one.
      */
-    private chooseCaller(question: AdviceQuestion): CallerState | undefined {
+    private chooseCaller(question: AdviceQuestion, hasTurn: boolean): CallerState | undefined {
         const states = [...this.callers.values()];
         const kept = this.countKept();
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
@@ -244,7 +271,8 @@
         const eligible = usual.some(state => now >= state.pausedUntil) ? usual : states;
         let best: CallerState | undefined;
         for (const state of eligible) {
-            const limit = isShort ? MAX_UNDER_WAY : 1;
+            const isBesideShort = hasTurn && state.underWayMs <= SHORT_QUESTION_MS;
+            const limit = isShort || isBesideShort ? MAX_UNDER_WAY : 1;
             if (state.underWay < limit && (best === undefined || getFreeAt(state) < getFreeAt(best))) {
                 best = state;
             }
