A question does not leave the line because it grew old during a pass

Cause: planner and desk asked whether a question is stale at two instants. One that crossed 250 ms between them was put anew by no wish and withdrawn by the desk; it came back with the next pass, and its wait was counted from there, so lines about the step hid it.

Change: the desk uses the pass's instant. Its context is narrowed to what it uses, so that a test can make one.

Measured: test permit-desk: 0 questions in line before, 1 after.

--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -243,7 +243,7 @@
             now: begin,
         });
         this.starter.startAll(plan.starts);
-        this.permits.requestPermits(plan.wishes);
+        this.permits.requestPermits(plan.wishes, begin);
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
         this.lastPassAt = begin;
         this.keepers = plan.keepers;
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -33,7 +33,10 @@
      * @param context - Shared parts.
      * @param advice - Spreads questions over the nodes.
      */
-    constructor(private readonly context: LeaderContext, private readonly advice: AdviceDesk) {}
+    constructor(
+        private readonly context: Pick<LeaderContext, "clock" | "log" | "metrics" | "requestPass">,
+        private readonly advice: AdviceDesk,
+    ) {}
 
     /** Returns a step's permits. */
     getPermits(step: Step): StepPermits {
@@ -53,9 +56,13 @@
      * the line comes when its step's room has gone; the permits run out unused and are asked for again, until hardly any answer
      * leads to a start and jobs stand still beside empty workers. So what waits is put anew again and again with what has
      * room, and is taken out of the line once its step does not want it.
+     *
+     * Failure guarded against: a question grows old between the instant for which the pass looked and the end of the pass. The
+     * pass did not put it anew, and it would go out of the line though its step wants it.
+     * @param wishes - Questions of the pass.
+     * @param now - The instant for which the pass looked.
      */
-    requestPermits(wishes: readonly PermitWish[]): void {
-        const now = this.context.clock.now();
+    requestPermits(wishes: readonly PermitWish[], now: Millis): void {
         const stale = this.takeStale(now);
         wishes.forEach(wish => this.addQuestion(wish, now));
         stale.filter(step => !this.waiting.has(step)).forEach(step => this.getPermits(step).endQuestion());
--- /dev/null
+++ b/src/test/leader/permit-desk_test.ts
@@ -0,0 +1,54 @@
+/** Which questions stand in line for the advice service after a pass. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
+import { AdviceDesk } from "../../process/dispatch/advice-desk.js";
+import type { PermitWish } from "../../process/dispatch/planner.js";
+import { rankStep } from "../../process/dispatch/urgency.js";
+import { JobBook } from "../../process/jobs/job-book.js";
+import { PermitDesk } from "../../process/leader/permit-desk.js";
+import type { QueueConfig } from "../../version/cluster-config.js";
+import { FakeClock } from "../fakes/fake-clock.js";
+import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
+import { makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+
+const ASKING: QueueConfig = { ...QUEUE, advice: { decideMs: 100, perWorkerMs: 2, validMs: 2_500 } };
+const REFRESH_MS: Millis = 250;
+
+/** A step that wants an answer, and the desk that puts its question. */
+class Line {
+    readonly clock = new FakeClock();
+    readonly advice = new AdviceDesk(this.clock, createFakeLog());
+    readonly desk: PermitDesk;
+    private readonly book = new JobBook();
+
+    constructor() {
+        const { clock } = this;
+        const log = createFakeLog();
+        this.desk = new PermitDesk(
+            { clock, log, metrics: createFakeMetrics(), requestPass: () => undefined },
+            this.advice,
+        );
+        this.book.apply({ type: "accepted", jobId: makeJobId(1), queue: "batch", spec: makeSpec({}), at: 0 });
+    }
+
+    makeWish(workerIds: readonly string[], isReady: boolean): PermitWish {
+        const [step] = this.book.listRunnable();
+        assert(step !== undefined);
+        return { urgency: rankStep(step, ASKING, 0), workerIds, isReady };
+    }
+}
+
+describe("PermitDesk", () => {
+    it("leaves a question in line that grows old while a pass is computed", async () => {
+        // A step's question went out of the line though its step wanted the answer and a node was about to be free: the pass
+        // took a few milliseconds, found the question still fresh and so did not put it anew, and by its end it had grown old.
+        const line = new Line();
+        line.desk.requestPermits([line.makeWish(["w1"], true)], line.clock.now());
+        await line.clock.step(REFRESH_MS - 1);
+        const begin = line.clock.now();
+        await line.clock.step(2);
+        line.desk.requestPermits([], begin);
+        assert.equal(line.advice.countWaiting(), 1);
+    });
+});
