Of two questions of a step in one pass, the one that it could start with is put

What callers saw (test): a gang that kept a part of its room asked to have those permits renewed, again and again put anew and behind all that has room; the question about unknown workers with room for all of it was dropped.

Cause: the first wish of a pass counts, and a keeping gang's renewal comes first.

Change: wishes with which something could start are taken first.

--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -64,7 +64,9 @@
      */
     requestPermits(wishes: readonly PermitWish[], now: Millis): void {
         const stale = this.takeStale(now);
-        wishes.forEach(wish => this.addQuestion(wish, now));
+        // A step may want permits renewed and new workers named in one pass: what it could start with counts, then the first.
+        const ordered = [...wishes].sort((left, right) => Number(right.isReady) - Number(left.isReady));
+        ordered.forEach(wish => this.addQuestion(wish, now));
         stale.filter(step => !this.waiting.has(step)).forEach(step => this.getPermits(step).endQuestion());
         this.advice.replaceWaiting([...this.waiting.values()]);
     }
@@ -83,7 +85,6 @@
     private addQuestion({ urgency, workerIds, isReady }: PermitWish, now: Millis): void {
         const { step, queue } = urgency;
         const permits = this.getPermits(step);
-        // A step may want permits renewed and new workers named in one pass: the first wish counts.
         if (queue.advice === undefined || this.waiting.has(step) || !permits.canAsk(now)) {
             return;
         }
--- a/src/test/leader/permit-desk_test.ts
+++ b/src/test/leader/permit-desk_test.ts
@@ -51,4 +51,22 @@
         line.desk.requestPermits([], begin);
         assert.equal(line.advice.countWaiting(), 1);
     });
+
+    it("puts the question with which a step could start, if it wants two", async () => {
+        // A gang kept a part of its room and wanted permits there renewed, which starts nothing yet. Workers that it had not
+        // asked about had room for all of it, and the question about those was dropped for the other one.
+        const line = new Line();
+        const asked: string[] = [];
+        line.advice.addCaller({
+            nodeName: "node-1",
+            requestPermits: (...[, workerIds]) => {
+                asked.push(...workerIds);
+                return Promise.resolve({ kind: "done", permits: [] });
+            },
+        });
+        const wishes = [line.makeWish(["kept"], false), line.makeWish(["empty"], true)];
+        line.desk.requestPermits(wishes, line.clock.now());
+        await line.clock.step(1);
+        assert.deepEqual(asked, ["empty"]);
+    });
 });
