Single refusals far apart do not add up to long pauses of a worker for a step

After six refusals in its life each further one keeps the worker from it for 10 s, also where no other worker fits.

Change: a refusal that comes more than 10 s after the last pause was over counts as the first.

--- a/src/process/leader/order-refusals.ts
+++ b/src/process/leader/order-refusals.ts
@@ -2,7 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
 
-/** Pause of a worker for a step after its first refusal; it doubles with each further one, up to the longest. */
+/** Pause of a worker for a step after its first refusal; it doubles with each that follows soon, up to the longest. */
 const FIRST_PAUSE_MS: Millis = 300;
 const LONGEST_PAUSE_MS: Millis = 10_000;
 
@@ -28,8 +28,10 @@
      */
     observe(step: Step, workerId: string, from: Millis): void {
         const workers = this.pauses.get(step) ?? new Map<string, Pause>();
-        const last = workers.get(workerId)?.lengthMs;
-        const lengthMs = last === undefined ? FIRST_PAUSE_MS : Math.min(LONGEST_PAUSE_MS, last * 2);
+        const last = workers.get(workerId);
+        // A worker that has not refused for so long took orders in between: a service would have long pauses for ever.
+        const isRepeated = last !== undefined && from - last.until < LONGEST_PAUSE_MS;
+        const lengthMs = isRepeated ? Math.min(LONGEST_PAUSE_MS, last.lengthMs * 2) : FIRST_PAUSE_MS;
         this.pauses.set(step, workers.set(workerId, { until: from + lengthMs, lengthMs }));
     }
 
