Room is given back while questions to the advice service fail; refreshes of waiting questions are spread over time

What callers saw (held-room_test): while the advice service was away a task that needs no permit stood still beside an empty worker, kept by a step whose permit had run out. The room of such a step goes to those behind it while its questions fail. One node stays kept for short questions while some came lately, where there are three nodes or more. A step that waits long is said to wait for its question since it first wanted the answer.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -44,10 +44,14 @@
 const SHORT_QUESTION_MS: Millis = 120;
 /** Share of the nodes that is kept for short questions at most, where there are at least two. */
 const SHORT_SHARE = 0.34;
+/** Nodes kept at most, however many there are. */
 const MAX_KEPT_NODES = 8;
 /** Nodes kept for each one that short questions keep busy: they come unevenly. */
 const SHORT_ROOM = 2;
-/** Below this many busy nodes no node is kept: there are no short questions. */
+/** With this many nodes one is kept for as long as a short question came lately; with fewer none can be spared for it. */
+const LEAST_NODES_KEPT = 3;
+const SHORT_MEMORY_MS: Millis = 10_000;
+/** Busy nodes below which no node is kept where none can be spared. */
 const LEAST_SHORT_LOAD = 0.02;
 /** Whoever has a question that has waited this long gets a share of the nodes' time. */
 const SHARE_PATIENCE_MS: Millis = 1_000;
@@ -123,6 +127,8 @@
     private readonly shareLoads = new Map<ShareKey, LoadMeter>();
     /** Nodes that short questions keep busy. */
     private readonly shortLoad: LoadMeter;
+    /** When a short question was last sent. */
+    private lastShortAt: Millis = -Infinity;
 
     /**
      * @param clock - For timeouts and estimates.
@@ -235,12 +241,18 @@
         return created;
     }
 
-    /** Counts the nodes that are kept for short questions, by how busy those keep them. */
+    /**
+     * Counts the nodes that are kept for short questions, by how busy those keep them.
+     *
+     * @remarks Failure guarded against: short questions come seldom, so no node is kept, and the next one waits behind a long
+     * question for longer than a quick job's whole slack.
+     */
     private countKept(): number {
         const nodes = this.callers.size;
         const load = this.shortLoad.compute();
+        const isSpared = nodes >= LEAST_NODES_KEPT && this.clock.now() - this.lastShortAt < SHORT_MEMORY_MS;
         if (nodes < 2 || load < LEAST_SHORT_LOAD) {
-            return 0;
+            return isSpared ? 1 : 0;
         }
         return Math.min(MAX_KEPT_NODES, Math.ceil(nodes * SHORT_SHARE), Math.ceil(load * SHORT_ROOM));
     }
@@ -249,6 +261,7 @@
         this.getShareLoad(getShareKey(question)).add(tookMs);
         if (tookMs <= SHORT_QUESTION_MS) {
             this.shortLoad.add(tookMs);
+            this.lastShortAt = this.clock.now();
         }
     }
 
--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -9,8 +9,8 @@
  */
 const PERMIT_MARGIN_MS: Millis = 300;
 
-/** A question that waits is put anew this often: room comes and goes. */
-const REFRESH_MS: Millis = 250;
+/** A question that waits is replaced this often at least: room comes and goes. */
+export const REFRESH_MS: Millis = 250;
 /** Pause after a question that failed: other nodes may still reach the service. */
 const FAILURE_PAUSE_MS: Millis = 150;
 
@@ -18,8 +18,8 @@
 export interface OpenQuestion {
     /** When it was first put. */
     readonly since: Millis;
-    /** When it was last put, with the workers that had room then. */
-    readonly refreshedAt: Millis;
+    /** When it is to be replaced by what its step wants then, if it still waits. */
+    readonly refreshAt: Millis;
     /** Workers that it names. */
     readonly workers: number;
     /** Node that was asked; undefined while the question waits for one. */
@@ -57,12 +57,23 @@
     private readonly held = new Map<string, HeldPermit>();
     private readonly denied = new Map<string, Denial>();
 
-    /** Takes in that a question is put, or that one that still waits names other workers now. */
-    startQuestion(now: Millis, workers: number): void {
+    /**
+     * Takes in that a question is put, or that one that still waits is replaced.
+     * @param now - On our clock.
+     * @param workers - Workers that it names.
+     * @param refreshMs - Time after which it is to be replaced if it still waits.
+     */
+    startQuestion(now: Millis, workers: number, refreshMs: Millis = REFRESH_MS): void {
         const since = this.question?.since ?? now;
         this.questions += this.question === undefined ? 1 : 0;
         this.wantedSince ??= now;
-        this.question = { since, refreshedAt: now, workers, nodeName: undefined, sentAt: undefined };
+        this.question = {
+            since,
+            refreshAt: now + refreshMs,
+            workers,
+            nodeName: undefined,
+            sentAt: undefined,
+        };
     }
 
     /** Takes in which node was asked. */
@@ -81,8 +92,7 @@
     /** Tells whether a question waits that was put so long ago that its content may be of no use any more. */
     isQuestionStale(now: Millis): boolean {
         const { question } = this;
-        return question !== undefined && question.sentAt === undefined &&
-            now - question.refreshedAt >= REFRESH_MS;
+        return question !== undefined && question.sentAt === undefined && now >= question.refreshAt;
     }
 
     /** Takes in that the question is settled. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -242,9 +242,30 @@
         }
         if (lacking.length > 0) {
             this.renewPermits(current, permits, placements, true);
+            this.releaseUnanswered(current, permits, placements);
         }
     }
 
+    /**
+     * Gives back room that waits for a permit while questions fail.
+     *
+     * @remarks Failure guarded against: the service is away, and what needs no permit, or has one, stands still beside workers
+     * that are empty and kept for a step that cannot start.
+     */
+    private releaseUnanswered(
+        { step }: WaitingStep,
+        permits: StepPermits,
+        placements: readonly Placement[],
+    ): void {
+        if (permits.countFailures() === 0) {
+            return;
+        }
+        const isLacking = ({ slot }: Placement): boolean =>
+            permits.getUsable(slot.id, this.input.now) === undefined;
+        const given = isAllOrNothing(step) ? placements : placements.filter(isLacking);
+        given.forEach(({ slot }) => slot.release(step));
+    }
+
     /**
      * Asks again for workers whose permit has run out, those chosen now and then the emptiest: by the time of the answer
      * others may have taken that room, and most of the service's time goes to a question as such.
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -1,7 +1,7 @@
 /** Puts steps' questions to the advice service and keeps what it says. */
 import type { Millis } from "../../common/clock.js";
 import type { AdviceDesk, AdviceQuestion } from "../dispatch/advice-desk.js";
-import { StepPermits } from "../dispatch/permits.js";
+import { REFRESH_MS, StepPermits } from "../dispatch/permits.js";
 import type { PermitWish } from "../dispatch/planner.js";
 import { AllowedShares } from "../dispatch/question-size.js";
 import { RoomClaims } from "../dispatch/room-claims.js";
@@ -9,6 +9,11 @@
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
 
+/** Part of the time between two replacements of a question that each waiting question is given. */
+const REFRESH_EACH_MS: Millis = 2;
+/** Parts into which questions of one pass are spread when they are replaced. */
+const REFRESH_SPREAD = 8;
+
 /** A question that was put. */
 interface PutQuestion {
     readonly step: Step;
@@ -27,6 +32,8 @@
     private readonly permits = new WeakMap<Step, StepPermits>();
     /** Questions that no node has taken yet. */
     private readonly waiting = new Map<Step, AdviceQuestion>();
+    /** Questions that were put or replaced. */
+    private puts = 0;
     private closed = false;
 
     /**
@@ -76,6 +83,18 @@
         this.closed = true;
     }
 
+    /**
+     * Spreads the replacing of questions over time.
+     *
+     * @remarks The load this answers: hundreds of steps that wait. All replaced in one pass, several times a second, they
+     * take a large part of the leader's processor time.
+     */
+    private computeRefreshMs(): Millis {
+        this.puts += 1;
+        const spread = 1 + (this.puts % REFRESH_SPREAD) / REFRESH_SPREAD;
+        return Math.max(REFRESH_MS, this.waiting.size * REFRESH_EACH_MS * spread);
+    }
+
     private takeStale(now: Millis): readonly Step[] {
         const stale = [...this.waiting.keys()].filter(step => this.getPermits(step).isQuestionStale(now));
         stale.forEach(step => this.waiting.delete(step));
@@ -88,7 +107,7 @@
         if (queue.advice === undefined || this.waiting.has(step) || !permits.canAsk(now)) {
             return;
         }
-        permits.startQuestion(now, workerIds.length);
+        permits.startQuestion(now, workerIds.length, this.computeRefreshMs());
         const put: PutQuestion = { step, permits, workerIds, validMs: queue.advice.validMs };
         this.waiting.set(step, {
             step: step.name,
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -163,7 +163,10 @@
 
 function findLongQuestion({ permits, now }: WaitingState): WaitCause | undefined {
     const question = permits?.getQuestion();
-    const isLong = question !== undefined && now - question.since >= LONG_QUESTION_MS;
+    // A question that leaves the line and comes back is a new one; its step has wanted an answer all the while.
+    const since = permits?.getWantedSince() ?? question?.since ?? now;
+    const isLong = question !== undefined && permits?.countFailures() === 0 &&
+        now - since >= LONG_QUESTION_MS;
     return isLong ? buildQuestionCause(question) : undefined;
 }
 
--- a/src/test/leader/advice-shortage_test.ts
+++ b/src/test/leader/advice-shortage_test.ts
@@ -2,12 +2,9 @@
  * More questions to the advice service than its nodes can put: what waits then, and for how long.
  *
  * An accepted job had one task stopped for a more urgent one. The other tasks of its step were done; this one stood still to the
- * end of the day, with most of the workers empty. Cause: each question stood in one line by its queue's priority. While larger
- * jobs of a more urgent queue put questions as fast as nodes asked them, those of the last queue were never asked; what was
- * asked after seconds in the line came when its room had gone, so permits ran out unused and were asked for again; and nodes
- * that were kept for short questions stood idle. Evidence: on days with many large jobs, or with few nodes left to ask, jobs end
- * exactly as reported, `stepWaiting` gives `questionWaiting` for them and `leaderState` hundreds of `questions`; with the line
- * as it is now the same days end without such a job.
+ * end of the day, with most of the workers empty. Cause: questions stood in a line ordered by their queue's priority alone, were
+ * sent long after they had been composed, and a part of the nodes was kept from them. Evidence: such jobs show `stepWaiting` with
+ * `questionWaiting`, beside hundreds of `questions` in `leaderState`.
  */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
