Late brief questions go to nodes kept for short ones

Two nodes left, a rush of large jobs: one node was kept for short questions and idle for a third of the time while questions of 160 ms stood in line at the other.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -42,6 +42,8 @@
 
 /** Questions longer than this are kept off the nodes for short ones. */
 const SHORT_QUESTION_MS: Millis = 120;
+/** Questions up to this long may go to a kept node once they have waited too long. */
+const BRIEF_QUESTION_MS: Millis = 250;
 /** Share of the nodes that is kept for short questions at most, where there are at least two. */
 const SHORT_SHARE = 0.34;
 /** Nodes kept at most, however many there are. */
@@ -279,7 +281,9 @@
         const states = [...this.callers.values()];
         const kept = this.countKept();
         const isShort = estimateQuestionMs(question) <= SHORT_QUESTION_MS;
-        const usual = isShort ? states : states.slice(kept);
+        // A quick job's slack bears a brief question in front of its own.
+        const isLateAndBrief = hasTurn && estimateQuestionMs(question) <= BRIEF_QUESTION_MS;
+        const usual = isShort || isLateAndBrief ? states : states.slice(kept);
         const now = this.clock.now();
         const eligible = usual.some(state => now >= state.pausedUntil) ? usual : states;
         let best: CallerState | undefined;
