--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -27,7 +27,7 @@
     /** Priority of its queue; 0 goes first. */
     readonly priority: number;
     /** Whether something could probably start with the answer. */
-    readonly isReady: boolean;
+    readonly hasRoom: boolean;
     /** When its step first wanted the answer. */
     readonly since: Millis;
     /** Whether its step has had no answer yet: such questions go before those that come again. */
@@ -49,7 +49,7 @@
 /** Nodes kept at most, however many there are. */
 const MAX_KEPT_NODES = 8;
 /** Nodes kept for each one that short questions keep busy: they come unevenly. */
-const SHORT_ROOM = 2;
+const KEPT_PER_BUSY_NODE = 2;
 /** With this many nodes one is kept for as long as a short question came lately; with fewer none can be spared for it. */
 const LEAST_NODES_KEPT = 3;
 const SHORT_MEMORY_MS: Millis = 10_000;
@@ -58,7 +58,7 @@
 /** Whoever has a question that has waited this long gets a share of the nodes' time. */
 const SHARE_PATIENCE_MS: Millis = 1_000;
 /** Key of what steps without room are given of the nodes' time. */
-const UNREADY = "unready";
+const NO_ROOM = "noRoom";
 /** Questions under way on one node: the second is on its way while the first is answered. */
 const MAX_UNDER_WAY = 2;
 /** Time allowed on top of what the question takes, as a factor and a constant. */
@@ -92,19 +92,19 @@
 }
 
 /** Whom a share of the nodes' time belongs to: a queue, by its priority, or the steps of all queues that have no room. */
-type ShareKey = number | typeof UNREADY;
+type ShareKey = number | typeof NO_ROOM;
 
 /** Returns how long the service takes for a question. */
 function estimateQuestionMs({ policy, workerIds }: AdviceQuestion): Millis {
     return policy.decideMs + policy.perWorkerMs * workerIds.length;
 }
 
-function getShareKey({ priority, isReady }: AdviceQuestion): ShareKey {
-    return isReady ? priority : UNREADY;
+function getShareKey({ priority, hasRoom }: AdviceQuestion): ShareKey {
+    return hasRoom ? priority : NO_ROOM;
 }
 
 function compareQuestions(left: AdviceQuestion, right: AdviceQuestion): number {
-    return Number(right.isReady) - Number(left.isReady) ||
+    return Number(right.hasRoom) - Number(left.hasRoom) ||
         left.priority - right.priority ||
         Number(right.isFirst) - Number(left.isFirst) ||
         estimateQuestionMs(left) - estimateQuestionMs(right);
@@ -180,7 +180,7 @@
 
     private dispatch(): void {
         const unwanted: AdviceQuestion[] = [];
-        const left: AdviceQuestion[] = [];
+        const unsent: AdviceQuestion[] = [];
         const late = this.chooseLate();
         const others = this.waiting.filter(question => !late.includes(question));
         for (const question of [...late, ...others]) {
@@ -191,13 +191,13 @@
                 unwanted.push(question);
             }
             else if (state === undefined) {
-                left.push(question);
+                unsent.push(question);
             }
             else {
                 void this.send(state, question);
             }
         }
-        this.waiting = left.sort(compareQuestions);
+        this.waiting = unsent.sort(compareQuestions);
         unwanted.forEach(question => question.settle(undefined, 0));
     }
 
@@ -256,7 +256,7 @@
         if (nodes < 2 || load < LEAST_SHORT_LOAD) {
             return isSpared ? 1 : 0;
         }
-        return Math.min(MAX_KEPT_NODES, Math.ceil(nodes * SHORT_SHARE), Math.ceil(load * SHORT_ROOM));
+        return Math.min(MAX_KEPT_NODES, Math.ceil(nodes * SHORT_SHARE), Math.ceil(load * KEPT_PER_BUSY_NODE));
     }
 
     private observeSent(question: AdviceQuestion, tookMs: Millis): void {
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -58,7 +58,7 @@
     readonly urgency: Urgency;
     readonly workerIds: readonly string[];
     /** Whether something could probably start with the answer, as there is room for it now. */
-    readonly isReady: boolean;
+    readonly hasRoom: boolean;
 }
 
 /** What to do. */
@@ -114,7 +114,7 @@
     readonly slots: readonly Slot[];
     /** Share of them that will probably be allowed and still have room then. */
     readonly allowedShare: number;
-    readonly isReady: boolean;
+    readonly hasRoom: boolean;
     /** Workers on which tasks were placed that wait for a permit. */
     readonly chosen: ReadonlySet<Slot>;
 }
@@ -274,7 +274,7 @@
         current: WaitingStep,
         permits: StepPermits,
         placements: readonly Placement[],
-        isReady: boolean,
+        hasRoom: boolean,
     ): void {
         if (!permits.canAsk(this.input.now)) {
             return;
@@ -282,7 +282,7 @@
         const expired = current.candidates
             .filter(slot => permits.getUsable(slot.id, this.input.now) === undefined);
         const chosen = new Set(placements.map(({ slot }) => slot));
-        this.addWish(current.urgency, { slots: expired, allowedShare: RENEWAL_SHARE, isReady, chosen });
+        this.addWish(current.urgency, { slots: expired, allowedShare: RENEWAL_SHARE, hasRoom, chosen });
     }
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
@@ -356,11 +356,11 @@
             unknown;
         const allowedShare = this.input.getAllowedShare(urgency.queue.name);
         const needed = isAllOrNothing(step) ? step.waiting : 1;
-        const isReady = countPlaces(step, wanted) * allowedShare >= needed;
-        this.addWish(urgency, { slots: wanted, allowedShare, isReady, chosen: new Set() });
+        const hasRoom = countPlaces(step, wanted) * allowedShare >= needed;
+        this.addWish(urgency, { slots: wanted, allowedShare, hasRoom, chosen: new Set() });
     }
 
-    private addWish(urgency: Urgency, { slots, allowedShare, isReady, chosen }: Question): void {
+    private addWish(urgency: Urgency, { slots, allowedShare, hasRoom, chosen }: Question): void {
         const { step, queue } = urgency;
         if (queue.advice === undefined || slots.length === 0) {
             return;
@@ -371,7 +371,7 @@
             const cpuMillis = Math.max(0, free.cpuMillis - this.input.getClaimedCpu(id));
             return { id, capacity, free: { ...free, cpuMillis }, isChosen: chosen.has(slot) };
         });
-        this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need), isReady });
+        this.wishes.push({ urgency, workerIds: selectWorkersToAsk(askable, need), hasRoom });
     }
 }
 
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -72,7 +72,7 @@
     requestPermits(wishes: readonly PermitWish[], now: Millis): void {
         const stale = this.takeStale(now);
         // A step may want permits renewed and new workers named in one pass: what it could start with counts, then the first.
-        const ordered = [...wishes].sort((left, right) => Number(right.isReady) - Number(left.isReady));
+        const ordered = [...wishes].sort((left, right) => Number(right.hasRoom) - Number(left.hasRoom));
         ordered.forEach(wish => this.addQuestion(wish, now));
         stale.filter(step => !this.waiting.has(step)).forEach(step => this.getPermits(step).endQuestion());
         this.advice.replaceWaiting([...this.waiting.values()]);
@@ -101,7 +101,7 @@
         return stale;
     }
 
-    private addQuestion({ urgency, workerIds, isReady }: PermitWish, now: Millis): void {
+    private addQuestion({ urgency, workerIds, hasRoom }: PermitWish, now: Millis): void {
         const { step, queue } = urgency;
         const permits = this.getPermits(step);
         if (queue.advice === undefined || this.waiting.has(step) || !permits.canAsk(now)) {
@@ -114,7 +114,7 @@
             workerIds,
             policy: queue.advice,
             priority: queue.priority,
-            isReady,
+            hasRoom,
             isFirst: !permits.hasAnswer(),
             since: permits.getWantedSince() ?? now,
             isWanted: () => !this.closed && step.job.spec !== undefined && step.waiting > 0,
--- a/src/test/dispatch/question-line.ts
+++ b/src/test/dispatch/question-line.ts
@@ -16,7 +16,7 @@
     /** Adds a question behind those that wait. */
     enqueue(question: TestQuestion): void {
         const whole: AdviceQuestion = {
-            isReady: true,
+            hasRoom: true,
             isFirst: true,
             since: 0,
             isWanted: () => true,
--- a/src/test/dispatch/question-turns_test.ts
+++ b/src/test/dispatch/question-turns_test.ts
@@ -76,7 +76,7 @@
         const line = new Line(new Map());
         line.enqueue({ step: "busy", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
         line.enqueue({ step: "busy", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
-        line.enqueue({ step: "gang", workerIds: ["w1"], policy: MEDIUM, priority: 0, isReady: false });
+        line.enqueue({ step: "gang", workerIds: ["w1"], policy: MEDIUM, priority: 0, hasRoom: false });
         for (let at: Millis = 0; at < LOAD_MS; at += 50) {
             line.enqueue({ step: "task", workerIds: ["w1"], policy: MEDIUM, priority: 2 });
             await line.clock.step(50);
--- a/src/test/leader/permit-desk_test.ts
+++ b/src/test/leader/permit-desk_test.ts
@@ -32,10 +32,10 @@
         this.book.apply({ type: "accepted", jobId: makeJobId(1), queue: "batch", spec: makeSpec({}), at: 0 });
     }
 
-    makeWish(workerIds: readonly string[], isReady: boolean): PermitWish {
+    makeWish(workerIds: readonly string[], hasRoom: boolean): PermitWish {
         const [step] = this.book.listRunnable();
         assert(step !== undefined);
-        return { urgency: rankStep(step, ASKING, 0), workerIds, isReady };
+        return { urgency: rankStep(step, ASKING, 0), workerIds, hasRoom };
     }
 }
 
