--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -1,10 +1,10 @@
 /**
  * Spreads questions to the advice service over the cluster's nodes.
  *
- * @remarks The load this answers: the service serves one call at a time for each calling VM, a question takes from
- * 8 ms to 600 ms, and all questions together take 1.4 s in each second at the small deployments' ordinary load. One
- * caller would fall behind for ever; with every node asking, each is busy for a quarter of the time. Some nodes are
- * kept for short questions, else the quick work waits behind a question that takes longer than its whole slack.
+ * @remarks The load this answers: the service serves one call at a time for each calling VM, and all questions together
+ * take more time than there is, so one caller would fall behind for ever; with every node asking each has time to spare. While
+ * there are short questions some nodes are kept for them, else the quick work waits behind a question that takes longer than
+ * its whole slack.
  */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
 import type { AdvicePolicy } from "../../version/cluster-config.js";
--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -4,13 +4,11 @@
  *
  * @remarks The load this answers: workers that leave three in a hundred calls unanswered, each for itself, while short
  * jobs have half a second of slack. A report that is held back for a second and then lost hides every end on its worker
- * for a second and a half: a quarter of 33 workers, as computed, were out of sight at any time. Spells of two seconds earned
- * 0.75 to 0.87 of what callers were owed, and 0.92 to 0.93 with what follows here (means of four plays of one day).
+ * for longer than that.
  *
- * While answers are lost workers hold reports back for a quarter of a second, so a lost one hides ends for 0.4 s. That takes
- * five requests a second of each worker, where a calm one takes one to four, so it is done only then. A lost order holds its
- * task up until it is sent again; while a leader has little processor time all answers are late, so it is sent again soon only
- * where answers are known to get lost.
+ * While answers are lost workers hold reports back for a shorter time. That takes more requests of each worker, so it is done
+ * only then. A lost order holds its task up until it is sent again; while a leader has little processor time all answers are
+ * late, so it is sent again soon only where answers are known to get lost.
  */
 import type { Millis } from "../../common/clock.js";
 
@@ -20,7 +18,7 @@
 const LOSSY_WAIT_MS: Millis = 250;
 /** A lost answer counts for this long: with three in a hundred lost the next one comes within a second. */
 const LOSS_MEMORY_MS: Millis = 4_000;
-/** Reports a second, over all workers, that short waits may lead to: twice what 33 workers need, a quarter of what 245 would. */
+/** Reports a second, over all workers, that short waits may lead to: they are priced, and the leader has to take them in. */
 const MAX_REPORTS_PER_S = 250;
 
 /** Time after which a call is made again: seven times what 95 of 100 answers take, as a leader may be slow itself. */
--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -4,8 +4,8 @@
 
 /**
  * Part of a permit's time that is kept for the answer's way here and the order's to the worker. A permit counts from
- * when the service decided: counted from the question, which takes up to 1.4 s, a permit of 2 s was of use for 0.4 s,
- * and a gang that had to wait asked again 20 times. A worker that finds a permit too old refuses the order unharmed.
+ * when the service decided: counted from the question, most of it would have passed before the answer. A worker that finds
+ * a permit too old refuses the order unharmed.
  */
 const PERMIT_MARGIN_MS: Millis = 300;
 
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -28,8 +28,7 @@
     readonly workersByPool: ReadonlyMap<string, readonly WorkerState[]>;
     /**
      * Workers of each pool that a new leader has not heard yet: permits for them can be asked for, and nothing starts there.
-     * After a loss of all nodes that brings the first start 0.07 s forward (0.24 to 0.17 s after the journal is loaded, means
-     * of 24 and 8 such losses).
+     * So the first starts after a loss of all nodes do not wait for both, one after the other.
      */
     readonly unheardByPool: ReadonlyMap<string, readonly WorkerState[]>;
     /** Permits of a step whose queue needs them. */
@@ -77,7 +76,7 @@
 const RENEWAL_SHARE = 0.5;
 /**
  * Gangs without enough room that keep what they could use. One drains workers for the most urgent; with more, room for
- * several gangs stands idle at once: with four in a pool of 246, work earns 0.82 of its worth, and 0.86 with one.
+ * several gangs stands idle at once.
  */
 const MAX_KEEPING_GANGS = 1;
 /** Workers for each gang that has less urgent work stopped: its room is whole within half a second. */
--- a/src/process/dispatch/preemption.ts
+++ b/src/process/dispatch/preemption.ts
@@ -1,9 +1,9 @@
 /**
  * Which runs to stop so that a more urgent gang fits. Pure.
  *
- * @remarks The load this answers: gangs of 20 tasks of 18 cores, on the third of the workers that may run them, while
- * single tasks of a less urgent queue fill every hole. Only runs that save their progress when they are stopped are
- * chosen: they go on elsewhere and lose a restart of 0.1 to 0.6 s. Nothing is stopped unless the whole gang fits then.
+ * @remarks The load this answers: gangs of many large tasks, on the few workers that may run them, while single tasks of a
+ * less urgent queue fill every hole. Only runs that save their progress when they are stopped are chosen: they go on
+ * elsewhere and lose a restart. Nothing is stopped unless the whole gang fits then.
  */
 import { addResources, isWithin, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
--- a/src/process/dispatch/question-size.ts
+++ b/src/process/dispatch/question-size.ts
@@ -1,10 +1,9 @@
 /**
  * How many workers a question to the advice service names. Pure.
  *
- * @remarks The load this answers: 246 workers, and a service that takes 8 ms for each worker named beside 560 ms for the
- * question. A question about 100 of them takes 1.4 s, longer than the whole slack of the job that waits for it, while a
- * third of 30 workers is mostly enough. Too few cost a second question, so what is expected to be allowed is more than
- * the step needs.
+ * @remarks The load this answers: hundreds of workers, and a service that takes time for each worker named beside that for
+ * the question. A question about all takes longer than the whole slack of the job that waits for it, while a few are mostly
+ * enough. Too few cost a second question, so what is expected to be allowed is more than the step needs.
  */
 import type { Resources } from "../../common/resources.js";
 import type { AdvicePolicy } from "../../version/cluster-config.js";
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -61,8 +61,7 @@
 }
 
 /**
- * Least time between two reports of one worker: each is a priced look, and ends of the meantime come together. At 3.3
- * ends a second of a worker, as measured on a calm day, an end is known 35 ms later on average.
+ * Least time between two reports of one worker: each is a priced look, and ends of the meantime come together.
  */
 const REPORT_GAP_MS: Millis = 150;
 /** Longest wait for ends to be durable before the lease is renewed without it. */
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -41,8 +41,8 @@
 }
 
 /**
- * First time after which a write without an answer is tried again beside the try under way. The store answers in 7 to
- * 14 ms as measured; a lost answer costs this long, and a slow store is learnt by doubling.
+ * First time after which a write without an answer is tried again beside the try under way: a lost answer costs this long,
+ * and a slow store is learnt by doubling.
  */
 const SHORTEST_TIMEOUT_MS: Millis = 100;
 /**
@@ -81,9 +81,9 @@
  * The store under the leader's guard.
  *
  * @remarks Failure guarded against: the store is away for seconds, and each of a dozen waiting records is sent to it again
- * and again. With connections that are reset at once that was 3,450 calls a second, all priced; with a store that answers
- * nothing all tries hung on lost connections, and work went on up to 5 s after its return. So while the store answers
- * nothing only the oldest write is tried again, and any answer, also that of a lease renewal, sends the others.
+ * and again. With connections that are reset at once these are thousands of priced calls; with a store that answers nothing
+ * all tries hang on lost connections, and work goes on only seconds after its return. So while the store answers nothing only
+ * the oldest write is tried again, and any answer, also that of a lease renewal, sends the others.
  */
 export class GuardedStore {
     private readonly timeout = new CallTimeout(SHORTEST_TIMEOUT_MS);
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -37,20 +37,20 @@
 /** Records after which a snapshot begins. */
 const SNAPSHOT_EVERY = RING_SLOTS / 2;
 /**
- * Characters of one part of a snapshot. A part is 80 KB on its way, which the narrowest links of 7 Mbit/s carry in 92 ms,
- * beside records and reports; with 400 KB and three tries at once a part took longer than its tries may.
+ * Characters of one part of a snapshot: the narrowest links carry it, with its repeated tries, beside records and reports
+ * within the time of a try.
  */
 const SNAPSHOT_PART_LENGTH = 60_000;
 /** Events of one record. */
 const MAX_EVENTS = 256;
 /**
- * Records under way at once. A store that answers in 250 ms, as measured in its slow spells, still takes a record every
- * 25 ms; with one at a time an acceptance, an assignment and an end took 1.1 s together, twice a short job's slack.
+ * Records under way at once, so that a store in a slow spell still takes a record every `RECORD_GAP_MS`; with one at a time
+ * an acceptance, an assignment and an end would wait for each other longer than a short job's slack.
  */
 const MAX_IN_FLIGHT = 16;
 /**
- * After this long without an answer the store counts as away, and callers are told so at once. In its slow spells it
- * answers in 250 ms, and a try may have to be repeated.
+ * After this long without an answer the store counts as away, and callers are told so at once: longer than an answer takes in
+ * its slow spells, and a repeated try with it.
  */
 const STALL_MS: Millis = 800;
 
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -32,8 +32,8 @@
 }
 
 /**
- * First timeout of a listing: it carries up to a megabyte, which takes 0.8 s over a link of 10 Mbit/s. A listing that is
- * given up is begun anew, so too short a time costs more than too long a one.
+ * First timeout of a listing: it carries up to a megabyte, also over narrow links. A listing that is given up is begun anew,
+ * so too short a time costs more than too long a one.
  */
 const LIST_TIMEOUT_MS: Millis = 1_500;
 const RETRY_PAUSE_MS: Millis = 50;
--- a/src/process/leader/authority.ts
+++ b/src/process/leader/authority.ts
@@ -3,10 +3,9 @@
 import type { GuardedStore } from "../journal/guarded-store.js";
 
 /**
- * Longest time without an answer of the store for which a leader still extends leases. Outages of 3 to 5 s are
- * usual, and what runs must live through them; with the last lease it lives through 12 s. A later leader counts with
- * this time, and a lease, before it starts again what runs on a worker that it cannot reach, so more would cost more
- * than it saves: with 12 s in place of 8 s such work stood still for 17 s.
+ * Longest time without an answer of the store for which a leader still extends leases: what runs must live through its usual
+ * outages. A later leader counts with this time, and a lease, before it starts again what runs on a worker that it cannot
+ * reach, so more would cost more than it saves.
  */
 export const MAX_UNCONFIRMED_MS: Millis = 8_000;
 
--- a/src/process/leader/gang-starts.ts
+++ b/src/process/leader/gang-starts.ts
@@ -20,8 +20,7 @@
  * Starts of gangs.
  *
  * @remarks Failure guarded against: one of twenty workers does not start its member, all the others are stopped, and the
- * gang goes back to waiting for room that others have taken by then. A gang of 48 that had been placed within 1.4 s was
- * not placed again for 45 s.
+ * gang goes back to waiting for room that others have taken by then.
  */
 export class GangStarts {
     private readonly runs = new WeakMap<Step, GangRun>();
