--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -28,6 +28,7 @@
 import { Starter } from "./starter.js";
 import { StateReport } from "./state-report.js";
 import { StepHistory } from "./step-history.js";
+import type { WorkersByPool } from "./workers-by-pool.js";
 
 /** What a leader is made from. */
 export interface LeaderOptions {
@@ -225,9 +226,10 @@
         if (this.journal.isStalled() || !this.context.authority.mayOrder()) {
             return;
         }
+        const workersByPool = this.fleet.collectUsable(begin);
         const plan = planStarts({
             waiting: this.rankWaiting(),
-            workersByPool: this.fleet.collectUsable(begin),
+            workersByPool,
             unheardByPool: this.fleet.collectUnheard(),
             getPermits: step => this.permits.getPermits(step),
             preemptionLooks: this.preemptionLooks,
@@ -237,7 +239,7 @@
             now: begin,
         });
         this.starter.startAll(plan.starts);
-        this.permits.requestPermits(plan.wishes, begin);
+        this.permits.requestPermits(plan.wishes, begin, countWorkers(workersByPool));
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
         this.lastPassAt = begin;
         this.keepers = plan.keepers;
@@ -292,3 +294,7 @@
         }
     }
 }
+
+function countWorkers(workersByPool: WorkersByPool): number {
+    return [...workersByPool.values()].reduce((sum, workers) => sum + workers.length, 0);
+}
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -9,8 +9,8 @@
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
 
-/** Part of the time between two replacements of a question that each waiting question is given. */
-const REFRESH_EACH_MS: Millis = 2;
+/** Time between two replacements of a question for each waiting question and each worker that it looks at. */
+const REFRESH_EACH_MS: Millis = 0.06;
 /** Parts into which questions of one pass are spread when they are replaced. */
 const REFRESH_SPREAD = 8;
 
@@ -34,6 +34,8 @@
     private readonly waiting = new Map<Step, AdviceQuestion>();
     /** Questions that were put or replaced. */
     private puts = 0;
+    /** Workers among which a question chooses. */
+    private workers = 0;
     private closed = false;
 
     /**
@@ -68,9 +70,14 @@
      * pass did not put it anew, and it would go out of the line though its step wants it.
      * @param wishes - Questions of the pass.
      * @param now - The instant for which the pass looked.
+     * @param workers - Workers among which each question chooses.
      */
-    requestPermits(wishes: readonly PermitWish[], now: Millis): void {
+    requestPermits(wishes: readonly PermitWish[], now: Millis, workers = 0): void {
+        this.workers = workers;
         const stale = this.takeStale(now);
+        if (wishes.length === 0 && stale.length === 0) {
+            return;
+        }
         // A step may want permits renewed and new workers named in one pass: what it could start with counts, then the first.
         const ordered = [...wishes].sort((left, right) => Number(right.hasRoom) - Number(left.hasRoom));
         ordered.forEach(wish => this.addQuestion(wish, now));
@@ -92,7 +99,7 @@
     private computeRefreshMs(): Millis {
         this.puts += 1;
         const spread = 1 + (this.puts % REFRESH_SPREAD) / REFRESH_SPREAD;
-        return Math.max(REFRESH_MS, this.waiting.size * REFRESH_EACH_MS * spread);
+        return Math.max(REFRESH_MS, this.waiting.size * this.workers * REFRESH_EACH_MS * spread);
     }
 
     private takeStale(now: Millis): readonly Step[] {
