--- a/src/process/sinks/line-buffer.ts
+++ b/src/process/sinks/line-buffer.ts
@@ -19,8 +19,8 @@
 /** Characters that are written without further waiting. */
 const FULL_BATCH_BYTES = 65_536;
 /**
- * Bytes of one write: what a pipe takes as a whole. Larger ones reach a reader in pieces that end anywhere; of batches over
- * 8 KB the rest was lost to a reader that takes so much at a time, and 62 of 690 jobs had no line of their end.
+ * Bytes of one write: what a pipe takes as a whole. Larger ones reach a reader in pieces that end anywhere, and one that
+ * takes so much at a time loses the rest.
  */
 const MAX_WRITE_BYTES = 4_096;
 
--- a/src/test/leader/store-outages_test.ts
+++ b/src/test/leader/store-outages_test.ts
@@ -5,7 +5,7 @@
 import { LeaderCell, makeSpec } from "./leader-cell.js";
 
 const OUTAGE_MS = 4_200;
-/** Half of a short job's slack of 570 ms; the other half is for its own steps. */
+/** Half of a short job's slack; the other half is for its own steps. */
 const RESUME_LIMIT_MS = 280;
 /** A tenth of the 400 writes a second that the store takes from all nodes. */
 const MAX_CALLS_PER_S = 40;
--- a/src/test/leader/worker-faults_test.ts
+++ b/src/test/leader/worker-faults_test.ts
@@ -4,7 +4,7 @@
 import { CORE, HOST, LeaderCell, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
 
 const FIRST = "10.0.0.1:80";
-/** A short job's slack: half of its run time of 0.64 s and 250 ms; a lost answer must not use it up. */
+/** A short job's slack: a lost answer must not use it up. */
 const LOSS_LIMIT_MS = 500;
 
 describe("a leader whose workers fail", () => {
--- a/src/test/process/sinks/line-buffer_test.ts
+++ b/src/test/process/sinks/line-buffer_test.ts
@@ -50,8 +50,8 @@
     });
 
     it("writes whole lines in pieces that a pipe takes at once", async () => {
-        // All workers are heard at once and hundreds of decisions follow in a batch of 30 KB. A collector that reads up to
-        // 8 KB at a time broke a line in two and lost the rest, and the request that on-call looked for was in it.
+        // All workers are heard at once and hundreds of decisions follow in one batch. A collector that reads less at a time
+        // broke a line in two and lost the rest, and the request that on-call looked for was in it.
         const { clock, buffer, batches, finishWrite } = openBuffer(65_536);
         const lines = Array.from({ length: 100 }, (...[, index]) => `${String(index).padEnd(299, ".")}\n`);
         lines.forEach(line => buffer.write(line));
