--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -4,9 +4,9 @@
  * @remarks The link owns its socket. It never reconnects. A connection can go silent without a reset, so both ends
  * send something at least every beat, and an end that hears nothing for the idle time closes.
  */
-import type { Socket } from "node:net";
 import type { Clock, Millis, Timer } from "../common/clock.js";
 import { describeFrameFault, encodeFrame, FrameDecoder } from "./frame-codec.js";
+import type { LinkSocket } from "./link-network.js";
 
 /** How a call over a link ended. */
 export type LinkAnswer =
@@ -65,7 +65,7 @@
      * @param owner - Told of what arrives.
      */
     constructor(
-        private readonly socket: Socket,
+        private readonly socket: LinkSocket,
         private readonly clock: Clock,
         private readonly owner: NodeLinkOwner,
     ) {
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -6,6 +6,7 @@
  */
 import type { Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
+import type { LinkNetwork } from "../../connection/link-network.js";
 import type { CallerReply, CallerRequest } from "../leader/requests.js";
 import { EpochHistory } from "../leadership/epoch-history.js";
 import type { SourceHandle } from "../ports/cluster-sources.js";
@@ -29,6 +30,8 @@
 export interface ClusterNodeOptions extends Omit<LeadingParts, "epochs"> {
     readonly name: string;
     readonly host: string;
+    /** Connections to and from other nodes. */
+    readonly network: LinkNetwork;
     /** Port for links of other nodes; 0 lets the operating system pick one. */
     readonly port: number;
     readonly random: Random;
@@ -57,7 +60,7 @@
     private closed = false;
 
     constructor(private readonly options: ClusterNodeOptions) {
-        const peers = new PeerBook(options.random);
+        const peers = new PeerBook(options.random, options.network);
         const shared = {
             ...options,
             peers,
@@ -79,7 +82,7 @@
             getLinks: () => this.server.links,
             getSeat: () => this.seat,
         });
-        this.server = new LinkServer(options.clock, options.log, {
+        this.server = new LinkServer(options.network, options.clock, options.log, {
             buildStatus: () => this.buildStatus(),
             handleCall: body => this.handleCall(body),
             handleNote: (inbound, note) => this.handleInboundNote(inbound, note),
--- a/src/process/node/leader-dialer.ts
+++ b/src/process/node/leader-dialer.ts
@@ -1,6 +1,6 @@
 /** A follower's link to its leader. */
-import { connect } from "node:net";
 import type { Clock, Millis } from "../../common/clock.js";
+import type { LinkNetwork, LinkSocket } from "../../connection/link-network.js";
 import { NodeLink } from "../../connection/node-link.js";
 import { acceptNote } from "./link-note.js";
 import type { LinkPeer } from "./link-note.js";
@@ -42,29 +42,21 @@
 
 /**
  * Opens a link.
+ * @param network - Reaches the address.
  * @param address - `host:port`.
- * @param clock - For the timeout and the link.
+ * @param clock - For the link.
  * @param owner - Told of what arrives.
  */
-export function connectToLeader(address: string, clock: Clock, owner: LeaderLinkOwner): Promise<DialResult> {
-    const separator = address.lastIndexOf(":");
-    const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
-    return new Promise(resolve => {
-        const timer = clock.schedule(DIAL_TIMEOUT_MS, () => {
-            socket.destroy();
-            resolve({ kind: "silent" });
-        });
-        socket.once("error", (error: NodeJS.ErrnoException) => {
-            timer.cancel();
-            resolve({ kind: error.code === "ECONNREFUSED" ? "refused" : "silent" });
-        });
-        socket.once("connect", () => {
-            timer.cancel();
-            resolve({ kind: "up", link: openLink() });
-        });
-    });
+export async function connectToLeader(
+    network: LinkNetwork,
+    address: string,
+    clock: Clock,
+    owner: LeaderLinkOwner,
+): Promise<DialResult> {
+    const result = await network.connect(address, DIAL_TIMEOUT_MS);
+    return result.kind === "up" ? { kind: "up", link: openLink(result.socket) } : result;
 
-    function openLink(): LeaderLink {
+    function openLink(socket: LinkSocket): LeaderLink {
         let settleClosed: (message: string) => void = () => undefined;
         let settleStatus: (note: StatusNote) => void = () => undefined;
         const firstStatus = new Promise<StatusNote>(resolve => {
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -1,6 +1,7 @@
 /** A node's time behind a leader: the link to it, what it tells, and why to claim its place. */
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
+import type { LinkNetwork } from "../../connection/link-network.js";
 import type { EpochHistory } from "../leadership/epoch-history.js";
 import { readLeader } from "../leadership/leader-record.js";
 import type { LeaderView } from "../leadership/leader-record.js";
@@ -19,6 +20,7 @@
 export interface LeaderFollowerOptions {
     readonly clock: Clock;
     readonly log: Log;
+    readonly network: LinkNetwork;
     readonly storePort: StorePort;
     readonly config: ConfigHolder;
     readonly peers: PeerBook;
@@ -98,7 +100,7 @@
         if (await this.isSilentForAll(view)) {
             return "the leader's link is silent, and no other node hears it";
         }
-        const result = await connectToLeader(view.record?.address ?? "", clock, {
+        const result = await connectToLeader(options.network, view.record?.address ?? "", clock, {
             buildStatus: options.buildStatus,
             handleCall: options.handleCall,
             handleNote: (link, note) => this.handleNote(link, note),
--- a/src/process/node/link-server.ts
+++ b/src/process/node/link-server.ts
@@ -1,7 +1,6 @@
 /** Takes links from other nodes and keeps those that are up. */
-import { createServer } from "node:net";
-import type { Server, Socket } from "node:net";
 import type { Clock } from "../../common/clock.js";
+import type { LinkListener, LinkNetwork, LinkSocket } from "../../connection/link-network.js";
 import { NodeLink } from "../../connection/node-link.js";
 import type { Log } from "../telemetry.js";
 import { acceptNote } from "./link-note.js";
@@ -23,39 +22,39 @@
 export class LinkServer {
     /** The links that are up. */
     readonly links = new Set<InboundLink>();
-    private readonly server: Server;
+    private listener: LinkListener | undefined;
 
     /**
+     * @param network - Where links come from.
      * @param clock - For the links.
      * @param log - For sockets that fail.
      * @param owner - Told of what arrives.
      */
     constructor(
+        private readonly network: LinkNetwork,
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly owner: LinkServerOwner,
-    ) {
-        this.server = createServer(socket => this.acceptSocket(socket));
-    }
+    ) {}
 
     /** Starts to listen; rejects if the port cannot be had. Resolves with the port. */
-    open(host: string, port: number): Promise<number> {
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(port, host, () => {
-                const address = this.server.address();
-                resolve(typeof address === "object" ? address?.port ?? port : port);
-            });
-        });
+    async open(host: string, port: number): Promise<number> {
+        this.listener = await this.network.listen(
+            host,
+            port,
+            socket => this.acceptSocket(socket),
+            error => this.log.warn("CR1633", "linkPortFailed", { message: error.message }),
+        );
+        return this.listener.port;
     }
 
     /** Closes the port and all links. */
     close(): void {
-        this.server.close();
+        this.listener?.close();
         this.links.forEach(({ link }) => link.close("this node shuts down"));
     }
 
-    private acceptSocket(socket: Socket): void {
+    private acceptSocket(socket: LinkSocket): void {
         const link = new NodeLink(socket, this.clock, {
             buildBeat: () => this.owner.buildStatus(),
             handleCall: body => this.owner.handleCall(body),
--- a/src/process/node/peer-book.ts
+++ b/src/process/node/peer-book.ts
@@ -2,6 +2,7 @@
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
+import type { LinkNetwork } from "../../connection/link-network.js";
 import { connectToLeader } from "./leader-dialer.js";
 import type { LeaderHint, NodeAnswer, NodeMember, StatusNote } from "./messages.js";
 
@@ -25,8 +26,11 @@
 export class PeerBook {
     private members: readonly NodeMember[] = [];
 
-    /** @param random - Picks whom to ask. */
-    constructor(private readonly random: Random) {}
+    /**
+     * @param random - Picks whom to ask.
+     * @param network - Reaches them.
+     */
+    constructor(private readonly random: Random, private readonly network: LinkNetwork) {}
 
     /** Takes in the newest list. */
     setMembers(members: readonly NodeMember[]): void {
@@ -46,7 +50,9 @@
      */
     async findLeader(clock: Clock, buildStatus: () => StatusNote): Promise<LeaderHint | undefined> {
         const statuses = await Promise.all(
-            this.pickOthers(buildStatus().address).map(address => queryNode(address, clock, buildStatus)),
+            this.pickOthers(buildStatus().address).map(address =>
+                queryNode(this.network, address, clock, buildStatus)
+            ),
         );
         const hints = statuses.map(status => status?.leader);
         return hints.reduce((best, hint) => (hint?.epoch ?? 0) > (best?.epoch ?? 0) ? hint : best, undefined);
@@ -64,7 +70,7 @@
         let isHeard = false;
         const asked = this.pickOthers(buildStatus().address, leader.address);
         const queries = asked.map(async address => {
-            const status = await queryNode(address, clock, buildStatus);
+            const status = await queryNode(this.network, address, clock, buildStatus);
             answers += status === undefined ? 0 : 1;
             isHeard ||= (status?.heardEpoch ?? 0) >= leader.epoch;
         });
@@ -95,11 +101,12 @@
 }
 
 async function queryNode(
+    network: LinkNetwork,
     address: string,
     clock: Clock,
     buildStatus: () => StatusNote,
 ): Promise<StatusNote | undefined> {
-    const result = await connectToLeader(address, clock, {
+    const result = await connectToLeader(network, address, clock, {
         buildStatus,
         handleCall: () => Promise.resolve({ kind: "notLeading" } satisfies NodeAnswer),
         handleNote: () => undefined,
--- /dev/null
+++ b/src/test/model/model-cluster.ts
@@ -0,0 +1,139 @@
+/** Nodes on VMs of a model, over one store: what they do takes processor time and bandwidth, in fake time. */
+import type { Millis } from "../../common/clock.js";
+import { createRandom, makeUniqueId } from "../../common/random.js";
+import type { Random } from "../../common/random.js";
+import { ClusterNode } from "../../process/node/cluster-node.js";
+import { ConfigHolder } from "../../process/node/config-holder.js";
+import { StoreModel } from "../../stand-ins/index.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
+import { FakeClock } from "../fakes/fake-clock.js";
+import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
+import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
+import type { FakeLog } from "../fakes/fake-telemetry.js";
+import { HOST, makeJobId, makeSpec, PREFIX, QUEUE } from "../leader/leader-cell.js";
+import { ModelNetwork } from "./model-network.js";
+import { ModelStorePort } from "./model-store-port.js";
+import { ModelVm } from "./model-vm.js";
+import type { VmSize } from "./model-vm.js";
+
+const PORT = 7_720;
+const MAX_LEASE_MS: Millis = 10_000;
+const CALLER_PATIENCE_MS: Millis = 3_000;
+
+const CONFIG: ClusterConfig = {
+    version: 1,
+    queues: [QUEUE],
+    pools: [{ name: "pool", checksAdmission: false, maxConnections: 64 }],
+    maxBodyBytes: 262_144,
+};
+
+/** A node of the model. */
+export interface ModelNode {
+    readonly name: string;
+    readonly vm: ModelVm;
+    readonly node: ClusterNode;
+    readonly log: FakeLog;
+}
+
+/** The cluster; see the module comment. */
+export class ModelCluster {
+    readonly clock = new FakeClock();
+    readonly nodes: ModelNode[] = [];
+    private readonly store = new StoreModel(this.clock);
+    private readonly network = new ModelNetwork();
+    private readonly random: Random;
+    private jobs = 0;
+
+    /** @param seed - Of all that is random. */
+    constructor(seed: number) {
+        this.random = createRandom(seed);
+    }
+
+    /** Starts a node. */
+    async startNode(size: VmSize): Promise<void> {
+        const number = this.nodes.length + 1;
+        const vm = new ModelVm(this.clock, size);
+        const log = createFakeLog(true);
+        const node = new ClusterNode({
+            name: `node-${number}`,
+            host: `10.0.0.${number}`,
+            port: PORT,
+            network: this.network.buildView(vm),
+            clock: vm,
+            log,
+            metrics: createFakeMetrics(),
+            random: this.random,
+            life: makeUniqueId(this.random),
+            storePort: new ModelStorePort(this.clock, vm, this.store),
+            config: new ConfigHolder(log),
+            configSource: {
+                follow: accept => {
+                    accept(CONFIG);
+                    return { stop: () => undefined };
+                },
+            },
+            workerSource: {
+                follow: accept => {
+                    accept(new Map());
+                    return { stop: () => undefined };
+                },
+            },
+            workerPort: new FakeTaskWorkers(() => undefined, () => {
+                throw new Error("the model has no workers");
+            }),
+            advicePort: { requestPermits: () => Promise.resolve({ kind: "busy" }) },
+            maxLeaseMs: MAX_LEASE_MS,
+            cores: size.cores,
+        });
+        this.nodes.push({ name: `node-${number}`, vm, node, log });
+        await this.clock.wait(node.open(), CALLER_PATIENCE_MS);
+    }
+
+    /** Returns the nodes that lead, and have loaded the journal, in the order of their claims. */
+    listLeaders(): readonly ModelNode[] {
+        return this.nodes
+            .filter(({ node, vm }) => vm.isOn() && isLeading(node))
+            .sort((left, right) => getEpoch(left.node) - getEpoch(right.node));
+    }
+
+    /** Returns the node that leads, as the newest claim has it. */
+    getLeader(): ModelNode | undefined {
+        return this.listLeaders().at(-1);
+    }
+
+    /**
+     * Hands a job in at some node and cancels it again, so that records are written while the state stays small.
+     * @param payload - What the job's record holds.
+     */
+    submitAndCancel(payload: string): void {
+        this.jobs += 1;
+        const address = { host: HOST, path: `${PREFIX}${makeJobId(this.jobs)}` };
+        const running = this.nodes.filter(({ vm }) => vm.isOn());
+        const entry = running[this.random.pickInt(running.length)];
+        const spec = { ...makeSpec({}), payload };
+        void entry?.node.serve({ kind: "submit", ...address, spec }, CALLER_PATIENCE_MS)
+            .then(() => entry.node.serve({ kind: "cancel", ...address }, CALLER_PATIENCE_MS));
+    }
+
+    /** Counts lines of all nodes' logs. */
+    countLines(event: string): number {
+        return this.nodes.reduce(
+            (sum, { log }) => sum + log.lines.filter(line => line.event === event).length,
+            0,
+        );
+    }
+
+    /** Closes all nodes. */
+    close(): void {
+        this.nodes.forEach(({ node }) => node.close());
+    }
+}
+
+function isLeading(node: ClusterNode): boolean {
+    const status = node.buildStatus();
+    return status.leadsEpoch !== undefined && !status.isLoading;
+}
+
+function getEpoch(node: ClusterNode): number {
+    return node.buildStatus().leadsEpoch ?? 0;
+}
--- /dev/null
+++ b/src/test/model/model-network.ts
@@ -0,0 +1,109 @@
+/** Byte streams between the VMs of a model. */
+import { sleep } from "../../common/clock.js";
+import type { ConnectResult, LinkNetwork, LinkSocket } from "../../connection/link-network.js";
+import type { ModelVm } from "./model-vm.js";
+
+/** Bytes of a packet without content. */
+const PACKET_BYTES = 60;
+
+type Listener = (argument: never) => void;
+
+/** One end of a stream. */
+class ModelSocket implements LinkSocket {
+    other: ModelSocket | undefined;
+    writableLength = 0;
+    private readonly listeners = new Map<string, Listener[]>();
+    private isClosed = false;
+
+    constructor(readonly vm: ModelVm) {}
+
+    on(event: string, listener: Listener): void {
+        this.listeners.set(event, [...this.listeners.get(event) ?? [], listener]);
+    }
+
+    setNoDelay(): void {}
+
+    write(bytes: Buffer): void {
+        const { other } = this;
+        if (this.isClosed || other === undefined) {
+            return;
+        }
+        const size = bytes.length + PACKET_BYTES;
+        this.writableLength += size;
+        this.vm.send(size, () => {
+            this.writableLength -= size;
+            other.vm.receive(size, () => other.emit("data", bytes));
+        });
+    }
+
+    destroy(): void {
+        if (this.isClosed) {
+            return;
+        }
+        this.isClosed = true;
+        const { other } = this;
+        this.vm.send(PACKET_BYTES, () => other?.vm.receive(PACKET_BYTES, () => other.handleEnd()));
+    }
+
+    private handleEnd(): void {
+        if (!this.isClosed) {
+            this.isClosed = true;
+            this.emit("close", undefined);
+        }
+    }
+
+    private emit(event: string, argument: unknown): void {
+        if (event === "data" && this.isClosed) {
+            return;
+        }
+        this.listeners.get(event)?.forEach(listener => listener(argument as never));
+    }
+}
+
+/** The network; one for all VMs of a model. */
+export class ModelNetwork {
+    private readonly servers = new Map<
+        string,
+        { readonly vm: ModelVm; readonly accept: (socket: LinkSocket) => void; }
+    >();
+
+    /** Returns the network as one VM sees it. */
+    buildView(vm: ModelVm): LinkNetwork {
+        return {
+            listen: (host, port, accept) => {
+                this.servers.set(`${host}:${port}`, { vm, accept });
+                return Promise.resolve({ port, close: () => this.servers.delete(`${host}:${port}`) });
+            },
+            connect: (address, timeout) =>
+                Promise.race([
+                    this.connect(vm, address),
+                    sleep(vm, timeout).then((): ConnectResult => ({ kind: "silent" })),
+                ]),
+        };
+    }
+
+    private connect(vm: ModelVm, address: string): Promise<ConnectResult> {
+        return new Promise(resolve => {
+            vm.send(PACKET_BYTES, () => {
+                const server = this.servers.get(address);
+                if (server === undefined) {
+                    vm.receive(PACKET_BYTES, () => resolve({ kind: "refused" }));
+                    return;
+                }
+                if (!server.vm.isOn()) {
+                    return;
+                }
+                // The kernel answers for a process that has no processor time.
+                const near = new ModelSocket(vm);
+                const far = new ModelSocket(server.vm);
+                near.other = far;
+                far.other = near;
+                server.vm.receive(PACKET_BYTES, () => server.accept(far));
+                server.vm.send(
+                    PACKET_BYTES,
+                    () => vm.receive(PACKET_BYTES, () => resolve({ kind: "up", socket: near })),
+                );
+            });
+        });
+    }
+}
--- a/src/test/node/cluster-node_test.ts
+++ b/src/test/node/cluster-node_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { sleep, systemClock } from "../../common/clock.js";
 import { createRandom } from "../../common/random.js";
+import { createTcpNetwork } from "../../connection/link-network.js";
 import { ALIVE_KEY } from "../../process/journal/keys.js";
 import type { CallerReply } from "../../process/leader/requests.js";
 import { PeerBook } from "../../process/node/peer-book.js";
@@ -161,7 +162,7 @@
 
     it("leaves a leader alone that another node still hears", async () => {
         // One node loses its way to the leader. The others and the store hear it, so its place is not claimed.
-        const book = new PeerBook(createRandom(3));
+        const book = new PeerBook(createRandom(3), createTcpNetwork(systemClock));
         const cell = new NodeCell();
         const [first, second] = await startNodes(cell, 2);
         const status = second?.node.buildStatus();
--- a/src/test/node/node-cell.ts
+++ b/src/test/node/node-cell.ts
@@ -3,6 +3,7 @@
 import { systemClock } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import { createRandom, makeUniqueId } from "../../common/random.js";
+import { createTcpNetwork } from "../../connection/link-network.js";
 import { ClusterNode } from "../../process/node/cluster-node.js";
 import { ConfigHolder } from "../../process/node/config-holder.js";
 import type { ConfigSource, WorkerSource } from "../../process/ports/cluster-sources.js";
@@ -70,6 +71,7 @@
         const node = new ClusterNode({
             name,
             host: "127.0.0.1",
+            network: createTcpNetwork(clock),
             port: 0,
             clock,
             log,
--- a/src/test/node/second-links_test.ts
+++ b/src/test/node/second-links_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { systemClock } from "../../common/clock.js";
+import { createTcpNetwork } from "../../connection/link-network.js";
 import { connectToLeader } from "../../process/node/leader-dialer.js";
 import { waitUntil } from "../fakes/wait-until.js";
 import { makeSpec, QUEUE } from "../leader/leader-cell.js";
@@ -21,11 +22,16 @@
         await waitUntil(() => leader.node.isReady(), "node 1 is ready");
         const follower = await cell.startNode("node-2");
         await waitUntil(() => follower.node.isReady(), "node 2 is ready");
-        const second = await connectToLeader(leader.node.buildStatus().address, systemClock, {
-            buildStatus: () => follower.node.buildStatus(),
-            handleCall: () => Promise.resolve({ kind: "notLeading" }),
-            handleNote: () => undefined,
-        });
+        const second = await connectToLeader(
+            createTcpNetwork(systemClock),
+            leader.node.buildStatus().address,
+            systemClock,
+            {
+                buildStatus: () => follower.node.buildStatus(),
+                handleCall: () => Promise.resolve({ kind: "notLeading" }),
+                handleNote: () => undefined,
+            },
+        );
         assert(second.kind === "up");
         await second.link.firstStatus;
         second.link.link.close("the question was answered");
