--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -32,10 +32,10 @@
 /** How often each end is heard at least: an entry learns within this time how its leader is. */
 const BEAT_MS: Millis = 150;
 /**
- * Silence after which the link is closed: several beats, and far longer than a VM that may use part of a core stands still
- * for. A link that was closed for nothing is soon opened again.
+ * Own beats without a sign of the other end after which the link is closed. Counted in beats rather than in time, since an
+ * end whose own processor is full sends few of them and reads late.
  */
-const IDLE_MS: Millis = 600;
+const MAX_QUIET_BEATS = 4;
 
 /** Frames of a link. */
 type Frame =
@@ -54,6 +54,7 @@
     private readonly pending = new Map<number, PendingCall>();
     private lastId = 0;
     private lastHeard: Millis;
+    private quietBeats = 0;
     private beatTimer: Timer | undefined;
     private closed = false;
     /** Whether the link was closed because nothing was heard any more. */
@@ -123,11 +124,12 @@
     }
 
     private sendBeat(): void {
-        if (this.getSilenceMs() > IDLE_MS) {
+        if (this.quietBeats > MAX_QUIET_BEATS) {
             this.wasSilent = true;
-            this.close(`nothing heard for ${IDLE_MS} ms`);
+            this.close(`nothing heard for ${Math.round(this.getSilenceMs())} ms`);
             return;
         }
+        this.quietBeats += 1;
         this.note(this.owner.buildBeat());
         this.beatTimer = this.clock.schedule(BEAT_MS, () => this.sendBeat());
     }
@@ -145,6 +147,7 @@
 
     private receiveChunk(chunk: Buffer): void {
         this.lastHeard = this.clock.now();
+        this.quietBeats = 0;
         const fault = this.decoder.push(chunk, value => {
             this.receiveFrame(value);
             return !this.closed;
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -38,6 +38,22 @@
     readonly metrics: Metrics;
     /** Revision of the leader's record that this node wrote. */
     readonly leaderRevision: number;
+    /** An instant that stands still while this process is late; the clock's where left out. */
+    readonly getAttentiveMs?: () => Millis;
+}
+
+/** A write to pursue. */
+export interface GuardedWrite {
+    /** Builds what to write, for each try; after a try without a known end it must stay the same. */
+    readonly buildWrite: () => TransactionWrite;
+    /** Builds what must hold beside the guard, for each try. */
+    readonly buildConditions: () => readonly StoreCondition[];
+    /** Whether the conditions may fail for a while because of this leader's own other writes: the write is tried again then. */
+    readonly mayBeOutdated?: boolean;
+    /** Whether nobody waits for it: its length says nothing of the store. */
+    readonly isBackground?: boolean;
+    /** Told before each try, and after each that surely had no effect. */
+    readonly observeTry?: (phase: TryPhase) => void;
 }
 
 /**
@@ -72,7 +88,9 @@
 
 /** A write that is being pursued. */
 interface Pursuit {
+    /** Its beginning, in attentive time. */
     readonly since: Millis;
+    readonly isBackground: boolean;
     /** When its newest try was sent. */
     triedAt: Millis;
 }
@@ -90,8 +108,9 @@
     private closed = false;
     /** Sending of the last call that was answered. */
     private lastContact: Millis;
-    /** Arrival of the last answer. */
+    /** Arrival of the last answer, on the clock and in attentive time. */
     private lastAnswerAt: Millis = -Infinity;
+    private lastAnswerAttentive: Millis = -Infinity;
     /** The writes under way, oldest first. */
     private readonly underWay = new Set<Pursuit>();
     private answered = new Signal();
@@ -118,27 +137,34 @@
     observeAnswer(tookMs: Millis): void {
         this.timeout.observeAnswer(tookMs);
         this.lastAnswerAt = this.options.clock.now();
+        this.lastAnswerAttentive = this.getAttentiveMs();
         const { answered } = this;
         this.answered = new Signal();
         answered.notify();
     }
 
-    /** Returns how long the oldest write under way has been tried; 0 while there is none. */
+    /**
+     * Returns how long the oldest write that somebody waits for has been tried, without the time for which this process was
+     * late itself; 0 while there is none.
+     *
+     * @remarks Failure guarded against: a leader whose processor is full reads answers late, takes the store for away, and
+     * gives its place up to a node that is no better off.
+     */
     getStallMs(): Millis {
-        const [oldest] = this.underWay;
-        return oldest === undefined ? 0 : this.options.clock.now() - oldest.since;
+        const oldest = [...this.underWay].find(pursuit => !pursuit.isBackground);
+        return oldest === undefined ? 0 : this.getAttentiveMs() - oldest.since;
     }
 
     /**
-     * Returns for how long writes have waited while no call at all was answered; 0 while none waits. Single lost
-     * answers do not raise it, since the writes beside them are answered.
+     * Returns for how long writes have waited while no call at all was answered, without the time for which this process
+     * was late itself; 0 while none waits. Single lost answers do not raise it, since the writes beside them are answered.
      */
     getSilenceMs(): Millis {
         const [oldest] = this.underWay;
         if (oldest === undefined) {
             return 0;
         }
-        return this.options.clock.now() - Math.max(oldest.since, this.lastAnswerAt);
+        return this.getAttentiveMs() - Math.max(oldest.since, this.lastAnswerAttentive);
     }
 
     /** Gives up what is under way. */
@@ -151,39 +177,42 @@
      *
      * @remarks A try whose answer was lost may have been carried out: the next one then finds the conditions
      * changed, and what stands at the key tells whether it was ours.
-     * @param buildWrite - Builds what to write, for each try; after a try without a known end it must stay the same.
-     * @param conditions - Revisions that the written key must have, beside the guard.
-     * @param observeTry - Told before each try, and after each that surely had no effect.
+     * @param request - What to write.
      */
-    async write(
-        buildWrite: () => TransactionWrite,
-        conditions: readonly StoreCondition[],
-        observeTry: (phase: TryPhase) => void = () => undefined,
-    ): Promise<GuardedResult> {
-        const { leaderRevision, clock } = this.options;
-        const guard = { key: LEADER_KEY, revision: leaderRevision };
-        const pursuit: Pursuit = { since: clock.now(), triedAt: -Infinity };
+    async write(request: GuardedWrite): Promise<GuardedResult> {
+        const pursuit: Pursuit = {
+            since: this.getAttentiveMs(),
+            isBackground: request.isBackground ?? false,
+            triedAt: -Infinity,
+        };
         this.underWay.add(pursuit);
-        const result = await this.retryUntilKnown(pursuit, () => {
-            const write = buildWrite();
-            observeTry("sent");
-            return {
-                write,
-                transaction: { conditions: [guard, ...conditions], writes: [write], removals: [] },
-            };
-        }, () => observeTry("unwritten"));
+        const result = await this.retryUntilKnown(pursuit, request);
         this.underWay.delete(pursuit);
         return result;
     }
 
+    private getAttentiveMs(): Millis {
+        const { getAttentiveMs, clock } = this.options;
+        return getAttentiveMs?.() ?? clock.now();
+    }
+
+    private prepareTry({ buildWrite, buildConditions, observeTry }: GuardedWrite): PreparedTry {
+        const write = buildWrite();
+        const guard = { key: LEADER_KEY, revision: this.options.leaderRevision };
+        observeTry?.("sent");
+        return {
+            write,
+            transaction: { conditions: [guard, ...buildConditions()], writes: [write], removals: [] },
+        };
+    }
+
     /**
      * Tries until one try shows the end. A try without an answer is not given up when the next one begins: a store
      * that has turned slow answers the first, and one that lost the answer answers the second.
      */
     private async retryUntilKnown(
         pursuit: Pursuit,
-        prepareTry: () => PreparedTry,
-        handleUnwritten: () => void,
+        request: GuardedWrite,
     ): Promise<GuardedResult> {
         const { clock } = this.options;
         const open = new Set<Promise<EndedTry>>();
@@ -193,18 +222,18 @@
             if (open.size === 0 || this.mayTryBeside(pursuit, open.size)) {
                 this.observeSilence(pursuit);
                 pursuit.triedAt = clock.now();
-                this.startTry(prepareTry(), open, limit);
+                this.startTry(this.prepareTry(request), open, limit);
             }
             const ended = await Promise.race([...open, this.waitBesideTries(pursuit)]);
             if (ended === undefined) {
                 continue;
             }
-            const result = this.decideResult(ended.answer, ended.write);
+            const result = this.decideResult(ended.answer, ended.write, request.mayBeOutdated ?? false);
             if (result !== undefined) {
                 return result;
             }
-            if (ended.answer.kind === "unavailable") {
-                handleUnwritten();
+            if (ended.answer.kind === "unavailable" || ended.answer.kind === "refused") {
+                request.observeTry?.("unwritten");
             }
             else {
                 limit = Math.min(LONGEST_TRY_LIMIT_MS, limit * 2);
@@ -273,6 +302,7 @@
     private decideResult(
         answer: StoreAnswer<number>,
         write: TransactionWrite,
+        mayBeOutdated: boolean,
     ): GuardedResult | undefined {
         if (answer.kind === "done") {
             return { kind: "done", revision: answer.value };
@@ -287,6 +317,9 @@
         if (isLeading && ours !== undefined && ours.value === write.value) {
             return { kind: "done", revision: ours.revision };
         }
+        if (isLeading && mayBeOutdated) {
+            return undefined;
+        }
         this.options.log.warn("CR1601", "guardedWriteRefused", { reason: answer.reason, isLeading });
         return { kind: "deposed" };
     }
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -34,8 +34,14 @@
 const RECORD_GAP_MS: Millis = 25;
 /** Time for which events of one moment are gathered when the journal is idle. */
 const GATHER_MS: Millis = 2;
-/** Records after which a snapshot begins. */
+/** Records after which a snapshot begins at the latest. */
 const SNAPSHOT_EVERY = RING_SLOTS / 2;
+/**
+ * A snapshot begins once the records since the last one are this many times as long as it, and at least the least length: what a
+ * new leader has to read is bounded by the state then, not by the length of the day.
+ */
+const RECORDS_TO_SNAPSHOT = 2;
+const LEAST_RECORDS_LENGTH = 131_072;
 /**
  * Characters of one part of a snapshot: the narrowest links carry it, with its repeated tries, beside records and reports
  * within the time of a try.
@@ -84,9 +90,12 @@
     private timer: Timer | undefined;
     private lastBegun: Millis = -Infinity;
     private sequence: number;
-    /** Revisions of all keys of the journal, records and snapshots, as this leader knows them. */
-    private readonly revisions: Map<string, number>;
+    /** Revision of the head of the snapshots. */
+    private headRevision: number;
     private coveredSequence: number;
+    /** Characters of the newest snapshot, and of the records that are durable and not in it. */
+    private snapshotLength: number;
+    private recordsLength: number;
     private generation: number;
     private snapshotting = false;
     /** Rises when an appended event is withdrawn: a snapshot that holds it must not be used. */
@@ -97,7 +106,9 @@
         const { loaded } = options;
         this.sequence = loaded.sequence;
         this.sentSequence = loaded.sequence;
-        this.revisions = loaded.revisions;
+        this.headRevision = loaded.headRevision;
+        this.snapshotLength = loaded.snapshotLength;
+        this.recordsLength = loaded.recordsLength;
         this.coveredSequence = loaded.coveredSequence;
         this.generation = loaded.generation;
         // Leaders that were lost one after the other may have left the ring full: no record can be written before a snapshot.
@@ -193,20 +204,23 @@
         this.scheduleRecord();
         const { epoch } = this.options;
         const key = makeRecordKey(record.sequence);
-        const condition = this.buildCondition(key);
-        const result = await this.options.store.write(
-            () => {
+        let length = 0;
+        const result = await this.options.store.write({
+            buildWrite: () => {
                 const events = record.entries.map(entry => entry.event);
-                return { key, value: encodeJournalRecord({ epoch, sequence: record.sequence, events }) };
+                const value = encodeJournalRecord({ epoch, sequence: record.sequence, events });
+                ({ length } = value);
+                return { key, value };
             },
-            [condition],
-            phase => record.openTries += phase === "sent" ? 1 : -1,
-        );
+            buildConditions: () => [this.buildHeadCondition()],
+            mayBeOutdated: true,
+            observeTry: phase => record.openTries += phase === "sent" ? 1 : -1,
+        });
         if (this.closed || !this.handleResult(result)) {
             return;
         }
         if (result.kind === "done") {
-            this.revisions.set(key, result.revision);
+            this.recordsLength += length;
             record.isDurable = true;
             this.releaseDurable();
         }
@@ -230,9 +244,15 @@
         return this.sentSequence - this.coveredSequence >= RING_SLOTS;
     }
 
-    /** A try that is carried out late must not replace what was written to its key since. */
-    private buildCondition(key: string): StoreCondition {
-        return { key, revision: this.revisions.get(key) ?? 0 };
+    /**
+     * Builds the condition of every write to a slot or a part of a snapshot.
+     *
+     * @remarks Failure guarded against: a try that is carried out late replaces what was written to its key since. A slot
+     * is used again only once a later snapshot covers it, and a part only once a later head is written; both change the
+     * revision that the late try names.
+     */
+    private buildHeadCondition(): StoreCondition {
+        return { key: SNAPSHOT_HEAD_KEY, revision: this.headRevision };
     }
 
     /** Lets the effects of durable records out, in order, up to the first that is not durable. */
@@ -275,7 +295,7 @@
      * what follows it is what the state does not hold.
      */
     private startSnapshotIfDue(): void {
-        if (this.snapshotting || this.sequence - this.coveredSequence < SNAPSHOT_EVERY) {
+        if (this.snapshotting || !this.isSnapshotDue()) {
             return;
         }
         this.snapshotting = true;
@@ -298,22 +318,30 @@
         });
     }
 
+    private isSnapshotDue(): boolean {
+        const longest = Math.max(LEAST_RECORDS_LENGTH, this.snapshotLength * RECORDS_TO_SNAPSHOT);
+        return this.sequence - this.coveredSequence >= SNAPSHOT_EVERY || this.recordsLength > longest;
+    }
+
     /** Writes the parts, then the head that makes them count. */
     private async writeSnapshot(text: string, sequence: number): Promise<void> {
+        const coveredLength = this.recordsLength;
         const parts = splitText(text);
         const generation = this.generation + 1;
         for (const [part, value] of parts.entries()) {
-            if (!await this.writeKey(makeSnapshotKey(generation, part), value)) {
+            if (!await this.writePart(makeSnapshotKey(generation, part), value)) {
                 return;
             }
         }
         const { epoch } = this.options;
         const head = encodeSnapshotHead({ generation, parts: parts.length, sequence, epoch });
-        if (!await this.writeKey(SNAPSHOT_HEAD_KEY, head)) {
+        if (!await this.writeHead(head)) {
             return;
         }
         this.generation = generation;
         this.coveredSequence = sequence;
+        this.snapshotLength = text.length;
+        this.recordsLength -= coveredLength;
         const characters = text.length;
         this.options.log.info("snapshotWritten", { sequence, parts: parts.length, characters });
         this.snapshotting = false;
@@ -321,11 +349,25 @@
         this.scheduleRecord();
     }
 
-    /** Writes one key of a snapshot; tells whether the journal may go on. */
-    private async writeKey(key: string, value: string): Promise<boolean> {
-        const result = await this.options.store.write(() => ({ key, value }), [this.buildCondition(key)]);
+    /** Writes a part of a snapshot; tells whether the journal may go on. */
+    private async writePart(key: string, value: string): Promise<boolean> {
+        const result = await this.options.store.write({
+            buildWrite: () => ({ key, value }),
+            buildConditions: () => [this.buildHeadCondition()],
+            isBackground: true,
+        });
+        return this.handleResult(result);
+    }
+
+    /** Writes the head; tells whether the journal may go on. */
+    private async writeHead(value: string): Promise<boolean> {
+        const result = await this.options.store.write({
+            buildWrite: () => ({ key: SNAPSHOT_HEAD_KEY, value }),
+            buildConditions: () => [this.buildHeadCondition()],
+            isBackground: true,
+        });
         if (result.kind === "done") {
-            this.revisions.set(key, result.revision);
+            this.headRevision = result.revision;
         }
         return this.handleResult(result);
     }
--- a/src/process/journal/keys.ts
+++ b/src/process/journal/keys.ts
@@ -20,14 +20,33 @@
 export const SNAPSHOT_HEAD_KEY = `${SNAPSHOT_PREFIX}head`;
 
 /**
- * Slots of the ring. A snapshot begins at half of them; at 60 records a second the other half leaves four seconds
- * to write it, and all values together stay near a megabyte, so that a new leader reads them in a few pages.
+ * Slots of the ring. A snapshot begins at half of them at the latest; the other half takes records while it is written.
  */
 export const RING_SLOTS = 512;
 
+/** Digits of a slot in its key. */
+const SLOT_DIGITS = 4;
+/** Slots whose keys differ in the last digit only: one listing shows them. */
+const SEGMENT_SLOTS = 10;
+
 /** Returns the key of the slot of a record. */
 export function makeRecordKey(sequence: number): string {
-    return `${RECORD_PREFIX}${String(sequence % RING_SLOTS).padStart(4, "0")}`;
+    return `${RECORD_PREFIX}${String(sequence % RING_SLOTS).padStart(SLOT_DIGITS, "0")}`;
+}
+
+/** Returns how many segments the ring has. */
+export function countRingSegments(): number {
+    return Math.ceil(RING_SLOTS / SEGMENT_SLOTS);
+}
+
+/** Returns the segment of the ring that holds a record. */
+export function findRingSegment(sequence: number): number {
+    return Math.floor(sequence % RING_SLOTS / SEGMENT_SLOTS);
+}
+
+/** Returns what the keys of a segment's slots begin with. */
+export function makeSegmentPrefix(segment: number): string {
+    return `${RECORD_PREFIX}${String(segment).padStart(SLOT_DIGITS - 1, "0")}`;
 }
 
 /** Returns the key of a part of a snapshot. Two generations take turns, so that a whole one always stands. */
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -1,12 +1,17 @@
-/** Reads the journal back after a take-over. */
-import { sleep } from "../../common/clock.js";
-import type { Clock, Millis } from "../../common/clock.js";
+/** Reads the journal back after a take-over: the newest snapshot, and of the ring only what follows it. */
 import { JobBook } from "../jobs/job-book.js";
 import { decodeBook } from "../jobs/snapshot.js";
-import type { StoreAnswer, StorePort, StoreRecord } from "../ports/index.js";
-import { CallTimeout } from "../store/call-timeout.js";
+import type { StoreRecord } from "../ports/index.js";
 import type { Log } from "../telemetry.js";
-import { makeSnapshotKey, RECORD_PREFIX, SNAPSHOT_HEAD_KEY, SNAPSHOT_PREFIX } from "./keys.js";
+import {
+    countRingSegments,
+    findRingSegment,
+    makeSegmentPrefix,
+    makeSnapshotKey,
+    SNAPSHOT_HEAD_KEY,
+} from "./keys.js";
+import { PieceReader } from "./piece-reader.js";
+import type { PieceReaderOptions } from "./piece-reader.js";
 import { decodeJournalRecord, decodeSnapshotHead } from "./records.js";
 import type { JournalRecord, SnapshotHead } from "./records.js";
 
@@ -18,25 +23,29 @@
     /** Last record that the newest snapshot covers. */
     readonly coveredSequence: number;
     readonly generation: number;
-    /** Revisions of all records and snapshot parts, by key. */
-    readonly revisions: Map<string, number>;
+    /** Revision of the head of the snapshots; 0 if there is none. */
+    readonly headRevision: number;
+    /** Characters of the newest snapshot. */
+    readonly snapshotLength: number;
+    /** Characters of the records after it. */
+    readonly recordsLength: number;
+    /** Calls that it took to read all this. */
+    readonly pieces: number;
 }
 
 /** What loading needs. */
-export interface LoadContext {
-    readonly port: StorePort;
-    readonly clock: Clock;
-    readonly log: Log;
-    /** Whether the attempt is no longer wanted. */
-    readonly isOver: () => boolean;
+export type LoadContext = PieceReaderOptions;
+
+/** Segments of the ring that are asked for ahead of the one that is known to be needed. */
+const SEGMENTS_AHEAD = 2;
+
+interface ReadRecord {
+    readonly record: JournalRecord;
+    /** Characters of its text. */
+    readonly length: number;
 }
 
-/**
- * First timeout of a listing: it carries up to a megabyte, also over narrow links. A listing that is given up is begun anew,
- * so too short a time costs more than too long a one.
- */
-const LIST_TIMEOUT_MS: Millis = 1_500;
-const RETRY_PAUSE_MS: Millis = 50;
+const EMPTY_HEAD: SnapshotHead = { generation: 0, parts: 0, sequence: 0 };
 
 /**
  * Loads snapshot and records. Call it once this node's own leader record is written: from then on no earlier leader
@@ -44,70 +53,84 @@
  * @returns Undefined if the attempt is over.
  */
 export async function loadJournal(context: LoadContext): Promise<LoadedJournal | undefined> {
-    const [snapshotRecords, records] = await Promise.all([
-        listPrefix(context, SNAPSHOT_PREFIX),
-        listPrefix(context, RECORD_PREFIX),
-    ]);
-    return snapshotRecords === undefined || records === undefined ?
-        undefined :
-        rebuildState(context.log, snapshotRecords, records);
-}
-
-/** Lists a prefix, trying again until the store answers. */
-async function listPrefix(
-    context: LoadContext,
-    prefix: string,
-): Promise<readonly StoreRecord[] | undefined> {
-    const timeout = new CallTimeout(LIST_TIMEOUT_MS);
-    while (!context.isOver()) {
-        const limit = timeout.get();
-        const answer = await context.port.list(prefix, limit);
-        if (answer.kind === "done") {
-            return answer.value.records;
-        }
-        reportFailure(context.log, prefix, answer);
-        timeout.observeTimeout(answer.kind === "unknown" ? limit : LIST_TIMEOUT_MS / 2);
-        await sleep(context.clock, RETRY_PAUSE_MS);
+    const reader = new PieceReader(context);
+    const headRecords = await reader.read(SNAPSHOT_HEAD_KEY);
+    if (headRecords === undefined) {
+        return undefined;
     }
-    return undefined;
-}
-
-function reportFailure(log: Log, prefix: string, answer: StoreAnswer<unknown>): void {
-    const message = answer.kind === "unavailable" || answer.kind === "unknown" ? answer.message : answer.kind;
-    log.warn("CR1602", "journalReadFailed", { prefix, message });
-}
-
-function rebuildState(
-    log: Log,
-    snapshotRecords: readonly StoreRecord[],
-    records: readonly StoreRecord[],
-): LoadedJournal {
-    const values = new Map(snapshotRecords.map(record => [record.key, record.value]));
-    const headText = values.get(SNAPSHOT_HEAD_KEY);
-    const head: SnapshotHead = headText === undefined ?
-        { generation: 0, parts: 0, sequence: 0 } :
-        decodeSnapshotHead(headText);
-    const parts = Array.from({ length: head.parts }, (...[, part]) => {
-        return values.get(makeSnapshotKey(head.generation, part)) ?? "";
-    });
-    const book = head.parts === 0 ? new JobBook() : decodeBook(parts.join(""));
-    const later = selectConnected(
-        log,
-        head,
-        records.map(record => decodeJournalRecord(record.value)),
-    );
-    for (const record of later) {
-        record.events.forEach(event => book.apply(event));
+    const [headRecord] = headRecords;
+    const head = headRecord === undefined ? EMPTY_HEAD : decodeSnapshotHead(headRecord.value);
+    const [text, records] = await Promise.all([readSnapshot(reader, head), readLater(reader, head)]);
+    if (text === undefined || records === undefined) {
+        return undefined;
     }
+    const book = head.parts === 0 ? new JobBook() : decodeBook(text);
+    const later = selectConnected(context.log, head, records.map(({ record }) => record));
+    later.forEach(({ events }) => events.forEach(event => book.apply(event)));
     return {
         book,
         sequence: later.at(-1)?.sequence ?? head.sequence,
         coveredSequence: head.sequence,
         generation: head.generation,
-        revisions: new Map([...snapshotRecords, ...records].map(record => [record.key, record.revision])),
+        headRevision: headRecord?.revision ?? 0,
+        snapshotLength: text.length,
+        recordsLength: records.reduce((sum, { length }) => sum + length, 0),
+        pieces: reader.pieces,
     };
 }
 
+async function readSnapshot(reader: PieceReader, head: SnapshotHead): Promise<string | undefined> {
+    const keys = Array.from(
+        { length: head.parts },
+        (...[, part]) => makeSnapshotKey(head.generation, part),
+    );
+    const parts = await Promise.all(keys.map(key => reader.read(key)));
+    const values: string[] = [];
+    for (const records of parts) {
+        if (records === undefined) {
+            return undefined;
+        }
+        values.push(records[0]?.value ?? "");
+    }
+    return values.join("");
+}
+
+/**
+ * Reads the ring from the first record after the snapshot, segment by segment, up to the one in which the records end.
+ * @returns Undefined if the attempt is over.
+ */
+async function readLater(
+    reader: PieceReader,
+    head: SnapshotHead,
+): Promise<readonly ReadRecord[] | undefined> {
+    const segmentCount = countRingSegments();
+    const first = findRingSegment(head.sequence + 1);
+    const asked: Promise<readonly StoreRecord[] | undefined>[] = [];
+    const found = new Map<number, ReadRecord>();
+    let next = head.sequence + 1;
+    for (let read = 0; read < segmentCount; read++) {
+        while (asked.length < Math.min(segmentCount, read + 1 + SEGMENTS_AHEAD)) {
+            asked.push(reader.list(makeSegmentPrefix((first + asked.length) % segmentCount)));
+        }
+        const records = await asked[read];
+        if (records === undefined) {
+            return undefined;
+        }
+        for (const { value } of records) {
+            const record = decodeJournalRecord(value);
+            found.set(record.sequence, { record, length: value.length });
+        }
+        while (found.has(next)) {
+            next += 1;
+        }
+        const nextSegment = (findRingSegment(next) - first + segmentCount) % segmentCount;
+        if (nextSegment <= read) {
+            break;
+        }
+    }
+    return [...found.values()].filter(({ record }) => record.sequence > head.sequence);
+}
+
 /**
  * Selects the records that follow the snapshot without a gap.
  *
--- a/src/process/leadership/epoch-history.ts
+++ b/src/process/leadership/epoch-history.ts
@@ -28,4 +28,13 @@
     findLossTime(epoch: number, now: Millis): Millis {
         return this.seen.find(entry => entry.epoch > epoch)?.at ?? now;
     }
+
+    /**
+     * Returns when this process first knew of an epoch.
+     * @param epoch - Any.
+     * @param now - The answer where it does not know of it yet.
+     */
+    findFirstSeen(epoch: number, now: Millis): Millis {
+        return this.seen.find(entry => entry.epoch === epoch)?.at ?? now;
+    }
 }
--- a/src/process/leadership/leader-record.ts
+++ b/src/process/leadership/leader-record.ts
@@ -12,6 +12,10 @@
     readonly address: string;
     /** Unique for each life of a process. */
     readonly life: string;
+    /**
+     * How many leaders in a row, before this one, were not seen to have loaded the journal by the node that took their place.
+     */
+    readonly failedBefore?: number;
 }
 
 /** What a look at the store shows. */
--- /dev/null
+++ b/src/process/node/claim-patience.ts
@@ -0,0 +1,51 @@
+/** How long a node leaves a new leader alone that it cannot reach. Pure. */
+import type { Millis } from "../../common/clock.js";
+import type { LeaderRecord } from "../leadership/leader-record.js";
+
+/** Patience after one take-over that was not seen to end; doubles with each further one. */
+const FIRST_PATIENCE_MS: Millis = 1_000;
+const LONGEST_PATIENCE_MS: Millis = 8_000;
+
+/**
+ * Patience with leaders that have not been seen to lead yet.
+ *
+ * @remarks Failure guarded against: loading the journal fills a small VM's link or processor, so that the new leader sounds
+ * dead, and the next node claims before it is through. With every claim the same happens again, and nobody ever leads. The
+ * first leader after one that led is replaced as soon as it sounds dead; each that follows it is given more time.
+ */
+export class ClaimPatience {
+    /** Last epoch whose leader was seen to have loaded the journal. */
+    private readyEpoch = 0;
+
+    /** Takes in that a leader has loaded the journal. */
+    observeReady(epoch: number): void {
+        this.readyEpoch = Math.max(this.readyEpoch, epoch);
+    }
+
+    /** Returns what the record of a claim after this leader is to say. */
+    countFailedBefore(record: LeaderRecord | undefined): number {
+        if (record === undefined || this.isSeenReady(record)) {
+            return 0;
+        }
+        return (record.failedBefore ?? 0) + 1;
+    }
+
+    /**
+     * Returns how much longer a leader is left alone.
+     * @param record - The leader's.
+     * @param firstSeenAt - When this node first knew of its epoch.
+     * @param now - On the same clock.
+     */
+    computeRemaining(record: LeaderRecord | undefined, firstSeenAt: Millis, now: Millis): Millis {
+        const failed = record?.failedBefore ?? 0;
+        if (record === undefined || failed === 0 || this.isSeenReady(record)) {
+            return 0;
+        }
+        const patience = Math.min(LONGEST_PATIENCE_MS, FIRST_PATIENCE_MS * 2 ** (failed - 1));
+        return Math.max(0, firstSeenAt + patience - now);
+    }
+
+    private isSeenReady({ epoch }: LeaderRecord): boolean {
+        return this.readyEpoch >= epoch;
+    }
+}
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -13,6 +13,7 @@
 import type { AdvicePort } from "../ports/task-worker-port.js";
 import { serveCaller } from "./caller-way.js";
 import type { WayToLeader } from "./caller-way.js";
+import { ClaimPatience } from "./claim-patience.js";
 import { isMuchLarger } from "./larger-node.js";
 import { LeaderFollower } from "./leader-follower.js";
 import { LeaderNotes } from "./leader-notes.js";
@@ -66,6 +67,7 @@
             peers,
             reach: new LeaderReach(),
             epochs: this.epochs,
+            patience: new ClaimPatience(),
             buildStatus: () => this.buildStatus(),
             isDraining: () => this.isDraining,
             isClosed: () => this.closed,
@@ -127,6 +129,7 @@
             leader: this.findHint(),
             heardEpoch: this.seat?.claim.epoch ?? this.follower.getHeardEpoch(),
             storeSilenceMs: this.seat?.getStoreSilenceMs() ?? 0,
+            latenessMs: Math.round(this.seat?.getLatenessMs() ?? 0),
             configVersion: this.options.config.get().version,
             cores: this.options.cores,
             isDraining: this.isDraining,
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -7,6 +7,7 @@
 import type { LeaderView } from "../leadership/leader-record.js";
 import type { StorePort } from "../ports/index.js";
 import type { Log } from "../telemetry.js";
+import type { ClaimPatience } from "./claim-patience.js";
 import type { ConfigHolder } from "./config-holder.js";
 import { shouldOffer, shouldOvertake } from "./larger-node.js";
 import { connectToLeader } from "./leader-dialer.js";
@@ -26,6 +27,7 @@
     readonly peers: PeerBook;
     readonly reach: LeaderReach;
     readonly epochs: EpochHistory;
+    readonly patience: ClaimPatience;
     /** Processor time of this VM, in cores. */
     readonly cores: number;
     readonly buildStatus: () => StatusNote;
@@ -93,11 +95,13 @@
     async follow(view: LeaderView): Promise<string | undefined> {
         const { options } = this;
         const { clock, reach } = options;
-        const early = options.isDraining() ? undefined : reach.decideBeforeAttempt(view, clock.now());
+        const isLeftAlone = this.isLeftAlone(view);
+        const mayClaim = !options.isDraining() && !isLeftAlone;
+        const early = mayClaim ? reach.decideBeforeAttempt(view, clock.now()) : undefined;
         if (early !== undefined) {
             return early;
         }
-        if (await this.isSilentForAll(view)) {
+        if (mayClaim && await this.isSilentForAll(view)) {
             return "the leader's link is silent, and no other node hears it";
         }
         const result = await connectToLeader(options.network, view.record?.address ?? "", clock, {
@@ -106,13 +110,22 @@
             handleNote: (link, note) => this.handleNote(link, note),
         });
         if (result.kind !== "up") {
-            return options.isDraining() ? undefined : reach.decideOnFailure(view, result.kind, clock.now());
+            // A refused connection shows that the process has ended.
+            return options.isDraining() || result.kind === "silent" && isLeftAlone ?
+                undefined :
+                reach.decideOnFailure(view, result.kind, clock.now());
         }
         const reason = await this.watchLeader(result.link, view);
         this.link = undefined;
         return options.isDraining() ? undefined : reason;
     }
 
+    private isLeftAlone({ record }: LeaderView): boolean {
+        const { clock, epochs, patience } = this.options;
+        const now = clock.now();
+        return patience.computeRemaining(record, epochs.findFirstSeen(record?.epoch ?? 0, now), now) > 0;
+    }
+
     /**
      * Tells whether a leader whose link has just gone silent is silent for other nodes too.
      *
@@ -150,6 +163,9 @@
             if (leaderLink.status?.leadsEpoch !== undefined) {
                 reach.observeLeader();
                 this.options.epochs.observe(leaderLink.status.leadsEpoch, clock.now());
+                if (!leaderLink.status.isLoading) {
+                    this.options.patience.observeReady(leaderLink.status.leadsEpoch);
+                }
             }
             const hasLeft = leaderLink.status?.leadsEpoch !== epoch && clock.now() - begin > LOOK_MS;
             if (this.isHeirOf(epoch) || hasLeft) {
--- a/src/process/node/leader-reach.ts
+++ b/src/process/node/leader-reach.ts
@@ -56,10 +56,11 @@
     /**
      * Decides before an attempt: a leader that has just gone silent on its link, and that the store no longer hears, need
      * not be waited for once more. An attempt to connect to a VM without power takes the whole dial timeout. A leader of a later
-     * epoch may have claimed the place a moment ago and not have its lease yet: it is to be tried.
+     * epoch may have claimed the place a moment ago and not have its lease yet, and one that closed the link is there: both
+     * are to be tried.
      */
     decideBeforeAttempt(view: LeaderView, now: Millis): string | undefined {
-        const isFresh = this.isFreshLoss(view.record?.epoch, now);
+        const isFresh = this.wasLostSilently && this.isFreshLoss(view.record?.epoch, now);
         return isFresh && !view.isAlive ? "the leader's link and its lease are gone" : undefined;
     }
 
--- a/src/process/node/leader-search.ts
+++ b/src/process/node/leader-search.ts
@@ -4,6 +4,7 @@
 import type { Random } from "../../common/random.js";
 import { claimLeadership, readLeader } from "../leadership/leader-record.js";
 import type { LeaderView } from "../leadership/leader-record.js";
+import { computeClaimTurn } from "./claim-order.js";
 import { computeClaimDelay, computeFirstClaimDelay } from "./larger-node.js";
 import type { LeaderFollower, LeaderFollowerOptions } from "./leader-follower.js";
 import type { WonClaim } from "./leader-seat.js";
@@ -25,8 +26,8 @@
 const READ_TIMEOUT_MS: Millis = 500;
 const STORE_RETRY_MS: Millis = 150;
 const RELOOK_MS: Millis = 100;
-/** Spread of claims, so that one usually wins before the others try. */
-const CLAIM_SPREAD_MS: Millis = 40;
+/** Spread of the claims of nodes that do not know of each other, so that one usually wins before the others try. */
+const CLAIM_SPREAD_MS: Millis = 60;
 
 /** The search; see the module comment. */
 export class LeaderSearch {
@@ -34,7 +35,7 @@
 
     /** Runs until the node is closed. */
     async run(): Promise<void> {
-        const { clock, storePort, log, epochs, isClosed } = this.options;
+        const { clock, storePort, log, epochs, patience, isClosed } = this.options;
         while (!isClosed()) {
             const view = await readLeader(storePort, READ_TIMEOUT_MS);
             if (view === undefined) {
@@ -48,11 +49,14 @@
                 await sleep(clock, RELOOK_MS);
                 continue;
             }
-            await this.waitBeforeClaim(view);
+            if (!await this.waitForTurn(view)) {
+                continue;
+            }
             log.info("leadershipClaimed", {
                 reason,
                 lastEpoch: view.record?.epoch,
                 lastLeader: view.record?.nodeName,
+                failedBefore: patience.countFailedBefore(view.record),
             });
             await this.claim(view);
         }
@@ -61,13 +65,13 @@
     /** Follows the leader for as long as it is there; returns why to claim its place, or undefined to look again. */
     private async findClaimReason(view: LeaderView): Promise<string | undefined> {
         const { record } = view;
-        const { name, cores, clock, random, follower, isDraining, isLeftToHeir } = this.options;
+        const { name, cores, clock, follower, isDraining, isLeftToHeir } = this.options;
         if (isDraining()) {
             // A node that leaves still follows, so that its last callers are answered.
             return record === undefined ? undefined : follower.follow(view);
         }
         if (record === undefined) {
-            await sleep(clock, computeFirstClaimDelay(cores) + random.pickInt(CLAIM_SPREAD_MS));
+            await sleep(clock, computeFirstClaimDelay(cores));
             return "nobody leads yet";
         }
         if (isLeftToHeir(record.epoch)) {
@@ -93,20 +97,41 @@
         await follower.follow({ record, revision: 0, isAlive: true });
     }
 
-    /** Lets larger nodes go first, unless the place was given to this one. */
-    private async waitBeforeClaim(view: LeaderView): Promise<void> {
-        const { clock, cores, peers, follower } = this.options;
-        const delay = computeClaimDelay(cores, peers.getMostCores());
-        if (delay > 0 && !follower.isHeirOf(view.record?.epoch)) {
-            await sleep(clock, delay);
+    /**
+     * Lets the nodes before this one go first, unless the place was given to it.
+     * @returns Whether the place is still as it was seen.
+     */
+    private async waitForTurn(view: LeaderView): Promise<boolean> {
+        const { clock, storePort, cores, follower } = this.options;
+        if (follower.isHeirOf(view.record?.epoch)) {
+            return true;
+        }
+        const delay = computeClaimDelay(cores, this.options.peers.getMostCores()) + this.computeTurn(view);
+        if (delay === 0) {
+            return true;
         }
+        await sleep(clock, delay);
+        const now = await readLeader(storePort, READ_TIMEOUT_MS);
+        return now?.revision === view.revision;
+    }
+
+    private computeTurn({ record }: LeaderView): Millis {
+        const { peers, cores, random, buildStatus } = this.options;
+        const own = { address: buildStatus().address, cores };
+        const turn = record === undefined ? undefined : computeClaimTurn(peers.getMembers(), own, record);
+        return turn ?? random.pickInt(CLAIM_SPREAD_MS);
     }
 
     /** Claims the place that was seen, and leads if the claim is won. */
     private async claim(view: LeaderView): Promise<void> {
-        const { name, life, clock, log, storePort, reach, epochs } = this.options;
+        const { name, life, clock, log, storePort, reach, epochs, patience } = this.options;
         const wasHandedOver = this.options.follower.isHeirOf(view.record?.epoch);
-        const own = { nodeName: name, address: this.options.buildStatus().address, life };
+        const own = {
+            nodeName: name,
+            address: this.options.buildStatus().address,
+            life,
+            failedBefore: patience.countFailedBefore(view.record),
+        };
         const result = await claimLeadership(storePort, view, own, READ_TIMEOUT_MS);
         if (result.kind !== "won" || this.options.isClosed()) {
             log.info("claimFailed", { result: result.kind });
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -1,6 +1,7 @@
 /** This node's leadership: from a claim that was won until another node leads or the node shuts down. */
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
+import { LatenessMeter } from "../../common/lateness.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { GuardedStore } from "../journal/guarded-store.js";
 import { loadJournal } from "../journal/load-journal.js";
@@ -55,6 +56,7 @@
     /** Resolves once the leadership is over. */
     readonly over: Promise<string>;
     private readonly store: GuardedStore;
+    private readonly lateness: LatenessMeter;
     private readonly ready: Promise<Leader | undefined>;
     private leader: Leader | undefined;
     private lease: LeaderLease | undefined;
@@ -71,12 +73,14 @@
         this.over = new Promise(resolve => {
             this.settleOver = resolve;
         });
+        this.lateness = new LatenessMeter(parts.clock);
         this.store = new GuardedStore({
             port: parts.storePort,
             clock: parts.clock,
             log: parts.log,
             metrics: parts.metrics,
             leaderRevision: claim.revision,
+            getAttentiveMs: () => this.lateness.getAttentiveMs(),
         });
         this.ready = this.open();
     }
@@ -99,6 +103,11 @@
         return this.store.getSilenceMs();
     }
 
+    /** Returns how late this process was within the last second. */
+    getLatenessMs(): Millis {
+        return this.lateness.getLatenessMs();
+    }
+
     /** Takes in that a newer configuration is in force. */
     handleConfig(): void {
         this.leader?.handleConfig();
@@ -132,6 +141,7 @@
         this.isOver = true;
         this.parts.log.warn("CR1631", "leadershipOver", { epoch: this.claim.epoch, reason });
         this.workers?.stop();
+        this.lateness.close();
         this.lease?.close();
         this.leader?.close();
         this.store.close();
@@ -199,6 +209,8 @@
             epoch: claim.epoch,
             openJobs: loaded.book.countOpen(),
             sequence: loaded.sequence,
+            pieces: loaded.pieces,
+            characters: loaded.snapshotLength + loaded.recordsLength,
             tookMs: Math.round(clock.now() - begin),
         });
         return leader;
--- a/src/process/node/messages.ts
+++ b/src/process/node/messages.ts
@@ -44,6 +44,8 @@
     readonly heardEpoch: number | undefined;
     /** How long the leader's writes have gone without any answer of the store; 0 where none waits. */
     readonly storeSilenceMs: Millis;
+    /** By how much the leader's own timers were late within the last second; 0 for a node that does not lead. */
+    readonly latenessMs: Millis;
     readonly configVersion: number;
     /** Processor time of this end's VM, in cores. */
     readonly cores: number;
--- a/src/process/node/peer-book.ts
+++ b/src/process/node/peer-book.ts
@@ -37,6 +37,11 @@
         this.members = members;
     }
 
+    /** Returns the newest list. */
+    getMembers(): readonly NodeMember[] {
+        return this.members;
+    }
+
     /** Returns the processor time of the largest node, in cores; 0 while none is known. */
     getMostCores(): number {
         return this.members.reduce((most, { cores }) => Math.max(most, cores), 0);
--- a/src/process/node/silenced-leader.ts
+++ b/src/process/node/silenced-leader.ts
@@ -18,6 +18,8 @@
  */
 const SHARED_OUTAGE_GRACE_MS: Millis = 700;
 const READ_TIMEOUT_MS: Millis = 500;
+/** A leader whose timers are this late has no processor time to spare. */
+const LATE_MS: Millis = 200;
 
 /** Tells whether the store's silence towards a leader is worth acting on. */
 export function isSilence(silenceMs: Millis): boolean {
@@ -66,6 +68,7 @@
     }
 }
 
-function isLeaderSilenced(leaderLink: LeaderLink): boolean {
-    return isSilence(leaderLink.status?.storeSilenceMs ?? 0);
+/** A leader that is late reads the store's answers late: its place would be no better with another. */
+function isLeaderSilenced({ status }: LeaderLink): boolean {
+    return status !== undefined && isSilence(status.storeSilenceMs) && status.latenessMs < LATE_MS;
 }
--- a/src/test/model/model-network.ts
+++ b/src/test/model/model-network.ts
@@ -1,4 +1,5 @@
 /** Byte streams between the VMs of a model. */
+import { EventEmitter } from "node:events";
 import { sleep } from "../../common/clock.js";
 import type { ConnectResult, LinkNetwork, LinkSocket } from "../../connection/link-network.js";
 import type { ModelVm } from "./model-vm.js";
@@ -6,19 +7,14 @@
 /** Bytes of a packet without content. */
 const PACKET_BYTES = 60;
 
-type Listener = (argument: never) => void;
-
 /** One end of a stream. */
-class ModelSocket implements LinkSocket {
+class ModelSocket extends EventEmitter implements LinkSocket {
     other: ModelSocket | undefined;
     writableLength = 0;
-    private readonly listeners = new Map<string, Listener[]>();
     private isClosed = false;
 
-    constructor(readonly vm: ModelVm) {}
-
-    on(event: string, listener: Listener): void {
-        this.listeners.set(event, [...this.listeners.get(event) ?? [], listener]);
+    constructor(readonly vm: ModelVm) {
+        super();
     }
 
     setNoDelay(): void {}
@@ -32,31 +28,30 @@
         this.writableLength += size;
         this.vm.send(size, () => {
             this.writableLength -= size;
-            other.vm.receive(size, () => other.emit("data", bytes));
+            other.vm.receive(size, () => other.handleData(bytes));
         });
     }
 
-    destroy(): void {
+    readonly destroy = (): void => {
         if (this.isClosed) {
             return;
         }
         this.isClosed = true;
         const { other } = this;
         this.vm.send(PACKET_BYTES, () => other?.vm.receive(PACKET_BYTES, () => other.handleEnd()));
-    }
+    };
 
     private handleEnd(): void {
         if (!this.isClosed) {
             this.isClosed = true;
-            this.emit("close", undefined);
+            this.emit("close");
         }
     }
 
-    private emit(event: string, argument: unknown): void {
-        if (event === "data" && this.isClosed) {
-            return;
+    private handleData(bytes: Buffer): void {
+        if (!this.isClosed) {
+            this.emit("data", bytes);
         }
-        this.listeners.get(event)?.forEach(listener => listener(argument as never));
     }
 }
 
--- a/src/test/node/leader-reach_test.ts
+++ b/src/test/node/leader-reach_test.ts
@@ -71,34 +71,40 @@
     // within 50 ms, since a new leader has no lease for its first milliseconds.
     const losses = [
         {
-            name: "does not wait for a leader whose link and lease are gone",
-            lost: [3, 900],
+            name: "does not wait for a leader whose link went silent and whose lease is gone",
+            lost: [3, 900, true],
             view: LAPSED,
             claims: true,
         },
+        {
+            name: "tries a leader that closed the link, though its lease is gone",
+            lost: [3, 900, false],
+            view: LAPSED,
+            claims: false,
+        },
         {
             name: "tries again a leader that the store still hears",
-            lost: [3, 900],
+            lost: [3, 900, true],
             view: ALIVE,
             claims: false,
         },
         {
             name: "tries a leader to which no link was lost lately",
-            lost: [3, -9_000],
+            lost: [3, -9_000, true],
             view: LAPSED,
             claims: false,
         },
         {
             name: "tries the leader that came after the one it lost",
-            lost: [2, 900],
+            lost: [2, 900, true],
             view: LAPSED,
             claims: false,
         },
     ] as const;
-    for (const { name, lost: [epoch, at], view, claims } of losses) {
+    for (const { name, lost: [epoch, at, wasSilent], view, claims } of losses) {
         it(name, () => {
             const reach = new LeaderReach();
-            reach.observeLinkLost(epoch, at);
+            reach.observeLinkLost(epoch, at, wasSilent);
             assert.equal(reach.decideBeforeAttempt(view, 1_000) !== undefined, claims);
         });
     }
--- a/src/test/node/silenced-leader_test.ts
+++ b/src/test/node/silenced-leader_test.ts
@@ -19,6 +19,8 @@
     /** How long ago the store last failed to answer this follower; undefined where it always did. */
     readonly ownFailureAgoMs: Millis | undefined;
     readonly isSlow: boolean;
+    /** How late the leader's own timers are. */
+    readonly latenessMs?: Millis;
     readonly expected: boolean;
 }
 
@@ -59,9 +61,17 @@
         isSlow: false,
         expected: true,
     },
+    {
+        name: "leaves a leader alone whose own processor is full",
+        silenceMs: 900,
+        ownFailureAgoMs: undefined,
+        isSlow: false,
+        latenessMs: 400,
+        expected: false,
+    },
 ];
 
-function buildLink(storeSilenceMs: Millis): LeaderLink {
+function buildLink(storeSilenceMs: Millis, latenessMs: Millis): LeaderLink {
     const status: StatusNote = {
         kind: "status",
         nodeName: "leader",
@@ -71,6 +81,7 @@
         leader: undefined,
         heardEpoch: 1,
         storeSilenceMs,
+        latenessMs,
         configVersion: 1,
         cores: 1,
         isDraining: false,
@@ -79,7 +90,7 @@
 }
 
 describe("a follower of a leader that the store does not answer", () => {
-    for (const { name, silenceMs, ownFailureAgoMs, isSlow, expected } of CASES) {
+    for (const { name, silenceMs, ownFailureAgoMs, isSlow, latenessMs = 0, expected } of CASES) {
         it(name, async () => {
             const clock = new FakeClock();
             const path = new CallPath(clock, new PausableClock(clock), {
@@ -90,7 +101,7 @@
                 storePort: new FakeStorePort(new StoreModel(clock), path),
                 clock,
             });
-            const link = buildLink(silenceMs);
+            const link = buildLink(silenceMs, latenessMs);
             if (ownFailureAgoMs !== undefined) {
                 path.planNext({ kind: "refuseConnection" });
                 assert.equal(await clock.wait(silenced.shouldReplace(link), LOOK_LIMIT_MS), false);
