A late leader refuses what it cannot decide on, and waits for reports before it calls runs lost; one beat for all links

Cause: at 0.12 core the leader took every job, also when its timers were 0.3 s late; nothing was in time then, and its own lease and beats were late too. Followers left a leader that had not spoken within 0.1 s of their connecting and connected anew, up to ten times a second each. Change: admission.ts decides by the mean lateness of timers, least urgent queues first, with spread times to come back; the leader answers for itself, so a refusal never contradicts what it holds. Followers wait for a first status; a follower beats every 450 ms, a leader's beat is encoded once and all links tick together; a leader that says that it is late is given more quiet ticks.

--- a/src/common/lateness.ts
+++ b/src/common/lateness.ts
@@ -4,9 +4,22 @@
 const TICK_MS: Millis = 50;
 /** A tick that is late by more than this shows that the process did nothing of its own for as long. */
 const TOLERANCE_MS: Millis = 50;
+/** Time in which the weight of a lateness in the mean falls to about a third. */
+const MEAN_OVER_MS: Millis = 700;
 /** Ticks over which lateness is remembered. */
 const REMEMBERED_TICKS = 20;
 
+/** How late a process is. */
+export interface Lateness {
+    /** Returns how late a timer fired at most within the last second or so; what is late now counts too. */
+    getLatenessMs(): Millis;
+    /** Returns by how much timers are late on the mean; times long past weigh less and less. */
+    getMeanLatenessMs(): Millis;
+}
+
+/** A process that is always on time. */
+export const ON_TIME: Lateness = { getLatenessMs: () => 0, getMeanLatenessMs: () => 0 };
+
 /**
  * Measures the delay of timers.
  *
@@ -14,8 +27,9 @@
  * say that nothing has arrived. Attentive time stands still while the process is late; silence measured in it is the other
  * party's.
  */
-export class LatenessMeter {
+export class LatenessMeter implements Lateness {
     private readonly recent: Millis[] = [];
+    private meanMs: Millis = 0;
     private attentiveMs: Millis = 0;
     private tickedAt: Millis;
     private timer: Timer;
@@ -31,16 +45,13 @@
         return this.attentiveMs + this.getAttentiveSinceTick();
     }
 
-    /** Returns how late a timer fired at most within the last second or so; what is late now counts too. */
     getLatenessMs(): Millis {
         const overdue = this.clock.now() - this.tickedAt - TICK_MS;
         return Math.max(0, overdue, ...this.recent);
     }
 
-    /** Returns by how much timers were late on the mean within the last second or so. */
     getMeanLatenessMs(): Millis {
-        const sum = this.recent.reduce((total, lateness) => total + lateness, 0);
-        return this.recent.length === 0 ? 0 : sum / this.recent.length;
+        return this.meanMs;
     }
 
     /** Ends the measurement. */
@@ -59,7 +70,10 @@
     private observeTick(): void {
         const now = this.clock.now();
         this.attentiveMs += this.getAttentiveSinceTick();
-        this.recent.push(Math.max(0, now - this.tickedAt - TICK_MS));
+        const elapsed = now - this.tickedAt;
+        const lateness = Math.max(0, elapsed - TICK_MS);
+        this.meanMs += (lateness - this.meanMs) * (1 - Math.exp(-elapsed / MEAN_OVER_MS));
+        this.recent.push(lateness);
         if (this.recent.length > REMEMBERED_TICKS) {
             this.recent.shift();
         }
--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -2,7 +2,9 @@
  * One TCP connection between two nodes: calls with answers and notes, both ways, framed as in `frame-codec.ts`.
  *
  * @remarks The link owns its socket. It never reconnects. A connection can go silent without a reset, so both ends
- * send something at least every beat, and an end that hears nothing for the idle time closes.
+ * send regular beats, and an end that hears nothing for several of them closes. Silence is counted in this end's own ticks
+ * rather than in time, since an end whose processor is full ticks seldom and reads late. The owner ticks all its links at
+ * once, so that a process with many of them wakes up once.
  */
 import type { Clock, Millis, Timer } from "../common/clock.js";
 import { describeFrameFault, encodeFrame, FrameDecoder } from "./frame-codec.js";
@@ -25,18 +27,30 @@
     buildBeat(): unknown;
 }
 
+/** How an end of a link keeps time. */
+export interface LinkCadence {
+    /** Sends a beat with every so many ticks. */
+    readonly sendEvery: number;
+    /** Ticks without a sign of the other end after which the link is closed. */
+    readonly maxQuietTicks: number;
+}
+
+/** A tick of all links of a process. */
+export const LINK_TICK_MS: Millis = 150;
+/** Followers say seldom that they are there: with hundreds of them, their beats would be most of what a leader hears. */
+const FOLLOWER_SENDS_EVERY = 3;
+const QUIET_BEATS = 4;
+
+/** Who opens a link follows the other end, and wants to know soon that it is gone. */
+export const LinkSide = {
+    follower: { sendEvery: FOLLOWER_SENDS_EVERY, maxQuietTicks: QUIET_BEATS },
+    leader: { sendEvery: 1, maxQuietTicks: QUIET_BEATS * FOLLOWER_SENDS_EVERY },
+} as const satisfies Readonly<Record<string, LinkCadence>>;
+
 /** Largest frame: a job is at most a few hundred kilobytes, and so is a configuration with all its queues. */
 const MAX_FRAME_BYTES = 8 * 1_048_576;
 /** Bytes that may wait to be written before the link counts as broken. */
 const MAX_BUFFERED_BYTES = 16 * 1_048_576;
-/** How often each end is heard at least: an entry learns within this time how its leader is. */
-const BEAT_MS: Millis = 150;
-/**
- * Own beats without a sign of the other end after which the link is closed. Counted in beats rather than in time, since an
- * end whose own processor is full sends few of them and reads late.
- */
-const MAX_QUIET_BEATS = 4;
-
 /** Frames of a link. */
 type Frame =
     | { readonly kind: "call"; readonly id: number; readonly body: unknown; }
@@ -54,8 +68,8 @@
     private readonly pending = new Map<number, PendingCall>();
     private lastId = 0;
     private lastHeard: Millis;
-    private quietBeats = 0;
-    private beatTimer: Timer | undefined;
+    private ticks = 0;
+    private quietTicks = 0;
     private closed = false;
     /** Whether the link was closed because nothing was heard any more. */
     wasSilent = false;
@@ -64,18 +78,20 @@
      * @param socket - Connected.
      * @param clock - Times beats and calls.
      * @param owner - Told of what arrives.
+     * @param cadence - Of this end.
      */
     constructor(
         private readonly socket: LinkSocket,
         private readonly clock: Clock,
         private readonly owner: NodeLinkOwner,
+        private readonly cadence: LinkCadence,
     ) {
         this.lastHeard = clock.now();
         socket.setNoDelay(true);
         socket.on("data", chunk => this.receiveChunk(chunk));
         socket.on("error", error => this.close(error.message));
         socket.on("close", () => this.close("closed by the other end"));
-        this.sendBeat();
+        this.note(owner.buildBeat());
     }
 
     /** Sends a call and waits for its answer. */
@@ -105,7 +121,6 @@
             return;
         }
         this.closed = true;
-        this.beatTimer?.cancel();
         this.socket.destroy();
         for (const id of [...this.pending.keys()]) {
             this.settle(id, { kind: "lost", message });
@@ -123,18 +138,29 @@
         return this.clock.now() - this.lastHeard;
     }
 
-    private sendBeat(): void {
-        if (this.quietBeats > MAX_QUIET_BEATS) {
+    /**
+     * Sends a beat if one is due, or closes a link that is silent. Call it every {@link LINK_TICK_MS}.
+     * @param extraTicks - How many more quiet ticks the other end is given, as one that is known to be late.
+     * @param encodeBeat - Builds the frame of the beat; links that tick together may share one.
+     */
+    tick(extraTicks = 0, encodeBeat = (): Buffer => encodeBeatFrame(this.owner.buildBeat())): void {
+        if (this.quietTicks > this.cadence.maxQuietTicks + extraTicks) {
             this.wasSilent = true;
             this.close(`nothing heard for ${Math.round(this.getSilenceMs())} ms`);
             return;
         }
-        this.quietBeats += 1;
-        this.note(this.owner.buildBeat());
-        this.beatTimer = this.clock.schedule(BEAT_MS, () => this.sendBeat());
+        this.quietTicks += 1;
+        this.ticks += 1;
+        if (this.ticks % this.cadence.sendEvery === 0) {
+            this.sendBytes(encodeBeat());
+        }
     }
 
     private send(frame: Frame): void {
+        this.sendBytes(encodeFrame(frame));
+    }
+
+    private sendBytes(bytes: Buffer): void {
         if (this.closed) {
             return;
         }
@@ -142,12 +168,12 @@
             this.close("the other end does not read");
             return;
         }
-        this.socket.write(encodeFrame(frame));
+        this.socket.write(bytes);
     }
 
     private receiveChunk(chunk: Buffer): void {
         this.lastHeard = this.clock.now();
-        this.quietBeats = 0;
+        this.quietTicks = 0;
         const fault = this.decoder.push(chunk, value => {
             this.receiveFrame(value);
             return !this.closed;
@@ -190,6 +216,11 @@
     }
 }
 
+/** Encodes a beat for {@link NodeLink.tick}. */
+export function encodeBeatFrame(body: unknown): Buffer {
+    return encodeFrame({ kind: "note", body } satisfies Frame);
+}
+
 function isFrame(value: unknown): value is Frame {
     if (typeof value !== "object" || !value || !("kind" in value)) {
         return false;
--- a/src/process/journal/piece-reader.ts
+++ b/src/process/journal/piece-reader.ts
@@ -14,8 +14,10 @@
     readonly isOver: () => boolean;
 }
 
-/** First timeout of a piece; it doubles with each try without an answer. */
-const PIECE_TIMEOUT_MS: Millis = 1_500;
+/** Least time after which a piece is asked for once more, beside the first try: an answer may be lost, or under way still. */
+const LEAST_PATIENCE_MS: Millis = 1_500;
+/** Time after which a try is given up. */
+const TRY_LIMIT_MS: Millis = 12_000;
 const RETRY_PAUSE_MS: Millis = 50;
 /** Pieces under way at once: on a narrow link, renewals and beats pass between them. */
 const MAX_UNDER_WAY = 3;
@@ -26,6 +28,7 @@
     pieces = 0;
     /** Characters of all values that were read. */
     characters = 0;
+    private readonly patience = new CallTimeout(LEAST_PATIENCE_MS);
     private underWay = 0;
     private readonly waiting: (() => void)[] = [];
 
@@ -81,24 +84,45 @@
         name: string,
         send: (timeout: Millis) => Promise<StoreAnswer<readonly StoreRecord[]>>,
     ): Promise<readonly StoreRecord[] | undefined> {
-        const { clock, log, isOver } = this.options;
-        const timeout = new CallTimeout(PIECE_TIMEOUT_MS);
+        const { clock, isOver } = this.options;
+        const open = new Set<Promise<StoreAnswer<readonly StoreRecord[]>>>();
         while (!isOver()) {
-            const limit = timeout.get();
-            const answer = await send(limit);
+            const attempt = this.startTry(send);
+            open.add(attempt);
+            void attempt.then(() => open.delete(attempt));
+            const patience = this.patience.get();
+            const answer = await Promise.race([...open.values(), sleep(clock, patience)]);
+            if (answer === undefined) {
+                this.patience.observeTimeout(patience);
+                this.logFailure(name, `no answer within ${patience} ms`);
+                continue;
+            }
             if (answer.kind === "done") {
-                this.pieces += 1;
-                this.characters += answer.value.reduce((sum, { value }) => sum + value.length, 0);
                 return answer.value;
             }
-            log.warn("CR1602", "journalReadFailed", { name, message: describeFailure(answer) });
-            if (answer.kind === "unknown") {
-                timeout.observeTimeout(limit);
-            }
+            this.logFailure(name, describeFailure(answer));
             await sleep(clock, RETRY_PAUSE_MS);
         }
         return undefined;
     }
+
+    private async startTry(
+        send: (timeout: Millis) => Promise<StoreAnswer<readonly StoreRecord[]>>,
+    ): Promise<StoreAnswer<readonly StoreRecord[]>> {
+        const { clock } = this.options;
+        const sentAt = clock.now();
+        const answer = await send(TRY_LIMIT_MS);
+        if (answer.kind === "done") {
+            this.patience.observeAnswer(clock.now() - sentAt);
+            this.pieces += 1;
+            this.characters += answer.value.reduce((sum, { value }) => sum + value.length, 0);
+        }
+        return answer;
+    }
+
+    private logFailure(name: string, message: string): void {
+        this.options.log.warn("CR1602", "journalReadFailed", { name, message });
+    }
 }
 
 function describeFailure(answer: StoreAnswer<unknown>): string {
--- /dev/null
+++ b/src/process/leader/admission.ts
@@ -0,0 +1,52 @@
+/** Whether a leader takes another job, by the processor time that it has left. Pure. */
+import type { Millis } from "../../common/clock.js";
+
+/**
+ * Mean lateness from which jobs are refused. A job passes half a dozen turns of the event loop before its first task runs,
+ * each of which is late by as much.
+ */
+const SHED_FROM_MS: Millis = 50;
+/** Mean lateness from which all jobs are refused. */
+const SHED_ALL_MS: Millis = 200;
+const SHORTEST_RETRY_MS: Millis = 500;
+/** Spread of the times to come back, so that refused callers do not return in one moment. */
+const RETRY_SPREAD_MS: Millis = 1_000;
+
+/** What a decision depends on. */
+export interface AdmissionInputs {
+    /** By how much the leader's timers are late on the mean. */
+    readonly latenessMs: Millis;
+    /** The queue's; 0 goes first. */
+    readonly priority: number;
+    /** Of all queues. */
+    readonly priorities: readonly number[];
+    /** From 0 to 1, at random. */
+    readonly draw: number;
+}
+
+/** A job is taken, or refused with a time to come back. */
+export type Admission =
+    | { readonly kind: "admitted"; }
+    | { readonly kind: "overloaded"; readonly share: number; readonly retryAfterMs: Millis; };
+
+/**
+ * Decides on a job that nobody has handed in before.
+ *
+ * @remarks Load answered: more jobs than the leader's processor can decide on, as in a burst on the smallest VMs. Each one
+ * that is accepted then delays all others, until none is in time and the leader's own renewals are late. Refusing costs a
+ * fraction of a job, so what is accepted is served. The least urgent queues are refused first.
+ */
+export function decideAdmission({ latenessMs, priority, priorities, draw }: AdmissionInputs): Admission {
+    const share = (latenessMs - SHED_FROM_MS) / (SHED_ALL_MS - SHED_FROM_MS);
+    const levels = [...new Set(priorities)].sort((left, right) => right - left);
+    const level = Math.max(0, levels.indexOf(priority));
+    const ownShare = share * Math.max(1, levels.length) - level;
+    if (draw >= ownShare) {
+        return { kind: "admitted" };
+    }
+    return {
+        kind: "overloaded",
+        share: Math.min(1, ownShare),
+        retryAfterMs: SHORTEST_RETRY_MS + Math.round(draw / ownShare * RETRY_SPREAD_MS),
+    };
+}
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -23,6 +23,8 @@
     readonly history: StepHistory;
     /** Length of the leases given to workers. */
     readonly leaseMs: Millis;
+    /** Returns how much longer than their lease the runs of a silent worker are waited for. */
+    readonly computeLossGrace: () => Millis;
     /** Leases given by earlier leaders. */
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -315,7 +315,8 @@
 
     private sweepMember(member: Member, now: Millis): void {
         const { state, session } = member;
-        if (!state.isReachable && now > session.getLeaseEnd() && state.runs.size > 0) {
+        const lossAt = session.getLeaseEnd() + this.context.computeLossGrace();
+        if (!state.isReachable && now > lossAt && state.runs.size > 0) {
             this.expireRuns(state, "lease ran out");
         }
         const { unlistedSince } = member;
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -80,7 +80,7 @@
     /** Gives up on workers that never appeared, once their leases have surely run out. */
     dropExpired(now: Millis): void {
         for (const [workerId, tasks] of this.tasks) {
-            if (now <= this.computeEnd(workerId)) {
+            if (now <= this.computeEnd(workerId) + this.context.computeLossGrace()) {
                 continue;
             }
             this.tasks.delete(workerId);
--- a/src/process/leader/job-desk.ts
+++ b/src/process/leader/job-desk.ts
@@ -1,5 +1,7 @@
 /** Answers callers' requests at the leader. */
 import type { Millis } from "../../common/clock.js";
+import type { Lateness } from "../../common/lateness.js";
+import type { Random } from "../../common/random.js";
 import { findQueue } from "../../version/cluster-config.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
 import { JobPhase } from "../jobs/job-events.js";
@@ -7,6 +9,9 @@
 import { listSteps } from "../jobs/job.js";
 import type { Job } from "../jobs/job.js";
 import type { Journal } from "../journal/journal.js";
+import type { LogValue } from "../telemetry.js";
+import { decideAdmission } from "./admission.js";
+import type { Admission } from "./admission.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 import type { QueueSettings } from "./queue-settings.js";
@@ -19,6 +24,12 @@
 const RETENTION_MS: Millis = 240_000;
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
 
+/** How loaded the leader's process is. */
+export interface DeskLoad {
+    readonly random: Random;
+    readonly lateness: Lateness;
+}
+
 type Reply = (reply: CallerReply) => void;
 
 /** The desk; see the module comment. */
@@ -33,12 +44,14 @@
      * @param journal - Knows whether the store is away.
      * @param ends - Stops what cancelled jobs run.
      * @param queues - Keeps the settings that accepted jobs are run under.
+     * @param load - How loaded this process is.
      */
     constructor(
         private readonly context: LeaderContext,
         private readonly journal: Journal,
         private readonly ends: EndDesk,
         private readonly queues: QueueSettings,
+        private readonly load: DeskLoad,
     ) {}
 
     /** Answers a request; the promise settles once the answer is true for good. */
@@ -127,6 +140,16 @@
             reply(buildStoreAway());
             return;
         }
+        const admission = this.decideAdmission(queue);
+        if (admission.kind === "overloaded") {
+            this.logDecision(jobId, queue.name, "refused", "the leader is late", {
+                latenessMs: Math.round(this.load.lateness.getMeanLatenessMs()),
+                refusedShare: admission.share,
+            });
+            const { retryAfterMs } = admission;
+            reply({ kind: "refused", reason: RefusalReason.overloaded, retryAfterMs });
+            return;
+        }
         this.waiting.set(jobId, [reply]);
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
@@ -139,6 +162,15 @@
         this.context.requestPass();
     }
 
+    private decideAdmission({ priority }: QueueConfig): Admission {
+        return decideAdmission({
+            latenessMs: this.load.lateness.getMeanLatenessMs(),
+            priority,
+            priorities: this.context.getConfig().queues.map(queue => queue.priority),
+            draw: this.load.random.pickFraction(),
+        });
+    }
+
     private show(jobId: string, reply: Reply): void {
         const job = this.context.book.get(jobId);
         if (job === undefined) {
@@ -186,7 +218,13 @@
         waiting.forEach(reply => reply(answer));
     }
 
-    private logDecision(jobId: string, queue: string, outcome: string, reason: string): void {
+    private logDecision(
+        jobId: string,
+        queue: string,
+        outcome: string,
+        reason: string,
+        inputs: Readonly<Record<string, LogValue>> = {},
+    ): void {
         this.context.metrics.count("jobs.decided", 1, { outcome });
         this.context.log.info("jobDecided", {
             jobId,
@@ -196,6 +234,7 @@
             configVersion: this.context.getConfig().version,
             epoch: this.context.epoch,
             openJobs: this.context.book.countOpen(),
+            ...inputs,
         });
     }
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -1,5 +1,7 @@
 /** One leadership: everything that decides, from the take-over until another node leads. */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
+import type { Lateness } from "../../common/lateness.js";
+import type { Random } from "../../common/random.js";
 import type { ClusterConfig } from "../../version/cluster-config.js";
 import { AdviceDesk } from "../dispatch/advice-desk.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
@@ -45,6 +47,10 @@
     /** Tells whether this leader still leads, by word of the store. */
     readonly confirmLeading: () => Promise<boolean>;
     readonly handleDeposed: (reason: string) => void;
+    /** How late this process is. */
+    readonly lateness: Lateness;
+    /** For what is spread at random. */
+    readonly random: Random;
 }
 
 /** Events of one moment lead to one pass. */
@@ -53,6 +59,11 @@
 const PASS_REST_FACTOR = 2;
 /** How often leases, schedules and the store's silence are looked at. */
 const SWEEP_MS: Millis = 100;
+/** Timers of a leader with processor time to spare are less late than this. */
+const LATE_MS: Millis = 100;
+/** Turns of the event loop in which reports that have arrived are read. */
+const LATE_TURNS = 8;
+const LONGEST_LOSS_GRACE_MS: Millis = 6_000;
 const FORGET_EVERY_SWEEPS = 50;
 /** How often the state of the cluster is logged. */
 const REPORT_EVERY_SWEEPS = 10;
@@ -90,7 +101,10 @@
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
-        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues);
+        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues, {
+            random: options.random,
+            lateness: options.lateness,
+        });
         this.starter = new Starter(
             this.context,
             this.fleet,
@@ -156,6 +170,7 @@
             authority: new Authority(options.clock, options.store),
             history: new StepHistory(),
             leaseMs: options.leaseMs,
+            computeLossGrace: () => computeLossGrace(options.lateness.getLatenessMs()),
             inheritedLeases: options.inheritedLeases,
             getConfig: options.getConfig,
             predictRunMs: ({ spec, job }) =>
@@ -295,6 +310,16 @@
     }
 }
 
+/**
+ * Returns how much longer than their lease the runs of a silent worker are waited for.
+ *
+ * @remarks Failure guarded against: a leader whose processor is full has not read a report yet in which a run has ended as
+ * done. It calls the run lost and starts the task again, and then reads that it was done.
+ */
+function computeLossGrace(latenessMs: Millis): Millis {
+    return latenessMs < LATE_MS ? 0 : Math.min(LONGEST_LOSS_GRACE_MS, latenessMs * LATE_TURNS);
+}
+
 function countWorkers(workersByPool: WorkersByPool): number {
     return [...workersByPool.values()].reduce((sum, workers) => sum + workers.length, 0);
 }
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -21,6 +21,8 @@
     storeAway: "storeAway",
     /** No node leads at the moment. */
     noLeader: "noLeader",
+    /** The leader has no processor time left for more jobs. */
+    overloaded: "overloaded",
     /** No configuration has been seen yet. */
     noConfig: "noConfig",
 } as const;
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -5,7 +5,6 @@
  * is one conditional write and needs nobody's consent, so the last node standing goes on alone.
  */
 import type { Millis } from "../../common/clock.js";
-import type { Random } from "../../common/random.js";
 import type { LinkNetwork } from "../../connection/link-network.js";
 import type { CallerReply, CallerRequest } from "../leader/requests.js";
 import { EpochHistory } from "../leadership/epoch-history.js";
@@ -35,7 +34,6 @@
     readonly network: LinkNetwork;
     /** Port for links of other nodes; 0 lets the operating system pick one. */
     readonly port: number;
-    readonly random: Random;
     readonly advicePort: AdvicePort;
     /** Processor time of the VM, in cores: large nodes lead rather than small ones. */
     readonly cores: number;
@@ -139,6 +137,7 @@
     /** First step of a shutdown: the leadership goes to another node; callers are still answered. */
     async startDraining(): Promise<void> {
         this.isDraining = true;
+        this.follower.sendStatus();
         const heir = [...this.server.links].find(inbound => inbound.status?.isDraining === false);
         await this.releaseLeadership("this node shuts down", heir);
     }
--- a/src/process/node/leader-dialer.ts
+++ b/src/process/node/leader-dialer.ts
@@ -1,7 +1,7 @@
 /** A follower's link to its leader. */
 import type { Clock, Millis } from "../../common/clock.js";
 import type { LinkNetwork, LinkSocket } from "../../connection/link-network.js";
-import { NodeLink } from "../../connection/node-link.js";
+import { LINK_TICK_MS, LinkSide, NodeLink } from "../../connection/node-link.js";
 import { acceptNote } from "./link-note.js";
 import type { LinkPeer } from "./link-note.js";
 import type { NodeNote, StatusNote } from "./messages.js";
@@ -23,6 +23,9 @@
 /** Time for a connection, and for the first status over it. */
 const DIAL_TIMEOUT_MS: Millis = 500;
 
+const LATE_TURNS = 3;
+const MAX_EXTRA_TICKS = 12;
+
 /** A link to the leader. */
 export class LeaderLink implements LinkPeer {
     /** Last status of the other end. */
@@ -78,8 +81,24 @@
                 }
             },
             handleClosed: message => settleClosed(message),
-        });
+        }, LinkSide.follower);
         const leaderLink = new LeaderLink(link, closed, firstStatus);
+        scheduleTick(leaderLink);
         return leaderLink;
     }
+
+    function scheduleTick(leaderLink: LeaderLink): void {
+        clock.schedule(LINK_TICK_MS, () => {
+            if (!leaderLink.link.isClosed()) {
+                leaderLink.link.tick(computeExtraTicks(leaderLink.status));
+                scheduleTick(leaderLink);
+            }
+        });
+    }
+}
+
+/** An end that has said that it is late is given the time of a few of its turns more. */
+function computeExtraTicks(status: StatusNote | undefined): number {
+    const extraMs = (status?.latenessMs ?? 0) * LATE_TURNS;
+    return Math.min(MAX_EXTRA_TICKS, Math.round(extraMs / LINK_TICK_MS));
 }
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -77,6 +77,11 @@
             undefined;
     }
 
+    /** Tells the leader at once how this node is. */
+    sendStatus(): void {
+        this.link?.link.note(this.options.buildStatus());
+    }
+
     /** Tells whether the leader of an epoch gave its place to this node. */
     isHeirOf(epoch: number | undefined): boolean {
         return epoch !== undefined && this.handoverEpoch === epoch;
@@ -167,7 +172,9 @@
                     this.options.patience.observeReady(leaderLink.status.leadsEpoch);
                 }
             }
-            const hasLeft = leaderLink.status?.leadsEpoch !== epoch && clock.now() - begin > LOOK_MS;
+            // One that has not said anything yet may be busy: its link is closed once it is silent.
+            const hasLeft = leaderLink.status !== undefined && leaderLink.status.leadsEpoch !== epoch &&
+                clock.now() - begin > LOOK_MS;
             if (this.isHeirOf(epoch) || hasLeft) {
                 leaderLink.link.close("it no longer leads");
                 return this.isHeirOf(epoch) ? "the leader handed over" : undefined;
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -2,6 +2,7 @@
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 import { LatenessMeter } from "../../common/lateness.js";
+import type { Random } from "../../common/random.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { GuardedStore } from "../journal/guarded-store.js";
 import { loadJournal } from "../journal/load-journal.js";
@@ -22,6 +23,7 @@
     readonly clock: Clock;
     readonly log: Log;
     readonly metrics: Metrics;
+    readonly random: Random;
     readonly storePort: StorePort;
     readonly workerPort: TaskWorkerPort;
     readonly workerSource: WorkerSource;
@@ -198,6 +200,8 @@
             }),
             getConfig: () => parts.config.get(),
             confirmLeading: () => lease.confirm(),
+            random: parts.random,
+            lateness: this.lateness,
             handleDeposed: reason => this.end(reason),
         });
         this.leader = leader;
--- a/src/process/node/link-server.ts
+++ b/src/process/node/link-server.ts
@@ -1,7 +1,7 @@
 /** Takes links from other nodes and keeps those that are up. */
-import type { Clock } from "../../common/clock.js";
+import type { Clock, Timer } from "../../common/clock.js";
 import type { LinkListener, LinkNetwork, LinkSocket } from "../../connection/link-network.js";
-import { NodeLink } from "../../connection/node-link.js";
+import { encodeBeatFrame, LINK_TICK_MS, LinkSide, NodeLink } from "../../connection/node-link.js";
 import type { Log } from "../telemetry.js";
 import { acceptNote } from "./link-note.js";
 import type { LinkPeer } from "./link-note.js";
@@ -23,6 +23,7 @@
     /** The links that are up. */
     readonly links = new Set<InboundLink>();
     private listener: LinkListener | undefined;
+    private timer: Timer | undefined;
 
     /**
      * @param network - Where links come from.
@@ -45,15 +46,33 @@
             socket => this.acceptSocket(socket),
             error => this.log.warn("CR1633", "linkPortFailed", { message: error.message }),
         );
+        this.scheduleTick();
         return this.listener.port;
     }
 
     /** Closes the port and all links. */
     close(): void {
         this.listener?.close();
+        this.timer?.cancel();
         this.links.forEach(({ link }) => link.close("this node shuts down"));
     }
 
+    private scheduleTick(): void {
+        this.timer = this.clock.schedule(LINK_TICK_MS, () => {
+            this.tickLinks();
+            this.scheduleTick();
+        });
+    }
+
+    /** All followers get the same status: it is encoded once. */
+    private tickLinks(): void {
+        let frame: Buffer | undefined;
+        const encodeBeat = (): Buffer => frame ??= encodeBeatFrame(this.owner.buildStatus());
+        for (const { link } of [...this.links]) {
+            link.tick(0, encodeBeat);
+        }
+    }
+
     private acceptSocket(socket: LinkSocket): void {
         const link = new NodeLink(socket, this.clock, {
             buildBeat: () => this.owner.buildStatus(),
@@ -64,7 +83,7 @@
                 this.log.info("linkClosed", { peer: inbound.status?.nodeName, message });
                 this.owner.handleClosed(inbound);
             },
-        });
+        }, LinkSide.leader);
         const inbound: InboundLink = { link, status: undefined };
         this.links.add(inbound);
     }
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -130,8 +130,12 @@
     readonly faults: string[] = [];
     private readonly running = new Map<string, string>();
     private readonly models = new Map<string, TaskWorkerModel>();
-    private readonly records = new Map<string, WorkerRecord>();
+    readonly records = new Map<string, WorkerRecord>();
     private readonly random = createRandom(7);
+    /** Of the leaders; their draws must not shift those of faults. */
+    private readonly leaderRandom = createRandom(11);
+    /** By how much the leaders' timers are late. */
+    latenessMs: Millis = 0;
     config: ClusterConfig = {
         version: 1,
         queues: [QUEUE],
@@ -257,6 +261,11 @@
             getConfig: () => this.config,
             confirmLeading: () => lease.confirm(),
             handleDeposed,
+            random: this.leaderRandom,
+            lateness: {
+                getLatenessMs: () => this.latenessMs,
+                getMeanLatenessMs: () => this.latenessMs,
+            },
         });
         leader.setWorkers(new Map(this.records));
         return { leader, epoch: claim.epoch, book: loaded.book, clock, storePath, workers, log, deposed };
