Timeouts fire after what has arrived is read; a late leader gathers reports and records

Cause: a process whose processor is full runs due timers before it reads its sockets. Calls whose answers had arrived were given up or made again (orders and reports twice each), the answers counted as lost, workers as unreachable, and the leader asked for more reports still. Change: scheduleTimeout for timeouts of HTTP requests, calls over links, repeated calls, tries of writes and pieces; a late leader takes no answer for lost, repeats later, and adds to the gaps between reports and between records (late-leader.ts).

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -61,3 +61,32 @@
         clock.schedule(delay, resolve);
     });
 }
+
+/**
+ * Calls back once a delay has passed and what had arrived by then has been read.
+ *
+ * @remarks Failure guarded against: a process whose processor is full runs the timers that are due before it reads its
+ * sockets. A timeout then gives up a call whose answer has long arrived, and the call is made again, which takes more of the
+ * processor still.
+ * @param clock - Where time comes from.
+ * @param delay - Milliseconds to wait.
+ * @param callback - Runs on the event loop; must not throw.
+ * @returns A handle that cancels the call.
+ */
+export function scheduleTimeout(clock: Clock, delay: Millis, callback: () => void): Timer {
+    let timer = clock.schedule(delay, () => {
+        timer = clock.schedule(0, callback);
+    });
+    return { cancel: () => timer.cancel() };
+}
+
+/**
+ * Waits like {@link scheduleTimeout}.
+ * @param clock - Where time comes from.
+ * @param delay - Milliseconds to wait.
+ */
+export function waitForTimeout(clock: Clock, delay: Millis): Promise<void> {
+    return new Promise(resolve => {
+        scheduleTimeout(clock, delay, resolve);
+    });
+}
--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -6,6 +6,7 @@
  * rather than in time, since an end whose processor is full ticks seldom and reads late. The owner ticks all its links at
  * once, so that a process with many of them wakes up once.
  */
+import { scheduleTimeout } from "../common/clock.js";
 import type { Clock, Millis, Timer } from "../common/clock.js";
 import { describeFrameFault, encodeFrame, FrameDecoder } from "./frame-codec.js";
 import type { LinkSocket } from "./link-network.js";
@@ -102,7 +103,7 @@
         this.lastId += 1;
         const id = this.lastId;
         return new Promise(resolve => {
-            const timer = this.clock.schedule(timeout, () => {
+            const timer = scheduleTimeout(this.clock, timeout, () => {
                 this.settle(id, { kind: "lost", message: `no answer within ${timeout} ms` });
             });
             this.pending.set(id, { settle: resolve, timer });
--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -11,6 +11,7 @@
  * late, so it is sent again soon only where answers are known to get lost.
  */
 import type { Millis } from "../../common/clock.js";
+import type { Lateness } from "../../common/lateness.js";
 
 /** Longest wait: leases are renewed at least this often. */
 const CALM_WAIT_MS: Millis = 1_000;
@@ -26,13 +27,25 @@
 /** The same while answers are lost: three times what 95 of 100 answers take. */
 const LOSSY_REPEAT_MS: Millis = 60;
 
+/** Timers of a leader with processor time to spare are less late than this. */
+const LATE_MS: Millis = 100;
+/** Turns of the event loop that a call and its answer take. */
+const LATE_TURNS = 2;
+/** Most that lateness adds: the second try must still fit into the time of the call. */
+const LONGEST_LATE_MS: Millis = 200;
+
 /** What one leader knows of lost answers; see the module comment. */
 export class LostAnswers {
     private lastLossAt: Millis = -Infinity;
 
+    /** @param lateness - How late this process is: answers that it reads late are not lost. */
+    constructor(private readonly lateness: Lateness) {}
+
     /** Takes in that a worker left a call unanswered and answered a later one. */
     observeLoss(now: Millis): void {
-        this.lastLossAt = now;
+        if (this.lateness.getLatenessMs() < LATE_MS) {
+            this.lastLossAt = now;
+        }
     }
 
     /**
@@ -53,7 +66,8 @@
      * @param now - On our clock.
      */
     computeRepeatDelay(now: Millis): Millis {
-        return this.hasLost(now) ? LOSSY_REPEAT_MS : CALM_REPEAT_MS;
+        const repeatMs = this.hasLost(now) ? LOSSY_REPEAT_MS : CALM_REPEAT_MS;
+        return repeatMs + Math.min(LONGEST_LATE_MS, this.lateness.getMeanLatenessMs() * LATE_TURNS);
     }
 
     /** Tells whether answers have been lost lately. */
--- a/src/process/dispatch/repeated-call.ts
+++ b/src/process/dispatch/repeated-call.ts
@@ -5,7 +5,7 @@
  * enough to keep a gang of 20 from starting, and one report hides every end on its worker. Calls are idempotent, so a second
  * try does no harm; that one of two was refused says nothing while the other may have been carried out.
  */
-import { sleep } from "../../common/clock.js";
+import { waitForTimeout } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 import type { WorkerAnswer } from "../ports/task-worker-port.js";
 
@@ -33,7 +33,7 @@
  */
 export async function callTwice<Value>(options: RepeatedCall<Value>): Promise<WorkerAnswer<Value>> {
     const first = options.sendFirst();
-    const early = await Promise.race([first, sleep(options.clock, options.patienceMs)]);
+    const early = await Promise.race([first, waitForTimeout(options.clock, options.patienceMs)]);
     if (early !== undefined || !options.isWanted()) {
         return early ?? first;
     }
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -37,6 +37,8 @@
     handleSuspended(gap: Millis): void;
     /** Whether this leader may still extend leases: see `authority.ts`. */
     mayExtend(): boolean;
+    /** Least time between two reports. */
+    computeReportGap(): Millis;
     /** How long the worker may hold its next report back: see `lost-answers.ts`. */
     computeReportWait(): Millis;
     /** After how long without an answer a call is made again. */
@@ -60,10 +62,6 @@
     readonly listener: SessionListener;
 }
 
-/**
- * Least time between two reports of one worker: each is a priced look, and ends of the meantime come together.
- */
-const REPORT_GAP_MS: Millis = 150;
 /** Longest wait for ends to be durable before the lease is renewed without it. */
 const DURABLE_WAIT_MS: Millis = 700;
 /** Time for the answer on top of what the worker may wait: one way is under 4 ms, a busy worker takes longer. */
@@ -181,7 +179,7 @@
     }
 
     private async pauseAfterReport(sentAt: Millis): Promise<void> {
-        const { clock } = this.options;
+        const { clock, listener } = this.options;
         if (this.closed) {
             return;
         }
@@ -193,7 +191,7 @@
         }
         else if (this.wasLeaseAsked) {
             await this.waitForEnds();
-            await sleep(clock, Math.max(0, sentAt + REPORT_GAP_MS - clock.now()));
+            await sleep(clock, Math.max(0, sentAt + listener.computeReportGap() - clock.now()));
         }
     }
 
--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -6,7 +6,7 @@
  * changes with each take-over, so a write of an earlier leader is refused, also one that is carried out late.
  */
 import type { Clock, Millis } from "../../common/clock.js";
-import { sleep } from "../../common/clock.js";
+import { sleep, waitForTimeout } from "../../common/clock.js";
 import { Signal } from "../../common/signal.js";
 import type {
     StoreAnswer,
@@ -266,7 +266,10 @@
     private async waitBesideTries({ triedAt }: Pursuit): Promise<undefined> {
         const { clock } = this.options;
         const leftMs = triedAt + this.timeout.get() - clock.now();
-        await Promise.race([this.answered.wait(), sleep(clock, leftMs > 0 ? leftMs : BEHIND_PAUSE_MS)]);
+        await Promise.race([
+            this.answered.wait(),
+            waitForTimeout(clock, leftMs > 0 ? leftMs : BEHIND_PAUSE_MS),
+        ]);
         return undefined;
     }
 
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -26,6 +26,8 @@
     readonly loaded: LoadedJournal;
     /** Encodes the state with all events appended so far. */
     readonly encodeState: () => string;
+    /** Returns what is added to the time between two records; nothing where left out. */
+    readonly computeExtraGap?: () => Millis;
     /** Another node leads: nothing more will be committed. */
     readonly handleDeposed: () => void;
 }
@@ -185,13 +187,17 @@
             return;
         }
         const now = this.options.clock.now();
-        const wait = Math.max(GATHER_MS, this.lastBegun + RECORD_GAP_MS - now);
+        const wait = Math.max(GATHER_MS, this.lastBegun + this.computeGap() - now);
         this.timer = this.options.clock.schedule(wait, () => {
             this.timer = undefined;
             void this.writeRecord();
         });
     }
 
+    private computeGap(): Millis {
+        return RECORD_GAP_MS + (this.options.computeExtraGap?.() ?? 0);
+    }
+
     private async writeRecord(): Promise<void> {
         const entries = this.takeEntries();
         if (entries.length === 0) {
--- a/src/process/journal/piece-reader.ts
+++ b/src/process/journal/piece-reader.ts
@@ -1,6 +1,6 @@
 /** Reads a journal piece by piece, each tried until the store answers: what has been read is never read again. */
 import type { Clock, Millis } from "../../common/clock.js";
-import { sleep } from "../../common/clock.js";
+import { sleep, waitForTimeout } from "../../common/clock.js";
 import type { StoreAnswer, StorePort, StoreRecord } from "../ports/index.js";
 import { CallTimeout } from "../store/call-timeout.js";
 import type { Log } from "../telemetry.js";
@@ -91,7 +91,7 @@
             open.add(attempt);
             void attempt.then(() => open.delete(attempt));
             const patience = this.patience.get();
-            const answer = await Promise.race([...open.values(), sleep(clock, patience)]);
+            const answer = await Promise.race([...open.values(), waitForTimeout(clock, patience)]);
             if (answer === undefined) {
                 this.patience.observeTimeout(patience);
                 this.logFailure(name, `no answer within ${patience} ms`);
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -1,5 +1,6 @@
 /** What the parts of a leader share. */
 import type { Clock, Millis } from "../../common/clock.js";
+import type { Lateness } from "../../common/lateness.js";
 import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
 import type { JobBook } from "../jobs/job-book.js";
 import type { JobEvent } from "../jobs/job-events.js";
@@ -23,8 +24,8 @@
     readonly history: StepHistory;
     /** Length of the leases given to workers. */
     readonly leaseMs: Millis;
-    /** Returns how much longer than their lease the runs of a silent worker are waited for. */
-    readonly computeLossGrace: () => Millis;
+    /** How late this process is. */
+    readonly lateness: Lateness;
     /** Leases given by earlier leaders. */
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -12,10 +12,13 @@
 import type { EndDesk } from "./end-desk.js";
 import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
+import { computeExtraReportGap, computeLossGrace } from "./late-leader.js";
 import { RunFinder } from "./run-finder.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
+/** Least time between two reports of one worker: each is a priced look, and ends of the meantime come together. */
+const REPORT_GAP_MS: Millis = 150;
 /** Time between two orders to stop the same run while its end is not listed. */
 const STOP_RETRY_MS: Millis = 400;
 /** A worker without runs that is no longer in the list is kept this long: entries lapse while the store is away. */
@@ -34,7 +37,7 @@
     readonly runs: RunFinder;
     private readonly members = new Map<string, Member>();
     private readonly inherited: InheritedRuns;
-    private readonly lostAnswers = new LostAnswers();
+    private readonly lostAnswers: LostAnswers;
     private closed = false;
 
     /**
@@ -42,6 +45,7 @@
      * @param ends - Where ends of runs go.
      */
     constructor(private readonly context: LeaderContext, private readonly ends: EndDesk) {
+        this.lostAnswers = new LostAnswers(context.lateness);
         this.inherited = new InheritedRuns(context, ends);
         this.runs = new RunFinder(context, this.members, this.inherited);
     }
@@ -170,6 +174,7 @@
                 handleFenced: () => context.handleDeposed("a worker follows a later leader"),
                 handleSuspended: gap => this.handleSuspended(gap),
                 mayExtend: () => context.authority.mayOrder(),
+                computeReportGap: () => REPORT_GAP_MS + computeExtraReportGap(context.lateness),
                 computeReportWait: () =>
                     this.lostAnswers.computeReportWait(context.clock.now(), this.members.size),
                 computeRepeatDelay: () => this.lostAnswers.computeRepeatDelay(context.clock.now()),
@@ -315,7 +320,7 @@
 
     private sweepMember(member: Member, now: Millis): void {
         const { state, session } = member;
-        const lossAt = session.getLeaseEnd() + this.context.computeLossGrace();
+        const lossAt = session.getLeaseEnd() + computeLossGrace(this.context.lateness);
         if (!state.isReachable && now > lossAt && state.runs.size > 0) {
             this.expireRuns(state, "lease ran out");
         }
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -7,6 +7,7 @@
 import type { Step, Task } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
+import { computeLossGrace } from "./late-leader.js";
 
 /** The runs; see the module comment. */
 export class InheritedRuns {
@@ -80,7 +81,7 @@
     /** Gives up on workers that never appeared, once their leases have surely run out. */
     dropExpired(now: Millis): void {
         for (const [workerId, tasks] of this.tasks) {
-            if (now <= this.computeEnd(workerId) + this.context.computeLossGrace()) {
+            if (now <= this.computeEnd(workerId) + computeLossGrace(this.context.lateness)) {
                 continue;
             }
             this.tasks.delete(workerId);
--- a/src/process/leader/job-desk.ts
+++ b/src/process/leader/job-desk.ts
@@ -1,6 +1,5 @@
 /** Answers callers' requests at the leader. */
 import type { Millis } from "../../common/clock.js";
-import type { Lateness } from "../../common/lateness.js";
 import type { Random } from "../../common/random.js";
 import { findQueue } from "../../version/cluster-config.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
@@ -24,12 +23,6 @@
 const RETENTION_MS: Millis = 240_000;
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i;
 
-/** How loaded the leader's process is. */
-export interface DeskLoad {
-    readonly random: Random;
-    readonly lateness: Lateness;
-}
-
 type Reply = (reply: CallerReply) => void;
 
 /** The desk; see the module comment. */
@@ -44,14 +37,14 @@
      * @param journal - Knows whether the store is away.
      * @param ends - Stops what cancelled jobs run.
      * @param queues - Keeps the settings that accepted jobs are run under.
-     * @param load - How loaded this process is.
+     * @param random - Spreads refusals.
      */
     constructor(
         private readonly context: LeaderContext,
         private readonly journal: Journal,
         private readonly ends: EndDesk,
         private readonly queues: QueueSettings,
-        private readonly load: DeskLoad,
+        private readonly random: Random,
     ) {}
 
     /** Answers a request; the promise settles once the answer is true for good. */
@@ -143,7 +136,7 @@
         const admission = this.decideAdmission(queue);
         if (admission.kind === "overloaded") {
             this.logDecision(jobId, queue.name, "refused", "the leader is late", {
-                latenessMs: Math.round(this.load.lateness.getMeanLatenessMs()),
+                latenessMs: Math.round(this.context.lateness.getMeanLatenessMs()),
                 refusedShare: admission.share,
             });
             const { retryAfterMs } = admission;
@@ -164,10 +157,10 @@
 
     private decideAdmission({ priority }: QueueConfig): Admission {
         return decideAdmission({
-            latenessMs: this.load.lateness.getMeanLatenessMs(),
+            latenessMs: this.context.lateness.getMeanLatenessMs(),
             priority,
             priorities: this.context.getConfig().queues.map(queue => queue.priority),
-            draw: this.load.random.pickFraction(),
+            draw: this.random.pickFraction(),
         });
     }
 
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -24,6 +24,7 @@
 import { EndDesk } from "./end-desk.js";
 import { Fleet } from "./fleet.js";
 import { JobDesk } from "./job-desk.js";
+import { computeExtraRecordGap } from "./late-leader.js";
 import { PermitDesk } from "./permit-desk.js";
 import { QueueSettings } from "./queue-settings.js";
 import type { CallerReply, CallerRequest } from "./requests.js";
@@ -59,11 +60,6 @@
 const PASS_REST_FACTOR = 2;
 /** How often leases, schedules and the store's silence are looked at. */
 const SWEEP_MS: Millis = 100;
-/** Timers of a leader with processor time to spare are less late than this. */
-const LATE_MS: Millis = 100;
-/** Turns of the event loop in which reports that have arrived are read. */
-const LATE_TURNS = 8;
-const LONGEST_LOSS_GRACE_MS: Millis = 6_000;
 const FORGET_EVERY_SWEEPS = 50;
 /** How often the state of the cluster is logged. */
 const REPORT_EVERY_SWEEPS = 10;
@@ -101,10 +97,7 @@
         this.ends = new EndDesk(this.context, this.runTimes);
         this.fleet = new Fleet(this.context, this.ends);
         this.ends.install(this.fleet);
-        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues, {
-            random: options.random,
-            lateness: options.lateness,
-        });
+        this.desk = new JobDesk(this.context, this.journal, this.ends, this.queues, options.random);
         this.starter = new Starter(
             this.context,
             this.fleet,
@@ -170,7 +163,7 @@
             authority: new Authority(options.clock, options.store),
             history: new StepHistory(),
             leaseMs: options.leaseMs,
-            computeLossGrace: () => computeLossGrace(options.lateness.getLatenessMs()),
+            lateness: options.lateness,
             inheritedLeases: options.inheritedLeases,
             getConfig: options.getConfig,
             predictRunMs: ({ spec, job }) =>
@@ -206,6 +199,7 @@
             epoch: options.epoch,
             loaded: options.loaded,
             encodeState: () => encodeBook(options.loaded.book),
+            computeExtraGap: () => computeExtraRecordGap(options.lateness),
             handleDeposed: () => options.handleDeposed("the store refused a write under this leader's guard"),
         });
     }
@@ -310,16 +304,6 @@
     }
 }
 
-/**
- * Returns how much longer than their lease the runs of a silent worker are waited for.
- *
- * @remarks Failure guarded against: a leader whose processor is full has not read a report yet in which a run has ended as
- * done. It calls the run lost and starts the task again, and then reads that it was done.
- */
-function computeLossGrace(latenessMs: Millis): Millis {
-    return latenessMs < LATE_MS ? 0 : Math.min(LONGEST_LOSS_GRACE_MS, latenessMs * LATE_TURNS);
-}
-
 function countWorkers(workersByPool: WorkersByPool): number {
     return [...workersByPool.values()].reduce((sum, workers) => sum + workers.length, 0);
 }
--- a/src/process/platform/http-request.ts
+++ b/src/process/platform/http-request.ts
@@ -1,5 +1,6 @@
 /** One HTTP request whose end says whether it was sent at all. */
 import type { Dispatcher } from "undici";
+import { scheduleTimeout } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 
 /** A request. */
@@ -64,7 +65,7 @@
             timer.cancel();
             resolve(end);
         });
-        const timer = clock.schedule(request.timeout, () => {
+        const timer = scheduleTimeout(clock, request.timeout, () => {
             collector.cancel(`no answer within ${request.timeout} ms`);
         });
         const { method, path, headers, body } = request;
--- a/src/test/dispatch/lost-answers_test.ts
+++ b/src/test/dispatch/lost-answers_test.ts
@@ -1,6 +1,7 @@
 /** What follows from lost answers of workers. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { ON_TIME } from "../../common/lateness.js";
 import { LostAnswers } from "../../process/dispatch/lost-answers.js";
 
 interface Case {
@@ -23,7 +24,7 @@
 describe("the wait for a report", () => {
     for (const { name, lossAt, workers, expected } of CASES) {
         it(name, () => {
-            const lost = new LostAnswers();
+            const lost = new LostAnswers(ON_TIME);
             if (lossAt !== undefined) {
                 lost.observeLoss(lossAt);
             }
@@ -40,7 +41,7 @@
     ];
     for (const { name, lossAt, expected } of cases) {
         it(name, () => {
-            const lost = new LostAnswers();
+            const lost = new LostAnswers(ON_TIME);
             if (lossAt !== undefined) {
                 lost.observeLoss(lossAt);
             }
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -38,6 +38,7 @@
                 handleFenced: () => undefined,
                 handleSuspended: () => undefined,
                 mayExtend: () => true,
+                computeReportGap: () => 150,
                 computeReportWait: () => 1_000,
                 computeRepeatDelay: () => 150,
                 handleLostAnswer: () => undefined,
