Every new leader is given time, more with each failure; a silence of the store is longer than usual answers

Change: the first new leader has 1.5 s, doubled with each take-over that was not seen to end; a process that has ended is replaced at once as before. getSilenceMs counts beyond five usual answers.

--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -68,6 +68,10 @@
  */
 const TRY_LIMIT_MS: Millis = 1_000;
 const LONGEST_TRY_LIMIT_MS: Millis = 8_000;
+/** Share of a new sample in the smoothed time of answers. */
+const ANSWER_GAIN = 0.25;
+/** A silence is as long as several usual answers at least. */
+const USUAL_ANSWERS = 5;
 /** Tries of one write that may be open at once. */
 const MAX_OPEN_TRIES = 3;
 /** Pause of the oldest write after a try that failed; doubles up to the longest, a sixth of a short job's slack. */
@@ -111,6 +115,8 @@
     /** Arrival of the last answer, on the clock and in attentive time. */
     private lastAnswerAt: Millis = -Infinity;
     private lastAnswerAttentive: Millis = -Infinity;
+    /** Smoothed time of answers. */
+    private usualAnswerMs: Millis = 0;
     /** The writes under way, oldest first. */
     private readonly underWay = new Set<Pursuit>();
     private answered = new Signal();
@@ -136,6 +142,7 @@
      */
     observeAnswer(tookMs: Millis): void {
         this.timeout.observeAnswer(tookMs);
+        this.usualAnswerMs += (tookMs - this.usualAnswerMs) * ANSWER_GAIN;
         this.lastAnswerAt = this.options.clock.now();
         this.lastAnswerAttentive = this.getAttentiveMs();
         const { answered } = this;
@@ -157,14 +164,16 @@
 
     /**
      * Returns for how long writes have waited while no call at all was answered, without the time for which this process
-     * was late itself; 0 while none waits. Single lost answers do not raise it, since the writes beside them are answered.
+     * was late itself; 0 while none waits, or for no longer than answers usually take over a link that is full. Single
+     * lost answers do not raise it, since the writes beside them are answered.
      */
     getSilenceMs(): Millis {
         const [oldest] = this.underWay;
         if (oldest === undefined) {
             return 0;
         }
-        return this.getAttentiveMs() - Math.max(oldest.since, this.lastAnswerAttentive);
+        const silenceMs = this.getAttentiveMs() - Math.max(oldest.since, this.lastAnswerAttentive);
+        return silenceMs > this.usualAnswerMs * USUAL_ANSWERS ? silenceMs : 0;
     }
 
     /** Gives up what is under way. */
--- a/src/process/node/claim-patience.ts
+++ b/src/process/node/claim-patience.ts
@@ -2,16 +2,16 @@
 import type { Millis } from "../../common/clock.js";
 import type { LeaderRecord } from "../leadership/leader-record.js";
 
-/** Patience after one take-over that was not seen to end; doubles with each further one. */
-const FIRST_PATIENCE_MS: Millis = 1_000;
+/** Time that a new leader is given on the smallest VMs; doubles with each take-over that was not seen to end. */
+const FIRST_PATIENCE_MS: Millis = 1_500;
 const LONGEST_PATIENCE_MS: Millis = 8_000;
 
 /**
  * Patience with leaders that have not been seen to lead yet.
  *
  * @remarks Failure guarded against: loading the journal fills a small VM's link or processor, so that the new leader sounds
- * dead, and the next node claims before it is through. With every claim the same happens again, and nobody ever leads. The
- * first leader after one that led is replaced as soon as it sounds dead; each that follows it is given more time.
+ * dead, and the next node claims before it is through. With every claim the same happens again, and nobody ever leads. So
+ * each leader is given more time than the one before it. One whose process has ended is not waited for.
  */
 export class ClaimPatience {
     /** Last epoch whose leader was seen to have loaded the journal. */
@@ -37,11 +37,10 @@
      * @param now - On the same clock.
      */
     computeRemaining(record: LeaderRecord | undefined, firstSeenAt: Millis, now: Millis): Millis {
-        const failed = record?.failedBefore ?? 0;
-        if (record === undefined || failed === 0 || this.isSeenReady(record)) {
+        if (record === undefined || this.isSeenReady(record)) {
             return 0;
         }
-        const patience = Math.min(LONGEST_PATIENCE_MS, FIRST_PATIENCE_MS * 2 ** (failed - 1));
+        const patience = Math.min(LONGEST_PATIENCE_MS, FIRST_PATIENCE_MS * 2 ** (record.failedBefore ?? 0));
         return Math.max(0, firstSeenAt + patience - now);
     }
 
