--- /dev/null
+++ b/src/test/load/main.ts
@@ -0,0 +1,29 @@
+/** Plays a load on several seeds: `npm run played-load -- --seed N --runs N`. */
+import { parseArgs } from "node:util";
+import { SCARCE_LOAD } from "./load-profile.js";
+import { PlayedLoad } from "./played-load.js";
+
+const { values } = parseArgs({
+    options: { seed: { type: "string", default: "1" }, runs: { type: "string", default: "1" } },
+});
+const seed = Number(values.seed);
+const runs = Number(values.runs);
+if (!Number.isInteger(seed) || !Number.isInteger(runs) || runs < 1) {
+    console.error("usage: npm run played-load -- --seed N --runs N");
+    process.exit(2);
+}
+let sum = 0;
+for (let run = 0; run < runs; run++) {
+    const { worth, utilization, classes, faults } = await new PlayedLoad(SCARCE_LOAD, seed + run).play();
+    sum += worth;
+    const parts = classes.map(({ name, jobs, inTime, late, owed, earned, stops }) =>
+        `${name} ${(earned / owed).toFixed(3)} (${inTime}+${late} of ${jobs}, ${stops} stops)`
+    );
+    console.log(
+        `seed ${seed + run}: worth ${worth.toFixed(3)}, in use ${utilization.toFixed(3)}; ${
+            parts.join("; ")
+        }`,
+    );
+    faults.forEach(fault => console.log(`  ${fault}`));
+}
+console.log(`mean ${(sum / runs).toFixed(3)}`);
--- /dev/null
+++ b/src/test/load/played-load.ts
@@ -0,0 +1,271 @@
+/** A load played against one leader, in fake time: what callers get, and what it costs. */
+import type { Millis } from "../../common/clock.js";
+import { RunEnd } from "../../process/jobs/job-events.js";
+import { parseTaskName } from "../../process/jobs/job-spec.js";
+import type { TaskBehavior } from "../../stand-ins/index.js";
+import { DayAdvice } from "../leader/day-advice.js";
+import { hashToFraction } from "../leader/day-work.js";
+import { HOST, LeaderCell, makeJobId } from "../leader/leader-cell.js";
+import type { TestLeader } from "../leader/leader-cell.js";
+import { drawJobs } from "./load-profile.js";
+import type { LoadClass, LoadJob, LoadProfile } from "./load-profile.js";
+
+/** Time after the last job in which the rest is still counted. */
+const DRAIN_MS: Millis = 25_000;
+const LOOK_MS: Millis = 500;
+/** A job is worth something until this many times its objective. */
+const LATE_FACTOR = 3;
+const LATE_WORTH = 0.2;
+
+/** What callers of one kind of job got. */
+export interface ClassResult {
+    readonly name: string;
+    jobs: number;
+    inTime: number;
+    late: number;
+    owed: number;
+    earned: number;
+    /** Runs that were stopped to make room. */
+    stops: number;
+    /** Time from the hand-in to the first start, of jobs that had one. */
+    readonly startWaits: Millis[];
+}
+
+/** How a load went. */
+export interface LoadResult {
+    readonly classes: readonly ClassResult[];
+    /** Share of what was owed that was earned. */
+    readonly worth: number;
+    /** Mean share of all processors that did work while jobs came. */
+    readonly utilization: number;
+    /** What no promise allows. */
+    readonly faults: readonly string[];
+}
+
+interface GangRun {
+    readonly members: Map<string, string>;
+    begun: boolean;
+}
+
+/** The load; see the module comment. */
+export class PlayedLoad {
+    private readonly cell = new LeaderCell(0);
+    private readonly jobs: readonly LoadJob[];
+    private readonly byId = new Map<string, LoadJob>();
+    private readonly results = new Map<LoadClass, ClassResult>();
+    private readonly gangs = new Map<string, GangRun>();
+    private readonly begun = new Set<number>();
+    private readonly open = new Set<LoadJob>();
+    private readonly advice: DayAdvice;
+    private readonly startedAt = new Map<string, { readonly at: Millis; readonly cpuMillis: number; }>();
+    private usedCpuMs = 0;
+
+    /**
+     * @param profile - What is handed in, and to what.
+     * @param seed - Of all that is drawn.
+     */
+    constructor(private readonly profile: LoadProfile, seed: number) {
+        this.jobs = drawJobs(profile, seed);
+        this.jobs.forEach(job => this.byId.set(makeJobId(job.number), job));
+        for (const kind of profile.classes) {
+            this.results.set(kind, {
+                name: kind.queue.name,
+                jobs: 0,
+                inTime: 0,
+                late: 0,
+                owed: 0,
+                earned: 0,
+                stops: 0,
+                startWaits: [],
+            });
+        }
+        this.cell.config = { ...this.cell.config, queues: profile.classes.map(({ queue }) => queue) };
+        this.advice = new DayAdvice(this.cell.clock, step => this.findAdvice(step), () => true);
+        for (let number = 1; number <= profile.workers; number++) {
+            this.addWorker(`w${number}`, `10.0.0.${number}:80`);
+        }
+    }
+
+    /** Plays the load. */
+    async play(): Promise<LoadResult> {
+        const { clock } = this.cell;
+        const leader = await this.cell.startLeader();
+        for (let node = 1; node <= this.profile.nodes; node++) {
+            leader.leader.addCaller(this.advice.buildCaller(`n${node}`, leader.clock));
+        }
+        await clock.step(1_000);
+        const begin = clock.now();
+        for (const job of this.jobs) {
+            clock.schedule(begin + job.at - clock.now(), () => void this.submit(leader, job));
+        }
+        let nextLook = 0;
+        while (clock.now() - begin < this.profile.lengthMs + DRAIN_MS) {
+            await clock.step(LOOK_MS / 5);
+            nextLook += 1;
+            if (nextLook % 1 === 0) {
+                this.look(leader, begin);
+            }
+            if (clock.now() - begin >= this.profile.lengthMs && this.open.size === 0) {
+                break;
+            }
+        }
+        return this.summarize();
+    }
+
+    private async submit({ leader }: TestLeader, job: LoadJob): Promise<void> {
+        const result = this.getResult(job);
+        result.jobs += 1;
+        result.owed += job.worth;
+        this.open.add(job);
+        const path = `${job.kind.queue.pathPrefix}${makeJobId(job.number)}`;
+        const reply = await leader.serve({ kind: "submit", host: HOST, path, spec: job.spec });
+        if (reply.kind !== "accepted") {
+            this.open.delete(job);
+        }
+    }
+
+    /** Looks which jobs are over, as their callers do. */
+    private look({ book }: TestLeader, begin: Millis): void {
+        const now = this.cell.clock.now();
+        for (const job of this.open) {
+            const found = book.get(makeJobId(job.number));
+            if (found === undefined || found.endedAt === 0) {
+                continue;
+            }
+            this.open.delete(job);
+            const took = now - begin - job.at;
+            const objective = computeObjective(job);
+            const result = this.getResult(job);
+            if (found.phase !== "completed" || took > objective * LATE_FACTOR) {
+                continue;
+            }
+            const isLate = took > objective;
+            result.late += isLate ? 1 : 0;
+            result.inTime += isLate ? 0 : 1;
+            result.earned += job.worth * (isLate ? LATE_WORTH : 1);
+        }
+    }
+
+    private summarize(): LoadResult {
+        const classes = [...this.results.values()];
+        const owed = classes.reduce((sum, result) => sum + result.owed, 0);
+        const earned = classes.reduce((sum, result) => sum + result.earned, 0);
+        const all = this.profile.workers * this.profile.capacity.cpuMillis * this.profile.lengthMs;
+        return { classes, worth: earned / owed, utilization: this.usedCpuMs / all, faults: this.cell.faults };
+    }
+
+    private getResult({ kind }: LoadJob): ClassResult {
+        const result = this.results.get(kind);
+        if (result === undefined) {
+            throw new Error(`queue ${kind.queue.name} is not part of the profile`);
+        }
+        return result;
+    }
+
+    private findJob(task: string): { readonly job: LoadJob; readonly step: number; } | undefined {
+        const ref = parseTaskName(task);
+        const job = this.byId.get(ref?.jobId ?? task.split(".")[0] ?? "");
+        const step = ref?.step ?? Number(task.split(".")[2]);
+        return job === undefined ? undefined : { job, step };
+    }
+
+    private findAdvice(step: string): ReturnType<ConstructorParameters<typeof DayAdvice>[1]> {
+        const kind = this.findJob(step)?.job.kind;
+        return kind?.queue.advice === undefined ?
+            undefined :
+            { policy: kind.queue.advice, allowedShare: kind.allowedShare };
+    }
+
+    private addWorker(workerId: string, address: string): void {
+        this.cell.addWorker(workerId, address, {
+            capacity: this.profile.capacity,
+            stopMs: 400,
+            getBehavior: (task, run) => this.describeRun(task, run),
+            isPermitted: (task, permit) => this.advice.isPermitted(task, workerId, permit),
+            handleStart: (task, run, used) => {
+                if (used.cpuMillis > this.profile.capacity.cpuMillis) {
+                    this.cell.faults.push(`${workerId} is over its capacity`);
+                }
+                this.handleStart(task, run, address);
+            },
+            handleEnd: (task, run, end) => this.handleEnd(task, run, end),
+        });
+    }
+
+    private describeRun(task: string, run: number): TaskBehavior {
+        const found = this.findJob(task);
+        const spec = found?.job.spec.steps[found.step];
+        if (found === undefined || spec === undefined) {
+            throw new Error(`nobody handed ${task} in`);
+        }
+        const unit = spec.isGang ? `${task.split(".").slice(0, 3).join(".")}` : task;
+        const isFailing = hashToFraction(`${unit}#${run}`) < found.job.kind.failingShare;
+        return {
+            demand: spec.demand,
+            runMs: found.job.runMs[found.step] ?? 0,
+            end: isFailing ? "failed" : "done",
+            savesCheckpoints: spec.savesCheckpoints,
+            waitsForGang: spec.isGang,
+        };
+    }
+
+    private handleStart(task: string, run: number, address: string): void {
+        const found = this.findJob(task);
+        if (found === undefined) {
+            return;
+        }
+        const { job, step } = found;
+        if (!this.begun.has(job.number)) {
+            this.begun.add(job.number);
+            this.getResult(job).startWaits.push(this.cell.clock.now() - 1_000 - job.at);
+        }
+        const spec = job.spec.steps[step];
+        this.startedAt.set(`${task}#${run}`, {
+            at: this.cell.clock.now(),
+            cpuMillis: spec?.demand.cpuMillis ?? 0,
+        });
+        if (spec?.isGang !== true) {
+            return;
+        }
+        const key = `${job.number}.${step}#${run}`;
+        const gang = this.gangs.get(key) ?? { members: new Map<string, string>(), begun: false };
+        this.gangs.set(key, gang);
+        gang.members.set(task, address);
+        if (gang.members.size === spec.taskCount && !gang.begun) {
+            gang.begun = true;
+            gang.members.forEach((at, member) => this.cell.getModel(at).startWork(member, run));
+        }
+    }
+
+    private handleEnd(task: string, run: number, end: RunEnd): void {
+        this.countUse(`${task}#${run}`);
+        const found = this.findJob(task);
+        if (found === undefined) {
+            return;
+        }
+        const { job, step } = found;
+        if (end === RunEnd.stopped) {
+            this.getResult(job).stops += 1;
+        }
+        const gang = this.gangs.get(`${job.number}.${step}#${run}`);
+        if (gang?.members.delete(task) === true && end !== RunEnd.done) {
+            for (const [member, at] of [...gang.members]) {
+                gang.members.delete(member);
+                this.cell.getModel(at).finishRun(member, run, RunEnd.broken);
+            }
+        }
+    }
+
+    private countUse(key: string): void {
+        const started = this.startedAt.get(key);
+        const end = 1_000 + this.profile.lengthMs;
+        if (started !== undefined) {
+            const usedMs = Math.min(end, this.cell.clock.now()) - Math.min(end, started.at);
+            this.usedCpuMs += usedMs * started.cpuMillis;
+        }
+    }
+}
+
+function computeObjective({ kind, runMs }: LoadJob): Millis {
+    return kind.queue.stretch * runMs.reduce((sum, ms) => sum + ms, 0) + kind.queue.targetMs;
+}
