Single tasks with time to spare leave room to gangs that lack it; a step reckons with the steps behind it

Cause: on the large deployment three queues want nine tenths of all processors. Tasks of the last queue filled every hole at once and were stopped for gangs a moment later, 2.2 times each on the mean; gangs were late all the same. Change: isHeldBack (dispatch/backfill.ts); urgency has slackMs, by the chain of steps that begins with a step.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -8,6 +8,7 @@
 import type { Millis } from "../../common/clock.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
+import { isHeldBack } from "./backfill.js";
 import type { StepPermits } from "./permits.js";
 import { canEverHold, countPlaces, isAllOrNothing, PoolView } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
@@ -125,6 +126,8 @@
     private readonly pools = new Map<string, PoolView>();
     private readonly keepers: Step[] = [];
     private preemptingGangs = 0;
+    /** Priority of the most urgent gang that lacks room and could be in time. */
+    private blockedPriority = Infinity;
 
     constructor(private readonly input: PlanInput) {}
 
@@ -136,6 +139,9 @@
     }
 
     private planStep(urgency: Urgency): void {
+        if (isHeldBack(urgency, this.blockedPriority)) {
+            return;
+        }
         const { step, queue } = urgency;
         const pool = this.getPool(queue.pool);
         const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
@@ -286,9 +292,13 @@
 
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
     private settleBlockedGang(current: WaitingStep, placements: readonly Placement[]): void {
-        const { step, candidates, permits } = current;
+        const { urgency, step, candidates, permits } = current;
         const isKeeping = this.keepers.length < MAX_KEEPING_GANGS && placements.length > 0;
-        if (canEverHold(step, candidates) && (this.preemptFor(current, placements.length) || isKeeping)) {
+        const canHold = canEverHold(step, candidates);
+        if (canHold && urgency.lateness === 0) {
+            this.blockedPriority = Math.min(this.blockedPriority, urgency.queue.priority);
+        }
+        if (canHold && (this.preemptFor(current, placements.length) || isKeeping)) {
             this.keepers.push(step);
             if (permits !== undefined) {
                 // Its room may come free at any moment, and must not stand idle for as long as a question takes.
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -1,7 +1,7 @@
 /** In which order waiting steps get room. */
 import type { Millis } from "../../common/clock.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
-import { computeChainMs } from "../jobs/job-spec.js";
+import { computeChainFromMs, computeChainMs } from "../jobs/job-spec.js";
 import type { StepSpec } from "../jobs/job-spec.js";
 import type { Step } from "../jobs/job.js";
 
@@ -15,6 +15,8 @@
     readonly lateness: 0 | 1 | 2;
     /** Wall-clock time at which the job has to be done for its objective. */
     readonly dueAt: number;
+    /** How much later the step could begin for that; negative where it is too late. */
+    readonly slackMs: Millis;
 }
 
 /** A job is worth something to its caller until this many times its objective has passed. */
@@ -54,13 +56,16 @@
     const { job, repairRun } = step;
     const isRepair = repairRun !== undefined;
     const begin = Math.max(job.acceptedAt, step.occurrence.dueAt);
-    const objective = estimateObjectiveMs(step.occurrence.steps.map(other => other.spec), queue, predictMs);
+    const specs = step.occurrence.steps.map(other => other.spec);
+    const objective = estimateObjectiveMs(specs, queue, predictMs);
     const dueAt = begin + objective;
-    const endAt = wallNow + predictMs(step.spec.estimateMs);
-    if (endAt <= dueAt) {
-        return { step, queue, isRepair, lateness: 0, dueAt };
+    const endAt = wallNow + computeChainFromMs(specs, step.number, predictMs);
+    const slackMs = dueAt - endAt;
+    if (slackMs >= 0) {
+        return { step, queue, isRepair, lateness: 0, dueAt, slackMs };
     }
-    return { step, queue, isRepair, lateness: endAt <= begin + LATE_FACTOR * objective ? 1 : 2, dueAt };
+    const lateness = endAt <= begin + LATE_FACTOR * objective ? 1 : 2;
+    return { step, queue, isRepair, lateness, dueAt, slackMs };
 }
 
 /**
--- a/src/process/jobs/job-spec.ts
+++ b/src/process/jobs/job-spec.ts
@@ -94,3 +94,27 @@
     }
     return Math.max(0, ...ends);
 }
+
+/**
+ * Computes the longest chain that begins with a step and goes on with those that wait for it.
+ * @param steps - The steps; `after` names earlier ones only.
+ * @param first - Number of the step.
+ * @param predictMs - What to expect of a caller's estimate.
+ */
+export function computeChainFromMs(
+    steps: readonly StepSpec[],
+    first: number,
+    predictMs: (estimateMs: Millis) => Millis,
+): Millis {
+    const ends: (Millis | undefined)[] = [];
+    let longest = 0;
+    for (const [number, step] of steps.entries()) {
+        const earlier = step.after.flatMap(before => ends[before] ?? []);
+        if (number === first || earlier.length > 0) {
+            const end = Math.max(0, ...earlier) + predictMs(step.estimateMs);
+            ends[number] = end;
+            longest = Math.max(longest, end);
+        }
+    }
+    return longest;
+}
--- a/src/test/load/load-profile.ts
+++ b/src/test/load/load-profile.ts
@@ -138,13 +138,13 @@
 };
 
 /** Draws the jobs of a load, in the order in which they come. */
-export function drawJobs(profile: LoadProfile, seed: number): readonly LoadJob[] {
+export function pickJobs(profile: LoadProfile, seed: number): readonly LoadJob[] {
     const random = createWarmRandom(seed);
     const arrivals = profile.classes.flatMap(kind =>
-        drawArrivals(kind, profile.lengthMs, random).map(at => ({ kind, at }))
+        pickArrivals(kind, profile.lengthMs, random).map(at => ({ kind, at }))
     );
     arrivals.sort((left, right) => left.at - right.at);
-    return arrivals.map(({ kind, at }, index) => drawJob(kind, at, index + 1, random));
+    return arrivals.map(({ kind, at }, index) => pickJob(kind, at, index + 1, random));
 }
 
 /** The first draws of neighbouring seeds are much alike. */
@@ -156,7 +156,7 @@
     return random;
 }
 
-function drawArrivals(kind: LoadClass, lengthMs: Millis, random: Random): readonly Millis[] {
+function pickArrivals(kind: LoadClass, lengthMs: Millis, random: Random): readonly Millis[] {
     const { perSecond, burst } = kind;
     const times: Millis[] = [];
     let at = 0;
@@ -170,17 +170,17 @@
     }
 }
 
-function drawJob(kind: LoadClass, at: Millis, number: number, random: Random): LoadJob {
+function pickJob(kind: LoadClass, at: Millis, number: number, random: Random): LoadJob {
     const count = 1 + (random.pickFraction() < (kind.steps - 1) ? 1 : 0);
-    const runMs = Array.from({ length: count }, () => Math.round(drawFrom(kind.runMs, random)));
+    const runMs = Array.from({ length: count }, () => Math.round(pickFrom(kind.runMs, random)));
     const steps = runMs.map((trueMs, index): Partial<StepSpec> => ({
-        taskCount: Math.max(1, Math.round(drawFrom(kind.width, random))),
+        taskCount: Math.max(1, Math.round(pickFrom(kind.width, random))),
         demand: {
-            cpuMillis: Math.round(drawFrom(kind.cpuMillis, random)),
-            memoryMib: Math.round(drawFrom(kind.memoryMib, random)),
+            cpuMillis: Math.round(pickFrom(kind.cpuMillis, random)),
+            memoryMib: Math.round(pickFrom(kind.memoryMib, random)),
             accelerators: 0,
         },
-        estimateMs: Math.round(trueMs * Math.exp(kind.estimateSigma * drawNormal(random))),
+        estimateMs: Math.round(trueMs * Math.exp(kind.estimateSigma * pickNormal(random))),
         isGang: random.pickFraction() < kind.gangShare,
         savesCheckpoints: random.pickFraction() < kind.savingShare,
         after: index === 0 ? [] : [index - 1],
@@ -194,12 +194,12 @@
     return { number, kind, at, spec, runMs, worth: kind.worth * Math.min(4, 0.3 + 0.7 * work / meanWork) };
 }
 
-function drawFrom({ mean, sigma, most }: Spread, random: Random): number {
+function pickFrom({ mean, sigma, most }: Spread, random: Random): number {
     // The mean of a logarithmic normal distribution lies above its median.
-    return Math.min(most, mean * Math.exp(sigma * drawNormal(random) - sigma ** 2 / 2));
+    return Math.min(most, mean * Math.exp(sigma * pickNormal(random) - sigma ** 2 / 2));
 }
 
-function drawNormal(random: Random): number {
+function pickNormal(random: Random): number {
     const radius = Math.sqrt(-2 * Math.log(1 - random.pickFraction()));
     return radius * Math.cos(2 * Math.PI * random.pickFraction());
 }
--- a/src/test/load/played-load.ts
+++ b/src/test/load/played-load.ts
@@ -7,12 +7,12 @@
 import { hashToFraction } from "../leader/day-work.js";
 import { HOST, LeaderCell, makeJobId } from "../leader/leader-cell.js";
 import type { TestLeader } from "../leader/leader-cell.js";
-import { drawJobs } from "./load-profile.js";
+import { pickJobs } from "./load-profile.js";
 import type { LoadClass, LoadJob, LoadProfile } from "./load-profile.js";
 
 /** Time after the last job in which the rest is still counted. */
 const DRAIN_MS: Millis = 25_000;
-const LOOK_MS: Millis = 500;
+const LOOK_MS: Millis = 100;
 /** A job is worth something until this many times its objective. */
 const LATE_FACTOR = 3;
 const LATE_WORTH = 0.2;
@@ -65,7 +65,7 @@
      * @param seed - Of all that is drawn.
      */
     constructor(private readonly profile: LoadProfile, seed: number) {
-        this.jobs = drawJobs(profile, seed);
+        this.jobs = pickJobs(profile, seed);
         this.jobs.forEach(job => this.byId.set(makeJobId(job.number), job));
         for (const kind of profile.classes) {
             this.results.set(kind, {
@@ -98,18 +98,14 @@
         for (const job of this.jobs) {
             clock.schedule(begin + job.at - clock.now(), () => void this.submit(leader, job));
         }
-        let nextLook = 0;
         while (clock.now() - begin < this.profile.lengthMs + DRAIN_MS) {
-            await clock.step(LOOK_MS / 5);
-            nextLook += 1;
-            if (nextLook % 1 === 0) {
-                this.look(leader, begin);
-            }
+            await clock.step(LOOK_MS);
+            this.observeEnds(leader, begin);
             if (clock.now() - begin >= this.profile.lengthMs && this.open.size === 0) {
                 break;
             }
         }
-        return this.summarize();
+        return this.computeResult();
     }
 
     private async submit({ leader }: TestLeader, job: LoadJob): Promise<void> {
@@ -125,7 +121,7 @@
     }
 
     /** Looks which jobs are over, as their callers do. */
-    private look({ book }: TestLeader, begin: Millis): void {
+    private observeEnds({ book }: TestLeader, begin: Millis): void {
         const now = this.cell.clock.now();
         for (const job of this.open) {
             const found = book.get(makeJobId(job.number));
@@ -146,7 +142,7 @@
         }
     }
 
-    private summarize(): LoadResult {
+    private computeResult(): LoadResult {
         const classes = [...this.results.values()];
         const owed = classes.reduce((sum, result) => sum + result.owed, 0);
         const earned = classes.reduce((sum, result) => sum + result.earned, 0);
