--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -5,70 +5,19 @@
  * of reach of the steps behind it. A gang that does not fit yet keeps what it could use, else smaller tasks would
  * take each piece of room as it comes free and the gang would never start.
  */
-import type { Millis } from "../../common/clock.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
 import { isHeldBack } from "./backfill.js";
 import type { StepPermits } from "./permits.js";
+import type { PermitWish, Plan, PlanInput, PlannedStart } from "./plan.js";
 import { canEverHold, countPlaces, isAllOrNothing, PoolView } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
-import type { PreemptionLooks } from "./preemption-looks.js";
 import { choosePreemptions } from "./preemption.js";
 import type { Preemption } from "./preemption.js";
 import { selectWorkersToAsk } from "./question-size.js";
 import type { AskableWorker } from "./question-size.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
-import type { WorkerState } from "./worker-state.js";
-
-/** What a pass is made from. */
-export interface PlanInput {
-    /** Steps with something to start, in any order. */
-    readonly waiting: readonly Urgency[];
-    /** Usable workers of each pool. */
-    readonly workersByPool: ReadonlyMap<string, readonly WorkerState[]>;
-    /**
-     * Workers of each pool that a new leader has not heard yet: permits for them can be asked for, and nothing starts there.
-     * So the first starts after a loss of all nodes do not wait for both, one after the other.
-     */
-    readonly unheardByPool: ReadonlyMap<string, readonly WorkerState[]>;
-    /** Permits of a step whose queue needs them. */
-    readonly getPermits: (step: Step) => StepPermits;
-    /** What passes remember of each other. */
-    readonly preemptionLooks: PreemptionLooks;
-    /** Processors of a worker that steps with a question under way will probably take, in thousandths. */
-    readonly getClaimedCpu: (workerId: string) => number;
-    /** Share of the workers named that a queue's policy is expected to allow. */
-    readonly getAllowedShare: (queue: string) => number;
-    /** Workers that did not take orders of a step lately. */
-    readonly listRefusing: (step: Step) => ReadonlySet<string>;
-    readonly now: Millis;
-}
-
-/** A run to begin. */
-export interface PlannedStart {
-    readonly step: Step;
-    readonly task: Task;
-    readonly worker: WorkerState;
-    readonly permit: string | undefined;
-}
-
-/** A question to put to the advice service. */
-export interface PermitWish {
-    readonly urgency: Urgency;
-    readonly workerIds: readonly string[];
-    /** Whether something could probably start with the answer, as there is room for it now. */
-    readonly hasRoom: boolean;
-}
-
-/** What to do. */
-export interface Plan {
-    readonly starts: readonly PlannedStart[];
-    readonly wishes: readonly PermitWish[];
-    readonly preemptions: readonly Preemption[];
-    /** Gangs without enough room that keep what they could use. */
-    readonly keepers: readonly Step[];
-}
 
 /**
  * What to expect of a renewal in place of the share of allowed workers: they are allowed, but by the time of the answer
--- a/src/process/leader/permit-desk.ts
+++ b/src/process/leader/permit-desk.ts
@@ -2,7 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { AdviceDesk, AdviceQuestion } from "../dispatch/advice-desk.js";
 import { REFRESH_MS, StepPermits } from "../dispatch/permits.js";
-import type { PermitWish } from "../dispatch/planner.js";
+import type { PermitWish } from "../dispatch/plan.js";
 import { AllowedShares } from "../dispatch/question-size.js";
 import { RoomClaims } from "../dispatch/room-claims.js";
 import type { Step } from "../jobs/job.js";
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -1,7 +1,7 @@
 /** Carries out planned starts: takes room, makes the assignment durable, orders the run, and settles the answer. */
 import type { Millis } from "../../common/clock.js";
 import type { StepPermits } from "../dispatch/permits.js";
-import type { PlannedStart } from "../dispatch/planner.js";
+import type { PlannedStart } from "../dispatch/plan.js";
 import { buildRunRecord, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
--- a/src/test/leader/permit-desk_test.ts
+++ b/src/test/leader/permit-desk_test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from "node:test";
 import type { Millis } from "../../common/clock.js";
 import { AdviceDesk } from "../../process/dispatch/advice-desk.js";
-import type { PermitWish } from "../../process/dispatch/planner.js";
+import type { PermitWish } from "../../process/dispatch/plan.js";
 import { rankStep } from "../../process/dispatch/urgency.js";
 import { JobBook } from "../../process/jobs/job-book.js";
 import { PermitDesk } from "../../process/leader/permit-desk.js";
