What cannot be read is named, and ends no process without a line

Cause: rows of another shape in answers of store, workers and advice service, records that cannot be parsed, and calls over links that fail rejected promises that nobody handled; the process ended without a line.

--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -202,9 +202,15 @@
         }
     }
 
+    /** A call that fails closes the link, so that its end knows, and the reason is logged with the closing. */
     private async replyToCall(id: number, body: unknown): Promise<void> {
-        const answer = await this.owner.handleCall(body);
-        this.send({ kind: "answer", id, body: answer });
+        try {
+            const answer = await this.owner.handleCall(body);
+            this.send({ kind: "answer", id, body: answer });
+        }
+        catch (error) {
+            this.close(`a call failed: ${String(error)}`);
+        }
     }
 
     private settle(id: number, answer: LinkAnswer): void {
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -51,6 +51,7 @@
  * Loads snapshot and records. Call it once this node's own leader record is written: from then on no earlier leader
  * can add to them.
  * @returns Undefined if the attempt is over.
+ * @throws An error that names the key of what cannot be read.
  */
 export async function loadJournal(context: LoadContext): Promise<LoadedJournal | undefined> {
     const reader = new PieceReader(context);
@@ -59,12 +60,16 @@
         return undefined;
     }
     const [headRecord] = headRecords;
-    const head = headRecord === undefined ? EMPTY_HEAD : decodeSnapshotHead(headRecord.value);
+    const head = headRecord === undefined ?
+        EMPTY_HEAD :
+        decodeNamed(headRecord.key, () => decodeSnapshotHead(headRecord.value));
     const [text, records] = await Promise.all([readSnapshot(reader, head), readLater(reader, head)]);
     if (text === undefined || records === undefined) {
         return undefined;
     }
-    const book = head.parts === 0 ? new JobBook() : decodeBook(text);
+    const book = head.parts === 0 ?
+        new JobBook() :
+        decodeNamed(makeSnapshotKey(head.generation, 0), () => decodeBook(text));
     const later = selectConnected(context.log, head, records.map(({ record }) => record));
     later.forEach(({ events }) => events.forEach(event => book.apply(event)));
     return {
@@ -79,6 +84,15 @@
     };
 }
 
+function decodeNamed<Value>(key: string, decode: () => Value): Value {
+    try {
+        return decode();
+    }
+    catch (error) {
+        throw new Error(`${key} cannot be read: ${String(error)}`, { cause: error });
+    }
+}
+
 async function readSnapshot(reader: PieceReader, head: SnapshotHead): Promise<string | undefined> {
     const keys = Array.from(
         { length: head.parts },
@@ -116,8 +130,8 @@
         if (records === undefined) {
             return undefined;
         }
-        for (const { value } of records) {
-            const record = decodeJournalRecord(value);
+        for (const { key, value } of records) {
+            const record = decodeNamed(key, () => decodeJournalRecord(value));
             found.set(record.sequence, { record, length: value.length });
         }
         while (found.has(next)) {
--- a/src/process/leadership/leader-record.ts
+++ b/src/process/leadership/leader-record.ts
@@ -37,6 +37,7 @@
 /**
  * Looks up the leader.
  * @returns Undefined if the store does not answer.
+ * @throws An error that names the key, if its record cannot be read: claimed over, epochs would begin anew.
  */
 export async function readLeader(port: StorePort, timeout: Millis): Promise<LeaderView | undefined> {
     const answer = await port.list(LEADER_PREFIX, timeout);
@@ -47,12 +48,29 @@
         answer.value.records.find(entry => entry.key === key);
     const entry = find(LEADER_KEY);
     return {
-        record: entry === undefined ? undefined : JSON.parse(entry.value) as LeaderRecord,
+        record: entry === undefined ? undefined : decodeLeaderRecord(entry),
         revision: entry?.revision ?? 0,
         isAlive: find(ALIVE_KEY) !== undefined,
     };
 }
 
+function decodeLeaderRecord({ key, value }: StoreRecord): LeaderRecord {
+    const record = parseJson(value) as LeaderRecord | undefined;
+    if (typeof record?.epoch !== "number" || typeof record.address !== "string") {
+        throw new Error(`the leader's record at ${key} cannot be read: remove the key if no node leads`);
+    }
+    return record;
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /**
  * Claims the leadership: writes the next epoch if the record is still the one that was seen.
  *
--- a/src/process/node/leader-search.ts
+++ b/src/process/node/leader-search.ts
@@ -26,6 +26,7 @@
 const READ_TIMEOUT_MS: Millis = 500;
 const STORE_RETRY_MS: Millis = 150;
 const RELOOK_MS: Millis = 100;
+const FAILED_SEARCH_PAUSE_MS: Millis = 1_000;
 /** Spread of the claims of nodes that do not know of each other, so that one usually wins before the others try. */
 const CLAIM_SPREAD_MS: Millis = 60;
 
@@ -35,33 +36,45 @@
 
     /** Runs until the node is closed. */
     async run(): Promise<void> {
-        const { clock, storePort, log, epochs, patience, isClosed } = this.options;
+        const { clock, log, isClosed } = this.options;
         while (!isClosed()) {
-            const view = await readLeader(storePort, READ_TIMEOUT_MS);
-            if (view === undefined) {
-                await this.followHint();
-                await sleep(clock, STORE_RETRY_MS);
-                continue;
+            try {
+                await this.followOrClaim();
             }
-            epochs.observe(view.record?.epoch ?? 0, clock.now());
-            const reason = await this.findClaimReason(view);
-            if (reason === undefined) {
-                await sleep(clock, RELOOK_MS);
-                continue;
+            catch (error) {
+                log.error("CR1634", "leaderSearchFailed", { message: String(error) });
+                await sleep(clock, FAILED_SEARCH_PAUSE_MS);
             }
-            if (!await this.waitForTurn(view)) {
-                continue;
-            }
-            log.info("leadershipClaimed", {
-                reason,
-                lastEpoch: view.record?.epoch,
-                lastLeader: view.record?.nodeName,
-                failedBefore: patience.countFailedBefore(view.record),
-            });
-            await this.claim(view);
         }
     }
 
+    /** Follows a leader until it is gone, or leads, or finds that the store is silent. */
+    private async followOrClaim(): Promise<void> {
+        const { clock, storePort, log, epochs, patience } = this.options;
+        const view = await readLeader(storePort, READ_TIMEOUT_MS);
+        if (view === undefined) {
+            await this.followHint();
+            await sleep(clock, STORE_RETRY_MS);
+            return;
+        }
+        epochs.observe(view.record?.epoch ?? 0, clock.now());
+        const reason = await this.findClaimReason(view);
+        if (reason === undefined) {
+            await sleep(clock, RELOOK_MS);
+            return;
+        }
+        if (!await this.waitForTurn(view)) {
+            return;
+        }
+        log.info("leadershipClaimed", {
+            reason,
+            lastEpoch: view.record?.epoch,
+            lastLeader: view.record?.nodeName,
+            failedBefore: patience.countFailedBefore(view.record),
+        });
+        await this.claim(view);
+    }
+
     /** Follows the leader for as long as it is there; returns why to claim its place, or undefined to look again. */
     private async findClaimReason(view: LeaderView): Promise<string | undefined> {
         const { record } = view;
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -5,6 +5,7 @@
 import type { Random } from "../../common/random.js";
 import type { AdviceCaller } from "../dispatch/advice-desk.js";
 import { GuardedStore } from "../journal/guarded-store.js";
+import type { LoadedJournal } from "../journal/load-journal.js";
 import { loadJournal } from "../journal/load-journal.js";
 import { MAX_UNCONFIRMED_MS } from "../leader/authority.js";
 import { Leader } from "../leader/leader.js";
@@ -150,6 +151,19 @@
         this.settleOver(reason);
     }
 
+    /** What nobody can read is named, and the place is left: nothing may be decided without it. */
+    private async loadJournal(): Promise<LoadedJournal | undefined> {
+        const { storePort: port, clock, log } = this.parts;
+        try {
+            return await loadJournal({ port, clock, log, isOver: () => this.isOver });
+        }
+        catch (error) {
+            log.error("CR1604", "journalUnreadable", { message: String(error) });
+            this.end("the journal cannot be read");
+            return undefined;
+        }
+    }
+
     private async open(): Promise<Leader | undefined> {
         const { parts, claim } = this;
         const { clock, log } = parts;
@@ -171,12 +185,7 @@
             listed = records;
             this.leader?.setWorkers(records);
         });
-        const loaded = await loadJournal({
-            port: parts.storePort,
-            clock,
-            log,
-            isOver: () => this.isOver,
-        });
+        const loaded = await this.loadJournal();
         if (loaded === undefined || this.isOver) {
             return undefined;
         }
