--- a/bench/losses/causes.ts
+++ b/bench/losses/causes.ts
@@ -7,6 +7,10 @@
 export const LossCause = {
     /** No node led. */
     noLeader: "no leader",
+    /** A new leader read the journal. */
+    journalLoading: "journal",
+    /** The leader's processor was full: its regular lines came late. */
+    leaderLate: "leader late",
     /** The store did not answer the leader. */
     storeAway: "store away",
     /** An answer of the advice service was waited for. */
@@ -23,10 +27,16 @@
 export type LossCause = (typeof LossCause)[keyof typeof LossCause];
 
 /** Times in which nothing could be decided, by cause. */
-export interface Spells {
-    readonly noLeader: readonly Spell[];
-    readonly storeAway: readonly Spell[];
-}
+export type Spells = Readonly<Record<SpellCause, readonly Spell[]>>;
+
+type SpellCause = (typeof SPELL_CAUSES)[number];
+
+const SPELL_CAUSES = [
+    LossCause.noLeader,
+    LossCause.journalLoading,
+    LossCause.leaderLate,
+    LossCause.storeAway,
+] as const;
 
 /** From an instant to another, wall-clock. */
 export interface Spell {
@@ -36,16 +46,36 @@
 
 /** How often a leader says how it is; a silence of twice that is one. */
 const STATE_EVERY_MS: Millis = 1_000;
+/** A leader whose regular lines are this far apart had no processor time for them. */
+const LATE_STATE_MS: Millis = 1_600;
 
-/** Finds the spells without a leader, and without the store for the leader. */
+/** Finds the spells in which nobody led, a leader loaded the journal or was late, or the store did not answer it. */
 export function findSpells(lines: readonly LogLine[]): Spells {
-    const noLeader: Spell[] = [];
-    const storeAway: Spell[] = [];
+    const spells: Record<SpellCause, Spell[]> = {
+        [LossCause.noLeader]: [],
+        [LossCause.journalLoading]: [],
+        [LossCause.leaderLate]: [],
+        [LossCause.storeAway]: [],
+    };
     let lastSign: number | undefined;
+    let wonAt: number | undefined;
     let awaySince: number | undefined;
-    for (const { event, time, fields } of lines) {
-        if (event === "leadershipReady" && lastSign !== undefined) {
-            noLeader.push({ from: lastSign, to: time });
+    let lastState: LogLine | undefined;
+    for (const line of lines) {
+        const { event, time, fields, member } = line;
+        if (event === "leadershipWon") {
+            wonAt = time;
+        }
+        if (event === "leadershipReady") {
+            const loadedFrom = wonAt ?? time;
+            if (lastSign !== undefined) {
+                spells[LossCause.noLeader].push({ from: lastSign, to: Math.max(lastSign, loadedFrom) });
+            }
+            spells[LossCause.journalLoading].push({
+                from: Math.max(lastSign ?? loadedFrom, loadedFrom),
+                to: time,
+            });
+            lastState = undefined;
         }
         if (event === "leadershipReady" || event === "leaderState" || event === "runOrdered") {
             lastSign = time;
@@ -53,12 +83,16 @@
         if (event === "leaderState") {
             const isAway = fields.storeAway === true;
             if (!isAway && awaySince !== undefined) {
-                storeAway.push({ from: awaySince, to: time });
+                spells[LossCause.storeAway].push({ from: awaySince, to: time });
             }
             awaySince = isAway ? awaySince ?? time - STATE_EVERY_MS : undefined;
+            if (lastState?.member === member && !isAway && time - lastState.time > LATE_STATE_MS) {
+                spells[LossCause.leaderLate].push({ from: lastState.time, to: time });
+            }
+            lastState = line;
         }
     }
-    return { noLeader, storeAway };
+    return spells;
 }
 
 /**
@@ -75,8 +109,7 @@
         }
     };
     const span = { from: job.acceptedAt, to: job.closedAt ?? job.acceptedAt };
-    add(LossCause.noLeader, measureOverlap(spells.noLeader, span));
-    add(LossCause.storeAway, measureOverlap(spells.storeAway, span));
+    SPELL_CAUSES.forEach(cause => add(cause, measureOverlap(spells[cause], span)));
     let readyAt = job.acceptedAt;
     for (const step of listStepsInOrder(job)) {
         const orderedAt = Math.min(...step.runs.map(run => run.orderedAt));
@@ -136,6 +169,6 @@
 
 /** Time outside all spells. */
 function measureFree(spells: Spells, span: Spell): Millis {
-    const taken = measureOverlap(spells.noLeader, span) + measureOverlap(spells.storeAway, span);
+    const taken = SPELL_CAUSES.reduce((sum, cause) => sum + measureOverlap(spells[cause], span), 0);
     return Math.max(0, span.to - span.from - taken);
 }
--- a/src/test/losses/causes_test.ts
+++ b/src/test/losses/causes_test.ts
@@ -90,6 +90,31 @@
         ],
         cause: "no leader",
     },
+    {
+        name: "the journal where a new leader read it",
+        entries: [
+            ACCEPTED,
+            [100, "leaderState", { storeAway: false }],
+            [300, "leadershipWon", {}],
+            [2_300, "leadershipReady", {}],
+            makeOrder(2_350),
+            makeEnd(2_900, "done"),
+            makeClosed(2_900),
+        ],
+        cause: "journal",
+    },
+    {
+        name: "the leader where its regular lines came late",
+        entries: [
+            ACCEPTED,
+            [100, "leaderState", { storeAway: false }],
+            [2_900, "leaderState", { storeAway: false }],
+            makeOrder(2_950),
+            makeEnd(3_500, "done"),
+            makeClosed(3_500),
+        ],
+        cause: "leader late",
+    },
     {
         name: "the store where it was away",
         entries: [
