--- a/src/test/fakes/fake-store-port.ts
+++ b/src/test/fakes/fake-store-port.ts
@@ -10,18 +10,33 @@
     StoreTransaction,
 } from "../../process/ports/index.js";
 import type { StoreModel } from "../../stand-ins/index.js";
-import type { CallPath } from "./call-path.js";
+import type { CallEnd } from "./call-path.js";
 
 /** Time that a poll may take, as a multiple of its wait: the way to a slow store and back comes on top. */
 const POLL_LIMIT_FACTOR = 2;
 
+/** How calls get to the store and answers back. */
+export interface StoreWay {
+    /**
+     * Makes a call.
+     * @param effect - What the store does when the call arrives.
+     * @param timeout - After which the caller gives up.
+     * @param characters - Of the values that the call carries.
+     */
+    request<Value>(
+        effect: () => Promise<Value> | Value,
+        timeout: Millis,
+        characters: number,
+    ): Promise<CallEnd<Value>>;
+}
+
 /** One member's access to the store. */
 export class FakeStorePort implements StorePort {
     /**
      * @param model - The store that all members share.
      * @param path - The member's way to it, with its faults.
      */
-    constructor(private readonly model: StoreModel, readonly path: CallPath) {}
+    constructor(private readonly model: StoreModel, readonly path: StoreWay) {}
 
     read(key: string, timeout: Millis): Promise<StoreAnswer<StoreRecord | undefined>> {
         return this.request(() => this.model.read(key), timeout);
@@ -32,11 +47,12 @@
     }
 
     swap(swap: StoreSwap, timeout: Millis): Promise<StoreAnswer<number>> {
-        return this.request(() => this.model.swap(swap), timeout);
+        return this.request(() => this.model.swap(swap), timeout, swap.value?.length);
     }
 
     transact(transaction: StoreTransaction, timeout: Millis): Promise<StoreAnswer<number>> {
-        return this.request(() => this.model.transact(transaction), timeout);
+        const characters = transaction.writes.reduce((sum, { value }) => sum + value.length, 0);
+        return this.request(() => this.model.transact(transaction), timeout, characters);
     }
 
     grantLease(ttl: Millis, timeout: Millis): Promise<StoreAnswer<string>> {
@@ -61,8 +77,9 @@
     private async request<Value>(
         effect: () => StoreAnswer<Value> | Promise<StoreAnswer<Value>>,
         timeout: Millis,
+        characters = 0,
     ): Promise<StoreAnswer<Value>> {
-        const end = await this.path.request(effect, timeout);
+        const end = await this.path.request(effect, timeout, characters);
         return end.kind === "answered" ? end.value : end;
     }
 }
--- a/src/test/fakes/fakes_test.ts
+++ b/src/test/fakes/fakes_test.ts
@@ -22,7 +22,7 @@
     const member = new PausableClock(clock);
     const store = new StoreModel(clock);
     const path = new CallPath(clock, member, { latencyMs: 1, random: createRandom(1) });
-    return { clock, member, store, port: new FakeStorePort(store, path) };
+    return { clock, member, store, path, port: new FakeStorePort(store, path) };
 }
 
 const SWAP = { key: "a", value: "1", expectedRevision: 0 };
@@ -37,8 +37,8 @@
     ];
     for (const { fault, answer, written } of cases) {
         it(`${fault.kind}: ${answer}, ${written ? "written" : "not written"}`, async () => {
-            const { clock, port, store } = makeStorePort();
-            port.path.plan(fault);
+            const { clock, path, port, store } = makeStorePort();
+            path.plan(fault);
             const result = await clock.wait(port.swap(SWAP, 100), 100);
             await clock.step(500);
             assert.equal(result.kind, answer);
--- a/src/test/model/model-cluster.ts
+++ b/src/test/model/model-cluster.ts
@@ -7,12 +7,13 @@
 import { StoreModel } from "../../stand-ins/index.js";
 import type { ClusterConfig } from "../../version/cluster-config.js";
 import { FakeClock } from "../fakes/fake-clock.js";
+import { FakeStorePort } from "../fakes/fake-store-port.js";
 import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
 import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
 import type { FakeLog } from "../fakes/fake-telemetry.js";
 import { HOST, makeJobId, makeSpec, PREFIX, QUEUE } from "../leader/leader-cell.js";
 import { ModelNetwork } from "./model-network.js";
-import { ModelStorePort } from "./model-store-port.js";
+import { ModelStoreWay } from "./model-store-way.js";
 import { ModelVm } from "./model-vm.js";
 import type { VmSize } from "./model-vm.js";
 
@@ -64,7 +65,7 @@
             metrics: createFakeMetrics(),
             random: this.random,
             life: makeUniqueId(this.random),
-            storePort: new ModelStorePort(this.clock, vm, this.store),
+            storePort: new FakeStorePort(this.store, new ModelStoreWay(this.clock, vm)),
             config: new ConfigHolder(log),
             configSource: {
                 follow: accept => {
