--- a/src/test/fakes/fakes_test.ts
+++ b/src/test/fakes/fakes_test.ts
@@ -16,6 +16,7 @@
     clock: FakeClock;
     member: PausableClock;
     store: StoreModel;
+    path: CallPath;
     port: FakeStorePort;
 } {
     const clock = new FakeClock();
