A run that was called lost and is said to be done counts, while no later one was assigned; a replaced leader knows soon

The report was taken for nothing, and the task was started again. Change: isEffectiveEnd (single tasks; gangs and tasks that last as before); idle looks at the record have 3 s.

--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -22,6 +22,19 @@
     readonly task: Task;
 }
 
+/**
+ * Tells whether an end of a run changes its task: while the task is assigned to that run, or if the run was called lost,
+ * is said to be done after all, and no later one was assigned.
+ */
+export function isEffectiveEnd({ step, task }: FoundTask, run: number, end: RunEnd): boolean {
+    if (task.run !== run) {
+        return false;
+    }
+    const isDoneAfterAll = task.state === TaskState.waiting && end === RunEnd.done &&
+        !step.spec.isGang && !step.spec.isLongRunning;
+    return task.state === TaskState.assigned || isDoneAfterAll;
+}
+
 /** The jobs; see the module comment. */
 export class JobBook {
     private readonly jobs = new Map<string, Job>();
@@ -232,7 +245,7 @@
 
     private applyEnded(event: RunEnded): void {
         const found = this.findTask(event.task);
-        if (found === undefined || found.task.run !== event.run || found.task.state !== TaskState.assigned) {
+        if (found === undefined || !isEffectiveEnd(found, event.run, event.end)) {
             return;
         }
         const { step, task } = found;
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -3,7 +3,7 @@
 import type { RunTimeModel } from "../dispatch/run-time-model.js";
 import { estimateObjectiveMs } from "../dispatch/urgency.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
-import { isJobDone } from "../jobs/job-book.js";
+import { isEffectiveEnd, isJobDone } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Job, Step } from "../jobs/job.js";
 import { listSteps, TaskState } from "../jobs/job.js";
@@ -64,9 +64,7 @@
     recordEnd(notice: EndedRunNotice): void {
         const { context } = this;
         const found = context.book.findTask(notice.task);
-        const isCurrent = found !== undefined &&
-            found.task.run === notice.run &&
-            found.task.state === TaskState.assigned;
+        const isCurrent = found !== undefined && isEffectiveEnd(found, notice.run, notice.end);
         context.log.info("runEnded", {
             task: notice.task,
             run: notice.run,
--- a/src/process/leadership/leader-lease.ts
+++ b/src/process/leadership/leader-lease.ts
@@ -14,6 +14,8 @@
  */
 const RENEW_AGAIN_MS: Millis = 100;
 const CALL_TIMEOUT_MS: Millis = 400;
+/** Time for a look that nobody waits for: over a link that is full, as while a new leader loads, an answer takes long. */
+const IDLE_CHECK_TIMEOUT_MS: Millis = 3_000;
 /** An idle leader looks at its record this long after its last write. */
 const CHECK_AFTER_MS: Millis = 1_000;
 /** Half of the lease: nobody takes the place of a leader that the store has answered this short a time ago. */
@@ -89,7 +91,7 @@
         const isIdle = this.options.clock.now() - this.options.getLastContact() > CHECK_AFTER_MS;
         if (isIdle && !this.isChecking && !this.closed) {
             this.isChecking = true;
-            void this.check().finally(() => {
+            void this.check(IDLE_CHECK_TIMEOUT_MS).finally(() => {
                 this.isChecking = false;
             });
         }
@@ -150,10 +152,10 @@
         this.options.observeAnswer(this.options.clock.now() - sentAt);
     }
 
-    private async check(): Promise<void> {
+    private async check(timeout: Millis = CALL_TIMEOUT_MS): Promise<void> {
         const { port, clock, leaderRevision } = this.options;
         const sentAt = clock.now();
-        const answer = await port.read(LEADER_KEY, CALL_TIMEOUT_MS);
+        const answer = await port.read(LEADER_KEY, timeout);
         if (answer.kind !== "done" || this.closed) {
             return;
         }
--- a/src/test/leader/late-leader_test.ts
+++ b/src/test/leader/late-leader_test.ts
@@ -94,4 +94,26 @@
             assert.equal(cell.countStarts(1), starts);
         });
     }
+
+    // Guards against work that is done twice: its worker was silent until its lease had run out, and then says that it is done.
+    it("takes a run for done that it had called lost, unless the task was started again", async () => {
+        const cell = new LeaderCell(1);
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({}, { after: [0] }));
+        await cell.clock.step(100);
+        const [record] = cell.records.values();
+        assert(record !== undefined);
+        const { faults } = leader.workers.getPath(record.address);
+        faults.unreachable = true;
+        await cell.clock.step(6_000);
+        const ends = leader.log.lines.filter(line => line.event === "runEnded").map(line => line.fields.end);
+        assert.deepEqual(ends, ["lost"]);
+        faults.unreachable = false;
+        await cell.clock.step(4_000);
+        assert.deepEqual(cell.starts.map(({ task }) => task.split(".").at(-2)), ["0", "1"]);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        const next = await cell.startLeader();
+        assert.deepEqual(await cell.show(next, 1), { kind: "state", phase: "completed" });
+    });
 });
