--- a/src/test/node/cluster-node_test.ts
+++ b/src/test/node/cluster-node_test.ts
@@ -64,8 +64,7 @@
     });
 
     it("hands the leadership over when it shuts down, and goes on answering", async () => {
-        // A node is shut down while callers hold open connections to it. What they ask in its last seconds must still
-        // be answered, by the node that leads then.
+        // Guards against callers of a node that shuts down who get no answer over connections that are open.
         const cell = new NodeCell();
         const [first, second] = await startNodes(cell, 2);
         await first?.node.startDraining();
@@ -80,8 +79,7 @@
     });
 
     it("takes over from a leader that can no longer reach the store", async () => {
-        // The store turns the leader's VM away and serves the others. Callers must not be refused for as long as that
-        // lasts.
+        // Guards against callers who are refused for as long as the store turns the leader away.
         const cell = new NodeCell();
         const [first, second] = await startNodes(cell, 2);
         if (first !== undefined) {
@@ -99,8 +97,7 @@
     });
 
     it("finds the new leader through other nodes while the store turns it away", async () => {
-        // The store turns the leader and one more node away for seconds. The others get a new leader; the node that
-        // cannot read its record refused every caller until the store let it in again.
+        // Guards against a node that refuses every caller while it cannot read who leads.
         const cell = new NodeCell();
         const [first, second, third] = await startNodes(cell, 3);
         for (const node of [first, second]) {
@@ -130,8 +127,7 @@
     });
 
     it("takes over from a leader that no node hears, though the store still keeps its lease", async () => {
-        // The leader's VM loses power. Its connections stay open, its port cannot be asked, and its lease in the store runs
-        // on: callers waited until all of that had run out, though every other node found the leader silent.
+        // Guards against a wait for the lease of a leader whose VM has lost power.
         const cell = new NodeCell();
         const [first, second, third] = await startNodes(cell, 3);
         await waitUntil(
@@ -161,7 +157,7 @@
     });
 
     it("leaves a leader alone that another node still hears", async () => {
-        // One node loses its way to the leader. The others and the store hear it, so its place is not claimed.
+        // Guards against a change of the leader because one node lost its way to it.
         const book = new PeerBook(createRandom(3), createTcpNetwork(systemClock));
         const cell = new NodeCell();
         const [first, second] = await startNodes(cell, 2);
@@ -176,8 +172,7 @@
     });
 
     it("lets the leader know a newer configuration before a request that needs it", async () => {
-        // The operator adds a queue. A node that has seen it must not answer "no such queue" because its leader, whose
-        // watch is late, has not.
+        // Guards against "no such queue" from a leader whose watch is late.
         const cell = new NodeCell(makeConfig(1, { queues: [] }));
         const first = await cell.startNode("node-1");
         await waitUntil(() => first.node.isReady(), "the first node is ready");
@@ -210,8 +205,7 @@
     });
 
     it("refuses a request that no leader was asked about, however little time its caller has", async () => {
-        // A caller with 100 ms left asked a node and got "nobody knows" within 4 ms, though nobody had been asked. After
-        // that answer it may not ask again for work that must not run twice.
+        // Guards against "nobody knows" about a request that nobody was asked about.
         const cell = new NodeCell();
         const [node] = await startNodes(cell, 1);
         const reply = await node?.node.serve({ kind: "submit", ...makeAddress(1), spec: makeSpec({}) }, -50);
@@ -220,7 +214,7 @@
     });
 
     it("spreads questions to the advice service over all nodes", async () => {
-        // The service serves one call at a time for each calling VM: one caller alone falls behind for ever.
+        // Guards against one caller of a service that serves one call at a time for each VM.
         const advice = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
         const cell = new NodeCell(makeConfig(1, { queues: [{ ...QUEUE, advice }] }));
         const nodes = await startNodes(cell, 3);
--- a/src/test/node/leader-reach_test.ts
+++ b/src/test/node/leader-reach_test.ts
@@ -59,7 +59,7 @@
     }
 
     it("does not claim back at once what it has just lost", () => {
-        // Two nodes that cannot reach each other took the leadership from each other ten times a second.
+        // Guards against two nodes, out of reach of each other, that take the leadership from each other over and over.
         const reach = new LeaderReach();
         reach.observeDeposed(1_000);
         reach.decideOnFailure(ALIVE, "refused", 1_000);
@@ -67,8 +67,7 @@
         assert.notEqual(reach.decideOnFailure(ALIVE, "refused", 4_100), undefined);
     });
 
-    // The last case: five nodes lost their leader at once, and each claimed the place from the one before it, four epochs
-    // within 50 ms, since a new leader has no lease for its first milliseconds.
+    // Guards against claims from a new leader that has no lease yet.
     const losses = [
         {
             name: "does not wait for a leader whose link went silent and whose lease is gone",
--- a/src/test/node/second-links_test.ts
+++ b/src/test/node/second-links_test.ts
@@ -12,9 +12,7 @@
 
 describe("a node whose second link to the leader is closed", () => {
     it("is still asked to question the advice service", async context => {
-        // A node that the store turns away asks others who leads, the leader among them, over a short link of its own. The
-        // leader took that link for the node's way to the advice service and kept it after its end: every question over it
-        // failed, until the node's first link was opened anew.
+        // Guards against a closed second link that is kept as the node's way to the advice service.
         const advice = { decideMs: 100, perWorkerMs: 1, validMs: 2_000 };
         const cell = new NodeCell(makeConfig(1, { queues: [{ ...QUEUE, advice }] }));
         context.after(() => cell.close());
