Work is not put off while nodes that can ask the advice service are short

Change: AdviceDesk.isShort: a question that nobody could be asked for 3 s counts for 5 s; no holding back then.

--- a/src/process/dispatch/advice-desk.ts
+++ b/src/process/dispatch/advice-desk.ts
@@ -57,6 +57,10 @@
 const LEAST_SHORT_LOAD = 0.02;
 /** Whoever has a question that has waited this long gets a share of the nodes' time. */
 const SHARE_PATIENCE_MS: Millis = 1_000;
+/** A question that nobody could be asked for this long shows that the nodes cannot put all questions. */
+const SHORTAGE_PATIENCE_MS: Millis = 3_000;
+/** A shortage of nodes that can ask counts for this long: it does not end with the first question that is sent. */
+const SHORTAGE_MEMORY_MS: Millis = 5_000;
 /** Key of what steps without room are given of the nodes' time. */
 const NO_ROOM = "noRoom";
 /** Questions under way on one node: the second is on its way while the first is answered. */
@@ -129,6 +133,8 @@
     private readonly shareLoads = new Map<ShareKey, LoadMeter>();
     /** Nodes that short questions keep busy. */
     private readonly shortLoad: LoadMeter;
+    /** When a question was last seen that nobody could be asked for long. */
+    private lastShortageAt: Millis = -Infinity;
     /** When a short question was last sent. */
     private lastShortAt: Millis = -Infinity;
 
@@ -173,6 +179,11 @@
         this.dispatch();
     }
 
+    /** Tells whether the nodes could not put all questions lately. */
+    isShort(): boolean {
+        return this.clock.now() - this.lastShortageAt < SHORTAGE_MEMORY_MS;
+    }
+
     /** Counts questions that no node has taken yet. */
     countWaiting(): number {
         return this.waiting.length;
@@ -198,6 +209,10 @@
             }
         }
         this.waiting = unsent.sort(compareQuestions);
+        const now = this.clock.now();
+        if (unsent.some(({ since }) => now - since >= SHORTAGE_PATIENCE_MS)) {
+            this.lastShortageAt = now;
+        }
         unwanted.forEach(question => question.settle(undefined, 0));
     }
 
--- a/src/process/dispatch/backfill.ts
+++ b/src/process/dispatch/backfill.ts
@@ -9,7 +9,8 @@
  *
  * @remarks Load answered: queues that together want nearly all room. Single tasks fit into every hole as it comes free, so
  * a gang of an earlier queue finds room only by stopping them, again and again; what they did between two stops is mostly
- * lost. A step that can begin much later and still be in time lets the room add up instead.
+ * lost. A step that can begin much later and still be in time lets the room add up instead. Not where nodes that can ask the
+ * advice service are short: what is put off there cannot be made up for.
  * @param urgency - The step's.
  * @param blockedPriority - Of the most urgent gang in this pass that lacks room and could be in time.
  */
--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -26,6 +26,8 @@
     readonly getClaimedCpu: (workerId: string) => number;
     /** Share of the workers named that a queue's policy is expected to allow. */
     readonly getAllowedShare: (queue: string) => number;
+    /** Whether the nodes could not put all questions to the advice service lately. */
+    readonly isAdviceShort: boolean;
     /** Workers that did not take orders of a step lately. */
     readonly listRefusing: (step: Step) => ReadonlySet<string>;
     readonly now: Millis;
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -88,7 +88,7 @@
     }
 
     private planStep(urgency: Urgency): void {
-        if (isHeldBack(urgency, this.blockedPriority)) {
+        if (!this.input.isAdviceShort && isHeldBack(urgency, this.blockedPriority)) {
             return;
         }
         const { step, queue } = urgency;
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -244,6 +244,7 @@
             preemptionLooks: this.preemptionLooks,
             getClaimedCpu: workerId => this.permits.claims.getCpu(workerId),
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
+            isAdviceShort: this.advice.isShort(),
             listRefusing: step => this.starter.refusals.listPaused(step, begin),
             now: begin,
         });
--- a/src/test/dispatch/advice-desk_test.ts
+++ b/src/test/dispatch/advice-desk_test.ts
@@ -44,4 +44,39 @@
         await clock.step(3_000);
         assert.deepEqual(sent, ["under way", "short", "long", "again", "last queue"]);
     });
+
+    // Guards against work that is put off while questions about it cannot be made up for.
+    for (
+        const { name, answerMs, isShort } of [
+            {
+                name: "counts nodes as short that cannot put a question for seconds",
+                answerMs: 4_000,
+                isShort: true,
+            },
+            { name: "does not count nodes as short that put each soon", answerMs: 300, isShort: false },
+        ]
+    ) {
+        it(name, async () => {
+            const clock = new FakeClock();
+            const desk = new AdviceDesk(clock, createFakeLog());
+            const line = new QuestionLine(desk);
+            desk.addCaller({
+                nodeName: "node-1",
+                requestPermits: () =>
+                    new Promise(resolve => {
+                        clock.schedule(answerMs, () => resolve({ kind: "done", permits: [] }));
+                    }),
+            });
+            const ask = (step: string): void =>
+                line.enqueue({ step, priority: 1, workerIds: ["w1"], policy: LONG, since: clock.now() });
+            ask("first");
+            ask("second");
+            ask("third");
+            await clock.step(3_100);
+            ask("fourth");
+            assert.equal(desk.isShort(), isShort);
+            await clock.step(20_000);
+            assert.equal(desk.isShort(), false);
+        });
+    }
 });
--- a/src/test/dispatch/plan-passes.ts
+++ b/src/test/dispatch/plan-passes.ts
@@ -55,6 +55,7 @@
             preemptionLooks,
             getClaimedCpu: () => 0,
             getAllowedShare: () => 0.4,
+            isAdviceShort: false,
             listRefusing: () => new Set(),
             now,
         });
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -64,6 +64,7 @@
         preemptionLooks: new PreemptionLooks(),
         getClaimedCpu: () => 0,
         getAllowedShare: () => 0.4,
+        isAdviceShort: false,
         listRefusing: () => new Set(),
         now: NOW,
     });
