One way to open a port, one test of lateness; shorter comments

The port of node links was opened by a copy of openPort; 'late' stood twice with the same threshold (late-leader, lost-answers) and is isLate of common/lateness now. Behaviour is as it was.

--- a/src/common/lateness.ts
+++ b/src/common/lateness.ts
@@ -17,15 +17,22 @@
     getMeanLatenessMs(): Millis;
 }
 
+/** Timers of a process with processor time to spare are less late than this. */
+const LATE_MS: Millis = 100;
+
+/** Tells whether a process has no processor time to spare. */
+export function isLate(lateness: Lateness): boolean {
+    return lateness.getLatenessMs() >= LATE_MS;
+}
+
 /** A process that is always on time. */
 export const ON_TIME: Lateness = { getLatenessMs: () => 0, getMeanLatenessMs: () => 0 };
 
 /**
  * Measures the delay of timers.
  *
- * @remarks Answers that arrive while the processor is taken are read after the timers that are due, so a timer alone cannot
- * say that nothing has arrived. Attentive time stands still while the process is late; silence measured in it is the other
- * party's.
+ * @remarks Timers that are due run before arrived answers are read, so a timer alone cannot tell a silent party from a late
+ * process. Attentive time stands still while the process is late.
  */
 export class LatenessMeter implements Lateness {
     private readonly recent: Millis[] = [];
--- a/src/connection/link-network.ts
+++ b/src/connection/link-network.ts
@@ -1,6 +1,7 @@
 /** How nodes reach each other: byte streams between addresses, over TCP in the running system. */
 import { connect, createServer } from "node:net";
 import type { Clock, Millis } from "../common/clock.js";
+import { openPort } from "./open-port.js";
 
 /** One end of a byte stream; `net.Socket` is one. */
 export interface LinkSocket {
@@ -60,18 +61,12 @@
     };
 }
 
-const listenTcp: LinkNetwork["listen"] = (host, port, handleSocket, handleError) =>
-    new Promise((resolve, reject) => {
-        const server = createServer(handleSocket);
-        server.once("error", reject);
-        server.listen(port, host, () => {
-            server.off("error", reject);
-            server.on("error", handleError);
-            const address = server.address();
-            const listening = typeof address === "object" ? address?.port : undefined;
-            resolve({ port: listening ?? port, close: () => server.close() });
-        });
-    });
+const listenTcp: LinkNetwork["listen"] = async (host, port, handleSocket, handleError) => {
+    const server = createServer(handleSocket);
+    const listeningPort = await openPort(server, host, port);
+    server.on("error", handleError);
+    return { port: listeningPort, close: () => server.close() };
+};
 
 function connectTcp(clock: Clock, address: string, timeout: Millis): Promise<ConnectResult> {
     const separator = address.lastIndexOf(":");
--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -11,6 +11,7 @@
  * late, so it is sent again soon only where answers are known to get lost.
  */
 import type { Millis } from "../../common/clock.js";
+import { isLate } from "../../common/lateness.js";
 import type { Lateness } from "../../common/lateness.js";
 
 /** Longest wait: leases are renewed at least this often. */
@@ -27,8 +28,6 @@
 /** The same while answers are lost: three times what 95 of 100 answers take. */
 const LOSSY_REPEAT_MS: Millis = 60;
 
-/** Timers of a leader with processor time to spare are less late than this. */
-const LATE_MS: Millis = 100;
 /** Turns of the event loop that a call and its answer take. */
 const LATE_TURNS = 2;
 /** Most that lateness adds: the second try must still fit into the time of the call. */
@@ -43,7 +42,7 @@
 
     /** Takes in that a worker left a call unanswered and answered a later one. */
     observeLoss(now: Millis): void {
-        if (this.lateness.getLatenessMs() < LATE_MS) {
+        if (!isLate(this.lateness)) {
             this.lastLossAt = now;
         }
     }
--- a/src/process/leader/late-leader.ts
+++ b/src/process/leader/late-leader.ts
@@ -1,9 +1,8 @@
 /** What a leader does otherwise while its processor is full. Pure. */
 import type { Millis } from "../../common/clock.js";
+import { isLate } from "../../common/lateness.js";
 import type { Lateness } from "../../common/lateness.js";
 
-/** Timers of a leader with processor time to spare are less late than this. */
-const LATE_MS: Millis = 100;
 /** Turns of the event loop in which reports that have arrived are read. */
 const READING_TURNS = 8;
 const LONGEST_LOSS_GRACE_MS: Millis = 6_000;
@@ -12,11 +11,6 @@
 const LONGEST_EXTRA_GAP_MS: Millis = 450;
 const LONGEST_EXTRA_RECORD_GAP_MS: Millis = 75;
 
-/** Tells whether a process has no processor time to spare. */
-export function isLate(lateness: Lateness): boolean {
-    return lateness.getLatenessMs() >= LATE_MS;
-}
-
 /**
  * Computes how much longer than their lease the runs of a silent worker are waited for.
  *
--- a/src/process/leadership/leader-record.ts
+++ b/src/process/leadership/leader-record.ts
@@ -12,9 +12,7 @@
     readonly address: string;
     /** Unique for each life of a process. */
     readonly life: string;
-    /**
-     * How many leaders in a row, before this one, were not seen to have loaded the journal by the node that took their place.
-     */
+    /** Consecutive earlier leaders that were replaced without being seen to have loaded the journal. */
     readonly failedBefore?: number;
 }
 
--- a/src/process/node/claim-patience.ts
+++ b/src/process/node/claim-patience.ts
@@ -9,9 +9,8 @@
 /**
  * Patience with leaders that have not been seen to lead yet.
  *
- * @remarks Failure guarded against: loading the journal fills a small VM's link or processor, so that the new leader sounds
- * dead, and the next node claims before it is through. With every claim the same happens again, and nobody ever leads. So
- * each leader is given more time than the one before it. One whose process has ended is not waited for.
+ * @remarks Failure guarded against: a new leader sounds dead while it loads the journal on a small VM, is replaced, and so is
+ * each that follows. Every one is given more time than the last, unless its process has ended.
  */
 export class ClaimPatience {
     /** Last epoch whose leader was seen to have loaded the journal. */
--- a/src/process/node/leader-search.ts
+++ b/src/process/node/leader-search.ts
@@ -111,7 +111,7 @@
     }
 
     /**
-     * Lets the nodes before this one go first, unless the place was given to it.
+     * Lets nodes with an earlier turn claim first, unless the place was given to this one.
      * @returns Whether the place is still as it was seen.
      */
     private async waitForTurn(view: LeaderView): Promise<boolean> {
