Stand-in: a worker whose life ends answers no report that waits

Cause: the worker model answered a report that was held back when its life ended, with an empty list, so a leader of a test learnt at once that the runs are gone. A crashed worker says nothing; leaders of tests never met that case.

--- a/src/stand-ins/task-worker-model.ts
+++ b/src/stand-ins/task-worker-model.ts
@@ -82,6 +82,7 @@
     private deadline: Millis = 0;
     private leaseTimer: Timer | undefined;
     private readonly waiters = new Set<() => void>();
+    private isKilled = false;
     /** Most that ran at once, to compare with the capacity. */
     peak: Resources = NO_RESOURCES;
 
@@ -120,7 +121,7 @@
         return { kind: "done", value: this.getNow() };
     }
 
-    /** Gives a report, when something has ended or the wait is over. */
+    /** Gives a report, when something has ended or the wait is over; none ever where its life ends before that. */
     async report(request: ReportRequest): Promise<WorkerAnswer<WorkerReport>> {
         if (request.epoch < this.epoch) {
             return { kind: "refused", reason: OrderRefusal.fenced };
@@ -133,11 +134,15 @@
         if (this.ended.length === 0 && request.waitMs > 0) {
             await this.waitForEnd(request.waitMs);
         }
+        if (this.isKilled) {
+            return new Promise(() => undefined);
+        }
         return { kind: "done", value: this.buildReport() };
     }
 
     /** Ends the worker's life: everything on it is gone without a word. */
     kill(): void {
+        this.isKilled = true;
         this.leaseTimer?.cancel();
         for (const run of this.runs.values()) {
             run.timer?.cancel();
