--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -4,11 +4,13 @@
 import { estimateObjectiveMs } from "../dispatch/urgency.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
 import { isEffectiveEnd, isJobDone } from "../jobs/job-book.js";
+import type { FoundTask } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
-import type { Job, Step } from "../jobs/job.js";
+import type { Job, Step, Task } from "../jobs/job.js";
 import { listSteps, TaskState } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
 import { GangStarts } from "./gang-starts.js";
+import type { RunLoss } from "./run-loss.js";
 import { WorkerHealth } from "./worker-health.js";
 
 /** A run that ended. */
@@ -21,6 +23,8 @@
     readonly checkpoint: string;
     /** Time since it was ordered; left out where this leader did not order it. */
     readonly ranMs?: Millis;
+    /** Set where it was lost. */
+    readonly cause?: RunLoss;
 }
 
 /** Told of runs that have to end. */
@@ -35,6 +39,8 @@
     private readonly health: WorkerHealth;
     private readonly gangs: GangStarts;
     private stopper: RunStopper | undefined;
+    /** Runs of each task that this leader took for lost. */
+    private readonly lostRuns = new WeakMap<Task, number>();
 
     /**
      * @param context - Shared parts.
@@ -65,14 +71,7 @@
         const { context } = this;
         const found = context.book.findTask(notice.task);
         const isCurrent = found !== undefined && isEffectiveEnd(found, notice.run, notice.end);
-        context.log.info("runEnded", {
-            task: notice.task,
-            run: notice.run,
-            end: notice.end,
-            workerId: notice.state?.id,
-            isCurrent,
-        });
-        context.metrics.count("runs.ended", 1, { end: notice.end });
+        this.reportEnd(notice, found, isCurrent);
         if (!isCurrent) {
             return;
         }
@@ -109,6 +108,28 @@
         }
     }
 
+    private reportEnd(notice: EndedRunNotice, found: FoundTask | undefined, isCurrent: boolean): void {
+        const { log, metrics } = this.context;
+        const { task, run, end, ranMs, cause } = notice;
+        const workerId = notice.state?.id ?? found?.task.workerId;
+        if (cause === undefined) {
+            log.info("runEnded", { task, run, end, workerId, isCurrent });
+            metrics.count("runs.ended", 1, { end });
+            return;
+        }
+        const lostRuns = found && this.countLoss(found.task, isCurrent);
+        const roundedMs = ranMs === undefined ? undefined : Math.round(ranMs);
+        log.info("runEnded", { task, run, end, workerId, isCurrent, cause, ranMs: roundedMs, lostRuns });
+        metrics.count("runs.ended", 1, { end, cause });
+    }
+
+    /** Counts a task's lost runs, this one with them. */
+    private countLoss(task: Task, isCurrent: boolean): number {
+        const count = (this.lostRuns.get(task) ?? 0) + (isCurrent ? 1 : 0);
+        this.lostRuns.set(task, count);
+        return count;
+    }
+
     private observeRunTime(step: Step, ranMs: Millis, state: WorkerState | undefined): void {
         const { queue } = step.job;
         const expected = this.runTimes.estimate(queue, step.spec.estimateMs);
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -14,6 +14,7 @@
 import { InheritedRuns } from "./inherited-runs.js";
 import { computeExtraReportGap, computeLossGrace } from "./late-leader.js";
 import { RunFinder } from "./run-finder.js";
+import { RunLoss } from "./run-loss.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
@@ -24,6 +25,15 @@
 /** A worker without runs that is no longer in the list is kept this long: entries lapse while the store is away. */
 const UNLISTED_GRACE_MS: Millis = 5_000;
 
+/** Why a worker is no longer one of the fleet. */
+const RemovalReason = {
+    /** Another life answers at its address. */
+    replaced: "replaced",
+    /** It has no runs, and has been missing from the list for long. */
+    unlisted: "unlisted",
+} as const;
+type RemovalReason = (typeof RemovalReason)[keyof typeof RemovalReason];
+
 /** A worker of the fleet. */
 export interface Member {
     readonly state: WorkerState;
@@ -170,7 +180,7 @@
             listener: {
                 handleReport: (report, ended, isFirst) => this.handleReport(member, report, ended, isFirst),
                 handleReachable: isReachable => this.handleReachable(state, isReachable),
-                handleReplaced: () => this.removeMember(member, "replaced"),
+                handleReplaced: () => this.removeMember(member, RemovalReason.replaced),
                 handleFenced: () => context.handleDeposed("a worker follows a later leader"),
                 handleSuspended: gap => this.handleSuspended(gap),
                 mayExtend: () => context.authority.mayOrder(),
@@ -188,6 +198,7 @@
         inherited.filter(run => this.inherited.isUnwanted(run)).forEach(run => this.stopRun(state, run));
         context.log.info("workerAdded", {
             workerId: record.workerId,
+            address: record.address,
             pool: record.pool,
             inherited: state.runs.size,
         });
@@ -313,8 +324,7 @@
                 continue;
             }
             state.removeRun(run.task, run.run);
-            const end = run.wasSeen ? RunEnd.lost : RunEnd.notRun;
-            this.ends.recordEnd({ state, task: run.task, run: run.run, end, checkpoint: run.checkpoint });
+            this.recordLoss(state, run, RunLoss.absent);
         }
     }
 
@@ -322,29 +332,45 @@
         const { state, session } = member;
         const lossAt = session.getLeaseEnd() + computeLossGrace(this.context.lateness);
         if (!state.isReachable && now > lossAt && state.runs.size > 0) {
-            this.expireRuns(state, "lease ran out");
+            this.expireRuns(state, RunLoss.leaseOver);
         }
         const { unlistedSince } = member;
         const isGone = unlistedSince !== undefined && now - unlistedSince > UNLISTED_GRACE_MS;
         if (isGone && state.runs.size === 0) {
-            this.removeMember(member, "not listed");
+            this.removeMember(member, RemovalReason.unlisted);
         }
     }
 
-    private expireRuns(state: WorkerState, reason: string): void {
-        this.context.log.warn("CR1614", "runsLost", { workerId: state.id, runs: state.runs.size, reason });
+    private expireRuns(state: WorkerState, cause: RunLoss): void {
+        this.context.log.warn("CR1614", "runsLost", {
+            workerId: state.id,
+            runs: state.runs.size,
+            reason: cause,
+        });
         for (const run of [...state.runs.values()]) {
             state.removeRun(run.task, run.run);
-            const end = run.phase === RunPhase.reserved ? RunEnd.notRun : RunEnd.lost;
-            this.ends.recordEnd({ state, task: run.task, run: run.run, end, checkpoint: run.checkpoint });
+            this.recordLoss(state, run, cause);
+        }
+    }
+
+    /** Records the end of a run of which its worker says nothing any more. */
+    private recordLoss(state: WorkerState, record: RunRecord, cause: RunLoss): void {
+        const { task, run, checkpoint, phase, wasSeen, isInherited, orderedAt } = record;
+        const hasBegun = cause === RunLoss.absent ? wasSeen : phase !== RunPhase.reserved;
+        if (!hasBegun) {
+            this.ends.recordEnd({ state, task, run, end: RunEnd.notRun, checkpoint });
+            return;
         }
+        const ranMs = isInherited ? undefined : this.context.clock.now() - orderedAt;
+        this.ends.recordEnd({ state, task, run, end: RunEnd.lost, checkpoint, ranMs, cause });
     }
 
-    private removeMember(member: Member, reason: string): void {
+    private removeMember(member: Member, reason: RemovalReason): void {
         const { state, session } = member;
-        this.context.log.info("workerRemoved", { workerId: state.id, reason });
+        const { workerId, address } = state.record;
+        this.context.log.info("workerRemoved", { workerId, address, reason });
         if (state.runs.size > 0) {
-            this.expireRuns(state, reason);
+            this.expireRuns(state, RunLoss.replaced);
         }
         session.close();
         this.members.delete(state.id);
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -8,6 +8,7 @@
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 import { computeLossGrace } from "./late-leader.js";
+import { RunLoss } from "./run-loss.js";
 
 /** The runs; see the module comment. */
 export class InheritedRuns {
@@ -88,10 +89,17 @@
             this.context.log.warn("CR1614", "runsLost", {
                 workerId,
                 runs: tasks.length,
-                reason: "never heard",
+                reason: RunLoss.unheard,
             });
             for (const { task: { name, run, checkpoint } } of tasks) {
-                this.ends.recordEnd({ state: undefined, task: name, run, end: RunEnd.lost, checkpoint });
+                this.ends.recordEnd({
+                    state: undefined,
+                    task: name,
+                    run,
+                    end: RunEnd.lost,
+                    checkpoint,
+                    cause: RunLoss.unheard,
+                });
             }
         }
     }
