--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -142,6 +142,8 @@
         pools: [{ name: "pool", checksAdmission: false, maxConnections: 64 }],
         maxBodyBytes: 262_144,
     };
+    /** Told of each run that begins. */
+    handleStarted: (start: SeenStart) => void = () => undefined;
     getBehavior: (task: string, run: number) => TaskBehavior = () => ({
         demand: CORE,
         runMs: 1_000,
@@ -308,7 +310,8 @@
     }
 
     private observeStart(workerId: string, task: string, run: number, used: Resources): void {
-        this.starts.push({ task, run, workerId, at: this.clock.now() });
+        const start = { task, run, workerId, at: this.clock.now() };
+        this.starts.push(start);
         const other = this.running.get(task);
         if (other !== undefined) {
             this.faults.push(`${task} runs on ${other} and on ${workerId}`);
@@ -317,6 +320,7 @@
             this.faults.push(`${workerId} is over its capacity`);
         }
         this.running.set(task, workerId);
+        this.handleStarted(start);
     }
 
     private observeEnd(workerId: string, task: string, run: number): void {
