--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -30,6 +30,8 @@
     readonly isAdviceShort: boolean;
     /** Workers that did not take orders of a step lately. */
     readonly listRefusing: (step: Step) => ReadonlySet<string>;
+    /** Tells whether a task must wait after it was lost with its worker again and again. */
+    readonly isPaused: (task: Task) => boolean;
     readonly now: Millis;
 }
 
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -7,8 +7,10 @@
  */
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
+import { isSuspect } from "../jobs/worker-losses.js";
 import { isHeldBack } from "./backfill.js";
 import type { StepPermits } from "./permits.js";
+import { computePlaceScore } from "./place-score.js";
 import type { PermitWish, Plan, PlanInput, PlannedStart } from "./plan.js";
 import { canEverHold, countPlaces, isAllOrNothing, PoolView } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
@@ -16,6 +18,7 @@
 import type { Preemption } from "./preemption.js";
 import { selectWorkersToAsk } from "./question-size.js";
 import type { AskableWorker } from "./question-size.js";
+import { canBecomeIdle, chooseReserved } from "./reserved-workers.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 
@@ -55,6 +58,8 @@
     readonly permits: StepPermits | undefined;
     /** Workers that may run it, also those whose permit has run out. */
     readonly candidates: readonly Slot[];
+    /** Its tasks that may start now. */
+    readonly startable: readonly Task[];
 }
 
 /** What a step asks. */
@@ -74,6 +79,8 @@
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
     private readonly keepers: Step[] = [];
+    /** Tasks that should run alone, for which no worker becomes idle soon. */
+    private readonly besideOthers = new Set<Task>();
     private preemptingGangs = 0;
     /** Priority of the most urgent gang that lacks room and could be in time. */
     private blockedPriority = Infinity;
@@ -82,6 +89,7 @@
 
     run(): Plan {
         const ordered = [...this.input.waiting].sort(compareUrgency);
+        ordered.forEach(urgency => this.reserveWorkers(urgency));
         ordered.forEach(urgency => this.planStep(urgency));
         const { starts, wishes, preemptions, keepers } = this;
         return { starts, wishes, preemptions, keepers };
@@ -91,15 +99,12 @@
         if (!this.input.isAdviceShort && isHeldBack(urgency, this.blockedPriority)) {
             return;
         }
-        const { step, queue } = urgency;
-        const pool = this.getPool(queue.pool);
-        const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
-        const allowed = permits === undefined ?
-            pool.slots.filter(slot => slot.isSuitable(step)) :
-            listAllowed(step, pool, permits);
-        const refusing = this.input.listRefusing(step);
-        const candidates = refusing.size === 0 ? allowed : allowed.filter(slot => !refusing.has(slot.id));
-        const current: WaitingStep = { urgency, step, pool, permits, candidates };
+        const { step } = urgency;
+        const startable = this.listStartable(step);
+        if (startable.length === 0 || isAllOrNothing(step) && startable.length < step.waiting) {
+            return;
+        }
+        const current = this.buildWaitingStep(urgency, startable);
         const placements = this.placeTasks(current);
         const isWhole = placements.length === step.waiting;
         if (isAllOrNothing(step) && !isWhole) {
@@ -113,6 +118,40 @@
         }
     }
 
+    private listStartable(step: Step): readonly Task[] {
+        return step.tasks.filter(task => task.state === TaskState.waiting && !this.input.isPaused(task));
+    }
+
+    private buildWaitingStep(urgency: Urgency, startable: readonly Task[]): WaitingStep {
+        const { step, queue } = urgency;
+        const pool = this.getPool(queue.pool);
+        const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
+        const allowed = permits === undefined ?
+            pool.slots.filter(slot => slot.isSuitable(step)) :
+            listAllowed(step, pool, permits);
+        const refusing = this.input.listRefusing(step);
+        const candidates = refusing.size === 0 ? allowed : allowed.filter(slot => !refusing.has(slot.id));
+        return { urgency, step, pool, permits, candidates, startable };
+    }
+
+    /** Keeps workers for tasks that must run alone, before others take the room that they need. */
+    private reserveWorkers(urgency: Urgency): void {
+        const { step } = urgency;
+        const suspects = this.listStartable(step).filter(isSuspect);
+        if (suspects.length === 0) {
+            return;
+        }
+        const { pool, candidates } = this.buildWaitingStep(urgency, suspects);
+        const { now } = this.input;
+        if (!candidates.some(slot => canBecomeIdle(slot, now))) {
+            suspects.forEach(task => this.besideOthers.add(task));
+            return;
+        }
+        for (const task of suspects) {
+            chooseReserved({ step, candidates, pool, now })?.reserve(task);
+        }
+    }
+
     private getPool(name: string): PoolView {
         const known = this.pools.get(name);
         if (known !== undefined) {
@@ -126,35 +165,45 @@
 
     /** Finds places for as many tasks as possible and takes their room. */
     private placeTasks(current: WaitingStep): readonly Placement[] {
-        const { step, pool } = current;
+        const { step, pool, startable } = current;
         const placements: Placement[] = [];
         if (!pool.mayFit(step.spec.demand)) {
             return placements;
         }
-        for (const task of step.tasks) {
-            if (task.state !== TaskState.waiting) {
-                continue;
-            }
-            const slot = this.chooseSlot(current, task);
+        // All tasks of a step need the same room, so where one does not fit no other of its kind does.
+        const isFull = { alone: false, beside: false };
+        for (const task of startable) {
+            const isAlone = isSuspect(task) && !this.besideOthers.has(task);
+            const kind = isAlone ? "alone" : "beside";
+            const slot = isFull[kind] ? undefined : this.chooseSlot(current, task, isAlone);
             if (slot === undefined) {
-                // All tasks of a step need the same, so none of the others fits either.
-                return placements;
+                isFull[kind] = true;
+                continue;
             }
-            slot.take(step);
+            slot.take(step, isSuspect(task));
             placements.push({ task, slot });
         }
         return placements;
     }
 
     /** Chooses the fullest worker that still fits, so that large holes stay for gangs. */
-    private chooseSlot({ step, candidates, permits }: WaitingStep, task: Task): Slot | undefined {
+    private chooseSlot(
+        { step, candidates, permits }: WaitingStep,
+        task: Task,
+        isAlone: boolean,
+    ): Slot | undefined {
+        const isPermitted = ({ id }: Slot): boolean =>
+            permits === undefined || permits.getUsable(id, this.input.now) !== undefined;
         let best: Slot | undefined;
         let bestScore = Infinity;
         for (const slot of candidates) {
-            if (!slot.canTake(step)) {
+            const isPossible = isAlone ? slot.canTakeAlone(step, task) : slot.canTake(step);
+            if (!isPossible) {
                 continue;
             }
-            const score = this.computeScore(step, task, slot, permits);
+            const score = this.besideOthers.has(task) ?
+                slot.worker.runs.size :
+                computePlaceScore({ step, task, slot, isPermitted: isPermitted(slot) });
             if (score < bestScore) {
                 best = slot;
                 bestScore = score;
@@ -163,23 +212,6 @@
         return best;
     }
 
-    /** Lower is better. */
-    private computeScore(step: Step, task: Task, slot: Slot, permits: StepPermits | undefined): number {
-        const { demand, dataRack } = step.spec;
-        let score = (slot.free.cpuMillis - demand.cpuMillis) / slot.capacity.cpuMillis;
-        score += SLOWNESS_WEIGHT * slot.slowness;
-        if (task.failedOn.has(slot.id)) {
-            score += FAILED_HERE_PENALTY;
-        }
-        if (dataRack !== undefined && slot.worker.record.rack !== dataRack) {
-            score += FAR_DATA_PENALTY;
-        }
-        if (permits !== undefined && permits.getUsable(slot.id, this.input.now) === undefined) {
-            score += EXPIRED_PERMIT_PENALTY;
-        }
-        return score;
-    }
-
     private startOrRequest(current: WaitingStep, placements: readonly Placement[]): void {
         const { step, permits } = current;
         const found = placements.map(({ task, slot }): PlannedStart => {
@@ -263,10 +295,12 @@
      * @returns Whether its room will be whole then.
      */
     private preemptFor(current: WaitingStep, placed: number): boolean {
-        const { urgency, step, pool } = current;
+        const { urgency, step, pool, startable } = current;
         const { now, preemptionLooks } = this.input;
         const limit = Math.max(1, pool.slots.length / WORKERS_PER_PREEMPTING_GANG);
-        if (urgency.lateness > 0 || this.preemptingGangs >= limit) {
+        // Members that must run alone need workers on which all runs end, not some.
+        const isPossible = urgency.lateness === 0 && !startable.some(isSuspect);
+        if (!isPossible || this.preemptingGangs >= limit) {
             return false;
         }
         const wasMakingRoom = preemptionLooks.isMakingRoom(step, now);
@@ -333,17 +367,6 @@
     }
 }
 
-/** Weights in units of a whole worker's processors: a worker that failed the task is the last choice. */
-const FAILED_HERE_PENALTY = 4;
-const FAR_DATA_PENALTY = 2;
-/**
- * Workers differ in speed by up to 1.6 to 1 for good, and by 5 to 1 in slow spells; a worker that takes twice as long is
- * chosen only where others would be left with a hole of two thirds of their processors.
- */
-const SLOWNESS_WEIGHT = 1;
-/** A permit that has to be asked for again costs a question of up to half a second. */
-const EXPIRED_PERMIT_PENALTY = 1;
-
 function listAllowed(step: Step, pool: PoolView, permits: StepPermits): readonly Slot[] {
     const allowed: Slot[] = [];
     for (const workerId of permits.listAllowed()) {
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -7,7 +7,7 @@
 import type { Millis } from "../../common/clock.js";
 import { addResources, isWithin, NO_RESOURCES, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
-import type { Step } from "../jobs/job.js";
+import type { Step, Task } from "../jobs/job.js";
 import { countFitting } from "./question-size.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -22,23 +22,54 @@
     readonly slowness: number;
     /** Tasks of steps with a limit for each worker that this pass has put here, by step. */
     private placed: Map<string, number> | undefined;
+    /** Whether a run or a task of this pass needs the worker for itself. */
+    private isExclusive: boolean;
+    /** Task for which the worker is kept. */
+    private reservedFor: Task | undefined;
+    private tasksTaken = 0;
 
     /**
      * @param worker - The worker.
      * @param now - On our clock.
-     * @param isOpen - Whether anything may start there in this pass.
+     * @param mayStart - Whether anything may start there in this pass.
      */
-    constructor(readonly worker: WorkerState, now: Millis, readonly isOpen = true) {
+    constructor(readonly worker: WorkerState, now: Millis, private readonly mayStart = true) {
         this.id = worker.id;
         this.capacity = worker.record.capacity;
         this.obtainable = computeObtainable(worker);
-        this.free = isOpen ? worker.free : NO_RESOURCES;
+        this.free = mayStart ? worker.free : NO_RESOURCES;
         this.slowness = worker.getSlowness(now);
+        this.isExclusive = worker.exclusiveRun !== undefined;
     }
 
-    /** Takes room for one task. */
-    take(step: Step): void {
+    /** Whether more tasks may start here in this pass. */
+    get isOpen(): boolean {
+        return this.mayStart && !this.isExclusive && this.reservedFor === undefined;
+    }
+
+    /** Whether nothing runs here or was put here by this pass. */
+    get isIdle(): boolean {
+        return this.worker.runs.size === 0 && this.tasksTaken === 0;
+    }
+
+    /** Whether the worker is kept for a task. */
+    get isReserved(): boolean {
+        return this.reservedFor !== undefined;
+    }
+
+    /** Keeps the worker for a task that must run alone. */
+    reserve(task: Task): void {
+        this.reservedFor = task;
+    }
+
+    /**
+     * Takes room for one task.
+     * @param isAlone - Whether nothing else may start here beside it.
+     */
+    take(step: Step, isAlone = false): void {
         this.free = removeResources(this.free, step.spec.demand);
+        this.tasksTaken += 1;
+        this.isExclusive ||= isAlone;
         if (step.spec.maxPerWorker !== undefined) {
             this.placed ??= new Map();
             this.placed.set(step.name, (this.placed.get(step.name) ?? 0) + 1);
@@ -48,6 +79,8 @@
     /** Gives the room of one task back. */
     release(step: Step): void {
         this.free = addResources(this.free, step.spec.demand);
+        this.tasksTaken -= 1;
+        this.isExclusive = this.worker.exclusiveRun !== undefined;
         const count = this.placed?.get(step.name);
         if (count !== undefined) {
             this.placed?.set(step.name, count - 1);
@@ -59,6 +92,13 @@
         return this.isOpen && isWithin(step.spec.demand, this.free) && this.countPlacesLeft(step) > 0;
     }
 
+    /** Tells whether a task may run here now with nothing else beside it. */
+    canTakeAlone(step: Step, task: Task): boolean {
+        const isFree = this.mayStart && !this.isExclusive && this.isIdle;
+        const isOthers = this.reservedFor !== undefined && this.reservedFor !== task;
+        return isFree && !isOthers && isWithin(step.spec.demand, this.free);
+    }
+
     /** Tells whether it could ever run a step's tasks. */
     isSuitable({ spec }: Step): boolean {
         const hasLabel = spec.requiredLabel === undefined ||
@@ -115,6 +155,11 @@
         return this.byId.get(workerId);
     }
 
+    /** Counts the workers that are kept for a task and run others still. */
+    countReserved(): number {
+        return this.slots.filter(slot => slot.isReserved && !slot.isIdle).length;
+    }
+
     /** Tells whether a demand may fit somewhere; false means that it surely does not. */
     mayFit(demand: Resources): boolean {
         return isWithin(demand, this.mostFree);
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -93,6 +93,7 @@
     private offset: Millis | undefined;
     private leaseEnd: Millis;
     private lastWorkerNow: Millis = 0;
+    private heardAt: Millis = -Infinity;
     private isFirst = true;
     private areLeasesAllowed = false;
     private readonly leasesAllowed = new Signal();
@@ -111,6 +112,11 @@
         return this.leaseEnd;
     }
 
+    /** Returns when the last report was received, on our clock; long past before the first. */
+    getHeardAt(): Millis {
+        return this.heardAt;
+    }
+
     /** Returns the worker's time now, at most; undefined before the first report. */
     estimateWorkerNow(): Millis | undefined {
         return this.offset === undefined ? undefined : this.options.clock.now() + this.offset;
@@ -282,6 +288,7 @@
             return;
         }
         this.lastWorkerNow = report.workerNow;
+        this.heardAt = clock.now();
         const offset = report.workerNow - clock.now();
         if (this.offset !== undefined && offset - this.offset > SUSPENSION_MS) {
             listener.handleSuspended(offset - this.offset);
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -42,6 +42,8 @@
     readonly yieldsBelow: number | undefined;
     /** Whether it runs until it is stopped, so that its room does not come free. */
     readonly isLasting: boolean;
+    /** Whether nothing else may run beside it: its task may crash the worker. */
+    readonly isExclusive: boolean;
     /** Run time to expect; infinite where nothing is known of it. */
     readonly expectedMs: Millis;
     checkpoint: string;
@@ -61,6 +63,7 @@
         wasSeen: false,
         isInherited: false,
         isLasting: false,
+        isExclusive: false,
         yieldsBelow: undefined,
         expectedMs: Infinity,
         checkpoint: "",
@@ -101,6 +104,8 @@
     isAdopted = false;
     /** Whether it stands in the worker list. */
     isListed = true;
+    /** A run beside which nothing may start; undefined where there is none. */
+    exclusiveRun: RunRecord | undefined;
     private slowness = 0;
     private slownessAt: Millis = 0;
     /** Until when, on our clock, it gets no new work because it refused or failed some. */
@@ -168,6 +173,7 @@
     addRun(run: RunRecord): void {
         this.runs.set(makeRunKey(run.task, run.run), run);
         this.free = removeResources(this.free, run.demand);
+        this.exclusiveRun = run.isExclusive ? run : this.exclusiveRun;
     }
 
     /**
@@ -184,6 +190,7 @@
             return undefined;
         }
         this.runs.delete(key);
+        this.exclusiveRun = this.exclusiveRun === record ? undefined : this.exclusiveRun;
         const heir = record.isDemandKnown ? undefined : this.findRunOfUnknownDemand();
         if (heir === undefined) {
             this.free = addResources(this.free, record.demand);
--- /dev/null
+++ b/src/process/jobs/build-job.ts
@@ -0,0 +1,62 @@
+/** Builds the state of jobs and of their occurrences. */
+import { JobPhase } from "./job-events.js";
+import type { JobAccepted } from "./job-events.js";
+import { formatStepName, formatTaskName } from "./job-spec.js";
+import type { JobSpec } from "./job-spec.js";
+import { TaskState } from "./job.js";
+import type { Job, Occurrence, Task } from "./job.js";
+
+/**
+ * Builds the state of a job that was just accepted, without occurrences.
+ * @param event - Its acceptance.
+ */
+export function buildJob(event: JobAccepted): Job {
+    return {
+        id: event.jobId,
+        queue: event.queue,
+        spec: event.spec,
+        acceptedAt: event.at,
+        phase: JobPhase.queued,
+        endedAt: 0,
+        isEndDurable: false,
+        occurrences: new Map(),
+        nextOccurrence: 0,
+        hasStarted: false,
+    };
+}
+
+/** Builds one occurrence with all its tasks waiting. */
+export function buildOccurrence(job: Job, spec: JobSpec, number: number): Occurrence {
+    const { repeat } = spec;
+    const dueAt = repeat === undefined ? 0 : repeat.firstRunAt + number * repeat.intervalMs;
+    const occurrence: Occurrence = { number, steps: [], dueAt, openSteps: spec.steps.length };
+    spec.steps.forEach((stepSpec, stepNumber) => {
+        const ref = { jobId: job.id, occurrence: number, step: stepNumber };
+        const tasks = Array.from({ length: stepSpec.taskCount }, (...[, index]): Task => ({
+            index,
+            name: formatTaskName({ ...ref, index }),
+            state: TaskState.waiting,
+            run: 0,
+            failures: 0,
+            workerId: undefined,
+            checkpoint: "",
+            failedOn: new Set(),
+            losses: [],
+        }));
+        occurrence.steps.push({
+            job,
+            occurrence,
+            number: stepNumber,
+            name: formatStepName(ref),
+            spec: stepSpec,
+            tasks,
+            waiting: tasks.length,
+            assigned: 0,
+            done: 0,
+            failures: 0,
+            lastFailedRun: 0,
+            repairRun: undefined,
+        });
+    });
+    return occurrence;
+}
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -2,7 +2,9 @@
  * All jobs of the cluster, as the durable events make them. A leader applies each event as it decides it and
  * lets its effects out only once the event is durable; a new leader applies what it finds in the store.
  */
-import { JobPhase, RunEnd } from "./job-events.js";
+import { Adoptions } from "./adoptions.js";
+import { buildJob, buildOccurrence } from "./build-job.js";
+import { JobPhase, LossKind, RunEnd } from "./job-events.js";
 import type {
     JobAccepted,
     JobClosed,
@@ -10,11 +12,12 @@
     QueueConfigured,
     RunAssigned,
     RunEnded,
+    TaskCleared,
 } from "./job-events.js";
-import { formatStepName, formatTaskName, parseTaskName } from "./job-spec.js";
-import type { JobSpec } from "./job-spec.js";
+import { parseTaskName } from "./job-spec.js";
 import { isStepRunnable, listSteps, TaskState } from "./job.js";
-import type { Job, Occurrence, Step, Task } from "./job.js";
+import type { Job, Step, Task } from "./job.js";
+import { LossIndex } from "./worker-losses.js";
 
 /** A task with the step that it belongs to. */
 export interface FoundTask {
@@ -40,27 +43,13 @@
     private readonly jobs = new Map<string, Job>();
     /** Jobs that have not ended, so that passes need not look at the others. */
     private readonly open = new Map<string, Job>();
-    /** Last leader that adopted each worker. */
-    private readonly adoptions = new Map<string, number>();
+    /** Who adopted which worker. Changed only by events. */
+    readonly adoptions = new Adoptions();
+    /** Workers that were lost with runs of tasks. Changed only by events. */
+    readonly losses = new LossIndex();
     /** Settings that jobs of a queue follow when no configuration in force has it. */
     private readonly queues = new Map<string, QueueConfigured>();
 
-    /** Returns the epoch of the last leader that adopted a worker; undefined where that is not known. */
-    getAdoption(workerId: string): number | undefined {
-        return this.adoptions.get(workerId);
-    }
-
-    /** Lists the adoptions of workers that have assigned tasks; the others say nothing to a later leader. */
-    listAdoptions(): readonly (readonly [string, number])[] {
-        const busy = new Set<string>();
-        for (const { task: { workerId } } of this.listAssigned()) {
-            if (workerId !== undefined) {
-                busy.add(workerId);
-            }
-        }
-        return [...this.adoptions].filter(([workerId]) => busy.has(workerId));
-    }
-
     /** Returns the settings that a queue had last; undefined where they are not known. */
     getQueue(name: string): QueueConfigured | undefined {
         return this.queues.get(name);
@@ -76,6 +65,17 @@
         return new Set([...this.open.values()].map(job => job.queue));
     }
 
+    /** Lists the workers that have assigned tasks, or were lost with tasks that are not done. */
+    listConcernedWorkers(): ReadonlySet<string> {
+        const workers = new Set<string>(this.losses.listWorkers());
+        for (const { task: { workerId } } of this.listAssigned()) {
+            if (workerId !== undefined) {
+                workers.add(workerId);
+            }
+        }
+        return workers;
+    }
+
     /** Lists the tasks that are assigned to workers. */
     *listAssigned(): Iterable<FoundTask> {
         for (const step of this.listOpenSteps()) {
@@ -167,8 +167,16 @@
                 this.jobs.delete(event.jobId);
                 return;
             case "adopted":
-                this.adoptions.set(event.workerId, event.epoch);
+                this.adoptions.record(event.workerId, event.epoch, event.address);
+                return;
+            case "workerCrashed":
+                this.losses.confirm(event.workerId);
                 return;
+            case "workerSurvived":
+                this.losses.withdraw(event.workerId);
+                return;
+            case "taskCleared":
+                return this.applyCleared(event);
             case "queueConfigured":
                 this.queues.set(event.queue.name, event);
                 return;
@@ -235,7 +243,7 @@
         task.run = event.run;
         task.workerId = event.workerId;
         if (event.epoch !== undefined) {
-            this.adoptions.set(event.workerId, event.epoch);
+            this.adoptions.record(event.workerId, event.epoch, event.address);
         }
         step.waiting -= 1;
         step.assigned += 1;
@@ -256,6 +264,10 @@
         if (event.end === RunEnd.failed) {
             countFailure(step, task, event.run);
         }
+        if (event.loss !== undefined && task.workerId !== undefined) {
+            const isCrash = event.loss === LossKind.crashed;
+            this.losses.add(task, { workerId: task.workerId, run: event.run, isCrash });
+        }
         task.state = TaskState.waiting;
         task.workerId = undefined;
         if (event.checkpoint !== "") {
@@ -279,6 +291,7 @@
             task.state = TaskState.done;
             task.workerId = undefined;
             task.checkpoint = "";
+            this.losses.clear(task);
         }
         if (step.done === step.tasks.length) {
             step.occurrence.openSteps -= 1;
@@ -288,6 +301,13 @@
         }
     }
 
+    private applyCleared({ task }: TaskCleared): void {
+        const found = this.findTask(task);
+        if (found !== undefined) {
+            this.losses.clear(found.task);
+        }
+    }
+
     private applyClosed(event: JobClosed): void {
         this.endJob(event.jobId, event.phase, event.at);
     }
@@ -299,11 +319,18 @@
         }
         job.phase = phase;
         job.endedAt = at;
+        this.forgetLosses(job);
         job.spec = undefined;
         job.occurrences.clear();
         this.open.delete(jobId);
     }
 
+    private forgetLosses(job: Job): void {
+        for (const step of listSteps(job)) {
+            step.tasks.filter(task => task.losses.length > 0).forEach(task => this.losses.clear(task));
+        }
+    }
+
     private ensureOccurrence(job: Job, number: number): void {
         while (job.spec !== undefined && job.nextOccurrence <= number) {
             const occurrence = buildOccurrence(job, job.spec, job.nextOccurrence);
@@ -319,60 +346,6 @@
     return job.nextOccurrence >= total && job.occurrences.size === 0;
 }
 
-/**
- * Builds the state of a job that was just accepted, without occurrences.
- * @param event - Its acceptance.
- */
-export function buildJob(event: JobAccepted): Job {
-    return {
-        id: event.jobId,
-        queue: event.queue,
-        spec: event.spec,
-        acceptedAt: event.at,
-        phase: JobPhase.queued,
-        endedAt: 0,
-        isEndDurable: false,
-        occurrences: new Map(),
-        nextOccurrence: 0,
-        hasStarted: false,
-    };
-}
-
-/** Builds one occurrence with all its tasks waiting. */
-export function buildOccurrence(job: Job, spec: JobSpec, number: number): Occurrence {
-    const { repeat } = spec;
-    const dueAt = repeat === undefined ? 0 : repeat.firstRunAt + number * repeat.intervalMs;
-    const occurrence: Occurrence = { number, steps: [], dueAt, openSteps: spec.steps.length };
-    spec.steps.forEach((stepSpec, stepNumber) => {
-        const ref = { jobId: job.id, occurrence: number, step: stepNumber };
-        const tasks = Array.from({ length: stepSpec.taskCount }, (...[, index]): Task => ({
-            index,
-            name: formatTaskName({ ...ref, index }),
-            state: TaskState.waiting,
-            run: 0,
-            failures: 0,
-            workerId: undefined,
-            checkpoint: "",
-            failedOn: new Set(),
-        }));
-        occurrence.steps.push({
-            job,
-            occurrence,
-            number: stepNumber,
-            name: formatStepName(ref),
-            spec: stepSpec,
-            tasks,
-            waiting: tasks.length,
-            assigned: 0,
-            done: 0,
-            failures: 0,
-            lastFailedRun: 0,
-            repairRun: undefined,
-        });
-    });
-    return occurrence;
-}
-
 function countFailure(step: Step, task: Task, run: number): void {
     if (task.workerId !== undefined) {
         task.failedOn.add(task.workerId);
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -23,6 +23,15 @@
 } as const;
 export type RunEnd = (typeof RunEnd)[keyof typeof RunEnd];
 
+/** What is known of a worker that was lost with a run. */
+export const LossKind = {
+    /** It was silent until its lease had surely run out: it may be cut off. */
+    suspected: "suspected",
+    /** It crashed. */
+    crashed: "crashed",
+} as const;
+export type LossKind = (typeof LossKind)[keyof typeof LossKind];
+
 /** State of a job as callers see it. */
 export const JobPhase = {
     queued: "queued",
@@ -55,6 +64,8 @@
      * not in events of earlier versions.
      */
     readonly epoch?: number;
+    /** The worker's; set where no adoption that is kept says it. */
+    readonly address?: string;
 }
 
 /** A run ended. It is durable before the worker is told that the end was seen. */
@@ -65,6 +76,8 @@
     readonly end: RunEnd;
     /** Last checkpoint that is known; empty if there is none. */
     readonly checkpoint: string;
+    /** Set where the run's worker was lost with it; not in events of earlier versions. */
+    readonly loss?: LossKind;
 }
 
 /** A job was cancelled by its caller. */
@@ -94,6 +107,26 @@
     readonly workerId: string;
     /** The leader's. */
     readonly epoch: number;
+    /** The worker's, where a later life of it will answer; not in events of earlier versions. */
+    readonly address?: string;
+}
+
+/** A worker that was lost with runs is known to have crashed: another life answers at its address. */
+export interface WorkerCrashed {
+    readonly type: "workerCrashed";
+    readonly workerId: string;
+}
+
+/** A worker that seemed lost with runs goes on: it was cut off. */
+export interface WorkerSurvived {
+    readonly type: "workerSurvived";
+    readonly workerId: string;
+}
+
+/** A task has run for so long that its earlier losses say nothing about it. */
+export interface TaskCleared {
+    readonly type: "taskCleared";
+    readonly task: string;
 }
 
 /** The settings that a queue's jobs follow from now on, also when a later configuration drops it. */
@@ -119,5 +152,8 @@
     | JobClosed
     | JobForgotten
     | WorkerAdopted
+    | WorkerCrashed
+    | WorkerSurvived
+    | TaskCleared
     | QueueConfigured
     | QueueForgotten;
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -1,6 +1,7 @@
 /** The state of one job: occurrences, steps and tasks. Changed only through {@link JobBook}. */
 import type { JobPhase } from "./job-events.js";
 import type { JobSpec, StepSpec } from "./job-spec.js";
+import type { WorkerLoss } from "./worker-losses.js";
 
 /** State of a task. */
 export const TaskState = {
@@ -26,6 +27,8 @@
     checkpoint: string;
     /** Workers that a run failed on: another one is tried first. */
     readonly failedOn: Set<string>;
+    /** Workers that were lost with a run of it, oldest first; none once a run has gone on for long. */
+    losses: WorkerLoss[];
 }
 
 /** One step of one occurrence. */
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -1,10 +1,13 @@
 /** Jobs as text and back: the part of the journal that a snapshot covers. */
-import { buildJob, buildOccurrence, JobBook } from "./job-book.js";
+import type { Adoption } from "./adoptions.js";
+import { buildJob, buildOccurrence } from "./build-job.js";
+import { JobBook } from "./job-book.js";
 import { JobPhase } from "./job-events.js";
 import type { QueueConfigured } from "./job-events.js";
 import type { JobSpec } from "./job-spec.js";
 import { TaskState } from "./job.js";
 import type { Job, Occurrence, Step, Task } from "./job.js";
+import type { LossIndex, WorkerLoss } from "./worker-losses.js";
 
 /** A task that differs from a fresh one. */
 interface StoredTask {
@@ -16,6 +19,8 @@
     readonly checkpoint: string;
     /** Workers that a run failed on; not in snapshots of earlier versions. */
     readonly failedOn?: readonly string[];
+    /** Workers that were lost with it; not in snapshots of earlier versions. */
+    readonly losses?: readonly WorkerLoss[];
 }
 
 /** A step that differs from a fresh one. */
@@ -49,11 +54,14 @@
     readonly endedAt: number;
 }
 
+/** Worker, epoch, and the address where it is known. */
+type StoredAdoption = readonly [string, number, string?];
+
 interface StoredBook {
     readonly open: readonly StoredOpenJob[];
     readonly ended: readonly StoredEndedJob[];
-    /** Workers with the epochs of the leaders that adopted them; not in snapshots of earlier versions. */
-    readonly adoptions?: readonly (readonly [string, number])[];
+    /** Workers with the epochs of the leaders that adopted them, and their addresses; not in snapshots of earlier versions. */
+    readonly adoptions?: readonly StoredAdoption[];
     /** Settings of queues; not in snapshots of earlier versions. */
     readonly queues?: readonly QueueConfigured[];
 }
@@ -72,7 +80,7 @@
         const { hasStarted, nextOccurrence } = job;
         open.push({ id, queue, at, spec, hasStarted, nextOccurrence, occurrences });
     }
-    const adoptions = book.listAdoptions();
+    const adoptions = book.adoptions.list(book.listConcernedWorkers()).map(convertAdoption);
     const queues = [...book.listQueues()];
     return JSON.stringify({ open, ended, adoptions, queues } satisfies StoredBook);
 }
@@ -89,17 +97,21 @@
         const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
         book.restore({ ...job, spec: undefined, phase, endedAt });
     }
-    for (const [workerId, epoch] of stored.adoptions ?? []) {
-        book.apply({ type: "adopted", workerId, epoch });
+    for (const [workerId, epoch, address] of stored.adoptions ?? []) {
+        book.apply({ type: "adopted", workerId, epoch, address });
     }
     stored.queues?.forEach(queue => book.apply(queue));
     for (const entry of stored.open) {
-        book.restore(rebuildOpenJob(entry));
+        book.restore(rebuildOpenJob(entry, book.losses));
     }
     return book;
 }
 
-function rebuildOpenJob(entry: StoredOpenJob): Job {
+function convertAdoption([workerId, { epoch, address }]: readonly [string, Adoption]): StoredAdoption {
+    return address === undefined ? [workerId, epoch] : [workerId, epoch, address];
+}
+
+function rebuildOpenJob(entry: StoredOpenJob, index: LossIndex): Job {
     const { id, queue, at, spec, hasStarted, nextOccurrence } = entry;
     const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
     job.hasStarted = hasStarted;
@@ -107,24 +119,26 @@
     job.phase = hasStarted ? JobPhase.running : JobPhase.queued;
     for (const stored of entry.occurrences) {
         const occurrence = buildOccurrence(job, spec, stored.number);
-        stored.steps.forEach(step => fillStep(occurrence, step));
+        stored.steps.forEach(step => fillStep(occurrence, step, index));
         job.occurrences.set(stored.number, occurrence);
     }
     return job;
 }
 
-function fillStep(occurrence: Occurrence, stored: StoredStep): void {
+function fillStep(occurrence: Occurrence, stored: StoredStep, index: LossIndex): void {
     const step = occurrence.steps[stored.number];
     if (step === undefined) {
         return;
     }
     step.failures = stored.failures;
     step.lastFailedRun = stored.lastFailedRun;
-    for (const { index, state, run, failures, workerId, checkpoint, failedOn } of stored.tasks) {
-        const task = step.tasks[index];
+    for (const { index: number, failedOn = [], losses = [], ...rest } of stored.tasks) {
+        const task = step.tasks[number];
         if (task !== undefined) {
+            const { state, run, failures, workerId, checkpoint } = rest;
             Object.assign(task, { state, run, failures, workerId, checkpoint });
-            failedOn?.forEach(id => task.failedOn.add(id));
+            failedOn.forEach(id => task.failedOn.add(id));
+            losses.forEach(loss => index.add(task, { ...loss }));
         }
     }
     step.done = step.tasks.filter(task => task.state === TaskState.done).length;
@@ -156,5 +170,6 @@
     const { index, state, run, failures, workerId, checkpoint } = task;
     const isFailedOnNeeded = state !== TaskState.done && task.failedOn.size > 0;
     const failedOn = isFailedOnNeeded ? [...task.failedOn] : undefined;
-    return { index, state, run, failures, workerId, checkpoint, failedOn };
+    const losses = task.losses.length > 0 ? task.losses : undefined;
+    return { index, state, run, failures, workerId, checkpoint, failedOn, losses };
 }
--- /dev/null
+++ b/src/process/jobs/worker-losses.ts
@@ -0,0 +1,110 @@
+/**
+ * Workers that were lost while they ran a task, and what follows from that for the task.
+ *
+ * @remarks Failure guarded against: a task crashes each worker that starts it. None of its runs ends as failed, so no limit of
+ * attempts is ever reached, and each new start takes a worker down with everything else that runs there. A loss alone proves
+ * nothing: workers crash, lose power and are cut off for reasons of their own, and many tasks share one. So a task that was
+ * lost with its worker again and again next runs alone, and only a loss more, with workers that surely crashed, condemns it.
+ */
+import type { Millis } from "../../common/clock.js";
+import type { Task } from "./job.js";
+
+/** A worker that was lost with a run of a task. */
+export interface WorkerLoss {
+    readonly workerId: string;
+    readonly run: number;
+    /** Whether the worker surely crashed; until that is known it may be cut off and go on. */
+    isCrash: boolean;
+}
+
+/** Losses after which a task runs alone on its worker: whoever else runs there is safe, and a further loss is its own. */
+const SUSPECT_LOSSES = 2;
+/** Losses after which a task is given up, if enough of them were crashes. */
+const FINAL_LOSSES = 3;
+/** Crashes without which no task is given up. */
+const FINAL_CRASHES = 2;
+/** A run that has gone on for this long did not crash its worker by starting. */
+export const CLEARED_MS: Millis = 10_000;
+/** Pause of a task that would be given up were its losses known to be crashes; it doubles with each further loss. */
+const FIRST_PAUSE_MS: Millis = 5_000;
+const LONGEST_PAUSE_MS: Millis = 60_000;
+
+/** Tells whether a task is to run on a worker that runs nothing else. */
+export function isSuspect({ losses }: Task): boolean {
+    return losses.length >= SUSPECT_LOSSES;
+}
+
+/** Tells whether a task crashes the workers that start it, as far as that can be known. */
+export function isCrasher({ losses }: Task): boolean {
+    return losses.length >= FINAL_LOSSES && losses.filter(loss => loss.isCrash).length >= FINAL_CRASHES;
+}
+
+/**
+ * Computes how long after its last loss a task may start again.
+ *
+ * @remarks Failure guarded against: workers that crash come back after seconds, and only then is it known that they crashed. A
+ * task that starts again at once crashes several more meanwhile.
+ */
+export function computeLossPause({ losses }: Task): Millis {
+    const further = losses.length - FINAL_LOSSES;
+    return further < 0 ? 0 : Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** further);
+}
+
+/** Finds the losses of tasks by worker. */
+export class LossIndex {
+    private readonly tasks = new Map<string, Set<Task>>();
+
+    /** Lists the workers that were lost with a task that is not done. */
+    listWorkers(): Iterable<string> {
+        return this.tasks.keys();
+    }
+
+    /** Tells whether a worker was lost with a task that is not done. */
+    has(workerId: string): boolean {
+        return this.tasks.has(workerId);
+    }
+
+    /** Lists the tasks that were lost with a worker. */
+    listTasks(workerId: string): readonly Task[] {
+        return [...this.tasks.get(workerId) ?? []];
+    }
+
+    /** Adds a loss to a task; the same loss counts once, however often it is learnt of. */
+    add(task: Task, loss: WorkerLoss): void {
+        const known = task.losses.find(({ workerId, run }) => workerId === loss.workerId && run === loss.run);
+        if (known !== undefined) {
+            known.isCrash ||= loss.isCrash;
+            return;
+        }
+        task.losses.push(loss);
+        const tasks = this.tasks.get(loss.workerId) ?? new Set();
+        this.tasks.set(loss.workerId, tasks.add(task));
+    }
+
+    /** Takes in that a worker surely crashed. */
+    confirm(workerId: string): void {
+        for (const task of this.listTasks(workerId)) {
+            task.losses.filter(loss => loss.workerId === workerId).forEach(loss => loss.isCrash = true);
+        }
+    }
+
+    /** Takes in that a worker goes on: it was cut off. */
+    withdraw(workerId: string): void {
+        for (const task of this.listTasks(workerId)) {
+            task.losses = task.losses.filter(loss => loss.workerId !== workerId);
+        }
+        this.tasks.delete(workerId);
+    }
+
+    /** Forgets all losses of a task. */
+    clear(task: Task): void {
+        for (const { workerId } of task.losses) {
+            const tasks = this.tasks.get(workerId);
+            tasks?.delete(task);
+            if (tasks?.size === 0) {
+                this.tasks.delete(workerId);
+            }
+        }
+        task.losses = [];
+    }
+}
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -9,8 +9,9 @@
 import type { Job, Step, Task } from "../jobs/job.js";
 import { listSteps, TaskState } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
+import { CrashDesk } from "./crash-desk.js";
+import type { LostRun } from "./crash-desk.js";
 import { GangStarts } from "./gang-starts.js";
-import type { RunLoss } from "./run-loss.js";
 import { WorkerHealth } from "./worker-health.js";
 
 /** A run that ended. */
@@ -24,7 +25,7 @@
     /** Time since it was ordered; left out where this leader did not order it. */
     readonly ranMs?: Millis;
     /** Set where it was lost. */
-    readonly cause?: RunLoss;
+    readonly lost?: LostRun;
 }
 
 /** Told of runs that have to end. */
@@ -38,6 +39,8 @@
 export class EndDesk {
     private readonly health: WorkerHealth;
     private readonly gangs: GangStarts;
+    /** Knows which tasks may crash their workers. */
+    readonly crashes: CrashDesk;
     private stopper: RunStopper | undefined;
     /** Runs of each task that this leader took for lost. */
     private readonly lostRuns = new WeakMap<Task, number>();
@@ -49,6 +52,7 @@
     constructor(private readonly context: LeaderContext, private readonly runTimes: RunTimeModel) {
         this.health = new WorkerHealth(context);
         this.gangs = new GangStarts(context, step => this.stopStep(step));
+        this.crashes = new CrashDesk(context, steps => this.closeStepsIfOver(steps));
     }
 
     /** Sets who stops runs. */
@@ -87,8 +91,9 @@
         if (notice.end === RunEnd.done && notice.ranMs !== undefined && found.task.checkpoint === "") {
             this.observeRunTime(step, notice.ranMs, notice.state);
         }
-        const { task, run, end, checkpoint } = notice;
-        context.record({ type: "ended", task, run, end, checkpoint });
+        const { task, run, end, checkpoint, lost } = notice;
+        const loss = lost && this.crashes.resolveLoss(found.task, lost);
+        context.record({ type: "ended", task, run, end, checkpoint, ...loss && { loss } });
         if (step.spec.isGang) {
             this.gangs.handleEnd(step, run, end);
         }
@@ -110,13 +115,14 @@
 
     private reportEnd(notice: EndedRunNotice, found: FoundTask | undefined, isCurrent: boolean): void {
         const { log, metrics } = this.context;
-        const { task, run, end, ranMs, cause } = notice;
+        const { task, run, end, ranMs, lost } = notice;
         const workerId = notice.state?.id ?? found?.task.workerId;
-        if (cause === undefined) {
+        if (lost === undefined) {
             log.info("runEnded", { task, run, end, workerId, isCurrent });
             metrics.count("runs.ended", 1, { end });
             return;
         }
+        const { cause } = lost;
         const lostRuns = found && this.countLoss(found.task, isCurrent);
         const roundedMs = ranMs === undefined ? undefined : Math.round(ranMs);
         log.info("runEnded", { task, run, end, workerId, isCurrent, cause, ranMs: roundedMs, lostRuns });
@@ -130,6 +136,12 @@
         return count;
     }
 
+    private closeStepsIfOver(steps: Iterable<Step>): void {
+        for (const step of steps) {
+            this.closeIfOver(step.job, [step]);
+        }
+    }
+
     private observeRunTime(step: Step, ranMs: Millis, state: WorkerState | undefined): void {
         const { queue } = step.job;
         const expected = this.runTimes.estimate(queue, step.spec.estimateMs);
@@ -182,10 +194,24 @@
             this.closeJob(job, "completed");
             return;
         }
-        if ([...steps].some(step => this.hasUsedAttempts(step))) {
-            this.stopSteps(listSteps(job));
-            this.closeJob(job, "failed");
+        for (const step of steps) {
+            if (this.isHopeless(step)) {
+                this.stopSteps(listSteps(job));
+                this.closeJob(job, "failed");
+                return;
+            }
+        }
+    }
+
+    private isHopeless(step: Step): boolean {
+        if (this.hasUsedAttempts(step)) {
+            return true;
+        }
+        const crasher = this.crashes.findCrasher(step);
+        if (crasher !== undefined) {
+            this.crashes.reportCrasher(crasher);
         }
+        return crasher !== undefined;
     }
 
     /** An attempt that is under way may still succeed, also where the queue has come to allow fewer since it began. */
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -5,7 +5,6 @@
 import { WorkerSession } from "../dispatch/worker-session.js";
 import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
-import { RunEnd } from "../jobs/job-events.js";
 import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
 import type { EndedRun, RunningRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
@@ -13,6 +12,7 @@
 import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
 import { computeExtraReportGap, computeLossGrace } from "./late-leader.js";
+import { LostRuns } from "./lost-runs.js";
 import { RunFinder } from "./run-finder.js";
 import { RunLoss } from "./run-loss.js";
 import { collectByPool } from "./workers-by-pool.js";
@@ -47,6 +47,7 @@
     readonly runs: RunFinder;
     private readonly members = new Map<string, Member>();
     private readonly inherited: InheritedRuns;
+    private readonly losses: LostRuns;
     private readonly lostAnswers: LostAnswers;
     private closed = false;
 
@@ -57,6 +58,7 @@
     constructor(private readonly context: LeaderContext, private readonly ends: EndDesk) {
         this.lostAnswers = new LostAnswers(context.lateness);
         this.inherited = new InheritedRuns(context, ends);
+        this.losses = new LostRuns(context, ends);
         this.runs = new RunFinder(context, this.members, this.inherited);
     }
 
@@ -209,6 +211,7 @@
     private handleReachable(state: WorkerState, isReachable: boolean): void {
         state.isReachable = isReachable;
         if (isReachable) {
+            this.ends.crashes.handleHeard(state.id, state.record.address);
             this.context.requestPass();
         }
     }
@@ -242,7 +245,7 @@
         }
         const isComplete = report.ended.length < MAX_REPORTED_ENDS;
         if (isComplete) {
-            this.settleAbsent(state, listed, report.workerNow);
+            this.settleAbsent(member, listed, report.workerNow);
         }
         const lastEnd = report.ended.at(-1)?.number;
         if (lastEnd !== undefined) {
@@ -259,7 +262,8 @@
     /** From here on this leader may extend leases on the worker and give it work. */
     private adopt({ state, session }: Member): void {
         const { context } = this;
-        context.record({ type: "adopted", workerId: state.id, epoch: context.epoch }, () => {
+        const { workerId, address } = state.record;
+        context.record({ type: "adopted", workerId, epoch: context.epoch, address }, () => {
             session.grantLeases();
             state.isAdopted = true;
             context.requestPass();
@@ -318,21 +322,23 @@
     }
 
     /** Runs that a report from after their last uncertainty does not list are not there. */
-    private settleAbsent(state: WorkerState, listed: ReadonlySet<string>, workerNow: Millis): void {
+    private settleAbsent(member: Member, listed: ReadonlySet<string>, workerNow: Millis): void {
+        const { state } = member;
         for (const [key, run] of [...state.runs]) {
             if (listed.has(key) || run.phase === RunPhase.reserved || workerNow <= run.settledAfter) {
                 continue;
             }
             state.removeRun(run.task, run.run);
-            this.recordLoss(state, run, RunLoss.absent);
+            this.losses.record(member, run, RunLoss.absent);
         }
     }
 
     private sweepMember(member: Member, now: Millis): void {
         const { state, session } = member;
+        this.losses.endExclusiveness(member);
         const lossAt = session.getLeaseEnd() + computeLossGrace(this.context.lateness);
         if (!state.isReachable && now > lossAt && state.runs.size > 0) {
-            this.expireRuns(state, RunLoss.leaseOver);
+            this.losses.expireAll(member, RunLoss.leaseOver);
         }
         const { unlistedSince } = member;
         const isGone = unlistedSince !== undefined && now - unlistedSince > UNLISTED_GRACE_MS;
@@ -341,36 +347,15 @@
         }
     }
 
-    private expireRuns(state: WorkerState, cause: RunLoss): void {
-        this.context.log.warn("CR1614", "runsLost", {
-            workerId: state.id,
-            runs: state.runs.size,
-            reason: cause,
-        });
-        for (const run of [...state.runs.values()]) {
-            state.removeRun(run.task, run.run);
-            this.recordLoss(state, run, cause);
-        }
-    }
-
-    /** Records the end of a run of which its worker says nothing any more. */
-    private recordLoss(state: WorkerState, record: RunRecord, cause: RunLoss): void {
-        const { task, run, checkpoint, phase, wasSeen, isInherited, orderedAt } = record;
-        const hasBegun = cause === RunLoss.absent ? wasSeen : phase !== RunPhase.reserved;
-        if (!hasBegun) {
-            this.ends.recordEnd({ state, task, run, end: RunEnd.notRun, checkpoint });
-            return;
-        }
-        const ranMs = isInherited ? undefined : this.context.clock.now() - orderedAt;
-        this.ends.recordEnd({ state, task, run, end: RunEnd.lost, checkpoint, ranMs, cause });
-    }
-
     private removeMember(member: Member, reason: RemovalReason): void {
         const { state, session } = member;
         const { workerId, address } = state.record;
         this.context.log.info("workerRemoved", { workerId, address, reason });
         if (state.runs.size > 0) {
-            this.expireRuns(state, RunLoss.replaced);
+            this.losses.expireAll(member, RunLoss.replaced);
+        }
+        if (reason === RemovalReason.replaced) {
+            this.ends.crashes.handleReplaced(workerId);
         }
         session.close();
         this.members.delete(state.id);
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -5,6 +5,7 @@
 import type { FoundTask } from "../jobs/job-book.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Step, Task } from "../jobs/job.js";
+import { isSuspect } from "../jobs/worker-losses.js";
 import type { LeaderContext } from "./context.js";
 import type { EndDesk } from "./end-desk.js";
 import { computeLossGrace } from "./late-leader.js";
@@ -98,7 +99,7 @@
                     run,
                     end: RunEnd.lost,
                     checkpoint,
-                    cause: RunLoss.unheard,
+                    lost: { cause: RunLoss.unheard, isDraining: false, provenMs: 0 },
                 });
             }
         }
@@ -106,7 +107,7 @@
 
     private computeEnd(workerId: string): Millis {
         const { book, inheritedLeases } = this.context;
-        return inheritedLeases.computeEnd(book.getAdoption(workerId));
+        return inheritedLeases.computeEnd(book.adoptions.get(workerId)?.epoch);
     }
 
     private buildRun({ step, task }: FoundTask): RunRecord {
@@ -120,6 +121,7 @@
             settledAfter: 0,
             isInherited: true,
             isLasting: step.spec.isLongRunning,
+            isExclusive: isSuspect(task),
             yieldsBelow: this.context.findYieldLimit(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -198,7 +198,12 @@
             metrics: options.metrics,
             epoch: options.epoch,
             loaded: options.loaded,
-            encodeState: () => encodeBook(options.loaded.book),
+            encodeState: () => {
+                const { book } = options.loaded;
+                // What a snapshot leaves out, the records after it say again.
+                book.adoptions.dropOthers(book.listConcernedWorkers());
+                return encodeBook(book);
+            },
             computeExtraGap: () => computeExtraRecordGap(options.lateness),
             handleDeposed: () => options.handleDeposed("the store refused a write under this leader's guard"),
         });
@@ -209,6 +214,7 @@
             context: this.context,
             fleet: this.fleet,
             permits: this.permits,
+            crashes: this.ends.crashes,
             advice: this.advice,
             isStalled: () => this.journal.isStalled(),
             rankWaiting: () => this.rankWaiting(),
@@ -246,6 +252,7 @@
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
             isAdviceShort: this.advice.isShort(),
             listRefusing: step => this.starter.refusals.listPaused(step, begin),
+            isPaused: task => this.ends.crashes.isPaused(task),
             now: begin,
         });
         this.starter.startAll(plan.starts);
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -6,6 +6,7 @@
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
 import type { Step } from "../jobs/job.js";
+import { isSuspect } from "../jobs/worker-losses.js";
 import { OrderRefusal } from "../ports/task-worker-port.js";
 import type { WorkerAnswer } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
@@ -67,13 +68,18 @@
             settledAfter: Infinity,
             yieldsBelow: this.context.findYieldLimit(step),
             isLasting: step.spec.isLongRunning,
+            isExclusive: isSuspect(task),
             expectedMs: this.context.predictRunMs(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
         });
         worker.addRun(record);
+        const { book, epoch } = this.context;
+        const { workerId, address } = worker.record;
+        const isAddressKept = book.adoptions.get(workerId)?.address === address;
+        const event = { type: "assigned", task: task.name, run, workerId, epoch } as const;
         this.context.record(
-            { type: "assigned", task: task.name, run, workerId: worker.id, epoch: this.context.epoch },
+            isAddressKept ? event : { ...event, address },
             () => void this.order(start, record),
         );
     }
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -3,6 +3,7 @@
 import type { OpenQuestion, StepPermits } from "../dispatch/permits.js";
 import { isStepReady, TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
+import { isSuspect } from "../jobs/worker-losses.js";
 import type { LogValue } from "../telemetry.js";
 import type { RunView } from "./run-view.js";
 import type { StepRecord } from "./step-history.js";
@@ -40,6 +41,10 @@
     ordersRefused: "ordersRefused",
     /** A more urgent gang keeps room that it cannot use yet. */
     gangKeepsRoom: "gangKeepsRoom",
+    /** Its tasks were lost with their workers again and again, and wait until more is known of these. */
+    lossPause: "lossPause",
+    /** Its tasks may crash their workers, and no worker is idle that could run one alone. */
+    noIdleWorker: "noIdleWorker",
     /** Nothing stands in its way but steps that go first. */
     othersFirst: "othersFirst",
 } as const;
@@ -61,6 +66,8 @@
     readonly keeper: Step | undefined;
     /** Shows where a task's run is. */
     readonly showRun: (task: Task) => RunView;
+    /** Tells whether a task must wait after it was lost with its worker again and again. */
+    readonly isPaused: (task: Task) => boolean;
     readonly now: Millis;
 }
 
@@ -86,9 +93,11 @@
     findGangMembers,
     findAssigned,
     findNoPass,
+    findLossPause,
     findLongQuestion,
     findLackOfAnswer,
     findLackOfWorkers,
+    findLackOfIdleWorker,
     findLackOfRoom,
     findLackOfPermits,
     findRefusals,
@@ -161,6 +170,27 @@
     return !storeAway && mayOrder ? undefined : buildCause(WaitReason.noPass);
 }
 
+function findLossPause({ step, isPaused }: WaitingState): WaitCause | undefined {
+    const paused = findWaiting(step, isPaused);
+    const isBlocked = paused !== undefined &&
+        (step.spec.isGang || findWaiting(step, task => !isPaused(task)) === undefined);
+    return isBlocked ? buildCause(WaitReason.lossPause, describeLosses(paused)) : undefined;
+}
+
+function findLackOfIdleWorker({ step }: WaitingState): WaitCause | undefined {
+    const suspect = findWaiting(step, isSuspect);
+    return suspect && buildCause(WaitReason.noIdleWorker, describeLosses(suspect));
+}
+
+function findWaiting({ tasks }: Step, isWanted: (task: Task) => boolean): Task | undefined {
+    return tasks.find(task => task.state === TaskState.waiting && isWanted(task));
+}
+
+function describeLosses({ name, losses }: Task): WaitFields {
+    const crashes = losses.filter(loss => loss.isCrash).length;
+    return { task: name, losses: losses.length, crashes };
+}
+
 function findLongQuestion({ permits, now }: WaitingState): WaitCause | undefined {
     const question = permits?.getQuestion();
     // A question that leaves the line and comes back is a new one; its step has wanted an answer all the while.
--- a/src/process/leader/waiting-report.ts
+++ b/src/process/leader/waiting-report.ts
@@ -5,6 +5,7 @@
 import type { Urgency } from "../dispatch/urgency.js";
 import type { Step } from "../jobs/job.js";
 import type { LeaderContext } from "./context.js";
+import type { CrashDesk } from "./crash-desk.js";
 import type { Fleet } from "./fleet.js";
 import type { PermitDesk } from "./permit-desk.js";
 import { UnheldRuns } from "./unheld-runs.js";
@@ -20,6 +21,7 @@
     readonly context: LeaderContext;
     readonly fleet: Fleet;
     readonly permits: PermitDesk;
+    readonly crashes: CrashDesk;
     /** Whether the store is away. */
     readonly isStalled: () => boolean;
     /** Ranks all steps with something to start. */
@@ -81,7 +83,7 @@
     }
 
     private findCause(step: Step, { now, workersByPool }: ReportView): WaitCause {
-        const { context, fleet, permits: desk, isStalled, getKeepers } = this.options;
+        const { context, fleet, permits: desk, crashes, isStalled, getKeepers } = this.options;
         const queue = context.findQueueByName(step.job.queue);
         const permits = queue?.advice === undefined ? undefined : desk.getPermits(step);
         const pool = queue && new PoolView(workersByPool.get(queue.pool) ?? [], [], now);
@@ -95,6 +97,7 @@
             record: context.history.find(step),
             keeper: getKeepers()[0],
             showRun: task => fleet.runs.showRun(task),
+            isPaused: task => crashes.isPaused(task),
             now,
         });
     }
--- a/src/test/dispatch/plan-passes.ts
+++ b/src/test/dispatch/plan-passes.ts
@@ -57,6 +57,7 @@
             getAllowedShare: () => 0.4,
             isAdviceShort: false,
             listRefusing: () => new Set(),
+            isPaused: () => false,
             now,
         });
         const [start] = plan.starts;
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -66,6 +66,7 @@
         getAllowedShare: () => 0.4,
         isAdviceShort: false,
         listRefusing: () => new Set(),
+        isPaused: () => false,
         now: NOW,
     });
 }
--- /dev/null
+++ b/src/test/dispatch/suspects_test.ts
@@ -0,0 +1,141 @@
+/** Where tasks start that must run alone, as one pass decides it. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { StepPermits } from "../../process/dispatch/permits.js";
+import { planStarts } from "../../process/dispatch/planner.js";
+import { PreemptionLooks } from "../../process/dispatch/preemption-looks.js";
+import { rankStep } from "../../process/dispatch/urgency.js";
+import { WorkerState } from "../../process/dispatch/worker-state.js";
+import { JobBook } from "../../process/jobs/job-book.js";
+import type { StepSpec } from "../../process/jobs/job-spec.js";
+import { makeJobId, makeRunRecord, makeSpec, makeWorkerRecord, QUEUE } from "../leader/leader-cell.js";
+
+const NOW = 10_000;
+
+/** What a worker runs: `a` for a task that runs alone, `l` for one that lasts, `r` for any other. */
+type Load = string;
+
+interface Case {
+    readonly name: string;
+    readonly workers: readonly Load[];
+    /** Steps of one job each; the first task of a step was lost as often as is said. */
+    readonly jobs: readonly (Partial<StepSpec> & { readonly losses?: number; })[];
+    /** Tasks that are paused, as `job.index`. */
+    readonly paused?: readonly string[];
+    /** Starts as `job.index>worker`. */
+    readonly starts: readonly string[];
+}
+
+const CASES: readonly Case[] = [
+    {
+        name: "starts a suspect on an idle worker, and nothing beside it",
+        workers: ["r", ""],
+        jobs: [{ losses: 2 }, { taskCount: 4 }],
+        starts: ["0.0>w2", "1.0>w1", "1.1>w1", "1.2>w1"],
+    },
+    {
+        name: "starts nothing beside a suspect that runs",
+        workers: ["a", "r"],
+        jobs: [{ taskCount: 4 }],
+        starts: ["0.0>w2", "0.1>w2", "0.2>w2"],
+    },
+    {
+        name: "leaves the worker with the fewest runs to become idle for a suspect",
+        workers: ["rr", "r", "rrr"],
+        jobs: [{ losses: 2 }, { taskCount: 8 }],
+        starts: ["1.0>w3", "1.1>w1", "1.2>w1"],
+    },
+    {
+        name: "starts a suspect beside the fewest runs where tasks last on all workers, and nothing after it",
+        workers: ["lrr", "l"],
+        jobs: [{ losses: 2 }, { taskCount: 3 }],
+        starts: ["0.0>w2", "1.0>w1"],
+    },
+    {
+        name: "keeps the only worker for a suspect until it is idle",
+        workers: ["r"],
+        jobs: [{ taskCount: 3, losses: 2 }, {}],
+        starts: [],
+    },
+    {
+        name: "starts each of two suspects on a worker of its own",
+        workers: ["", "", ""],
+        jobs: [{ losses: 2 }, { losses: 3 }, {}],
+        starts: ["0.0>w1", "1.0>w2", "2.0>w3"],
+    },
+    {
+        name: "starts a gang whose suspect member has a worker for itself",
+        workers: ["", ""],
+        jobs: [{ taskCount: 3, isGang: true, losses: 2 }],
+        starts: ["0.0>w1", "0.1>w2", "0.2>w2"],
+    },
+    {
+        name: "leaves a paused task to wait, and starts the others",
+        workers: [""],
+        jobs: [{ taskCount: 2, losses: 3 }],
+        paused: ["0.0"],
+        starts: ["0.1>w1"],
+    },
+    {
+        name: "starts no member of a gang while one is paused, and keeps no room for it",
+        workers: [""],
+        jobs: [{ taskCount: 2, isGang: true, losses: 3 }, {}],
+        paused: ["0.0"],
+        starts: ["1.0>w1"],
+    },
+    {
+        name: "treats a task as usual that was lost once",
+        workers: ["r", ""],
+        jobs: [{ losses: 1 }],
+        starts: ["0.0>w1"],
+    },
+];
+
+function makeWorker(load: Load, index: number): WorkerState {
+    const worker = new WorkerState(makeWorkerRecord(`w${index + 1}`));
+    [...load].forEach((kind, number) =>
+        worker.addRun(makeRunRecord(`other-${index}-${number}`, {
+            isLasting: kind === "l",
+            isExclusive: kind === "a",
+        }))
+    );
+    return worker;
+}
+
+function listStarts({ workers, jobs, paused = [] }: Case): readonly string[] {
+    const book = new JobBook();
+    jobs.forEach(({ losses = 0, ...step }, index) => {
+        const jobId = makeJobId(index);
+        book.apply({ type: "accepted", jobId, queue: "batch", spec: makeSpec(step), at: NOW });
+        const task = book.findTask(`${jobId}.0.0.0`)?.task;
+        for (let run = 1; run <= losses; run++) {
+            task?.losses.push({ workerId: `lost-${run}`, run, isCrash: true });
+        }
+    });
+    const nameTask = (name: string): string => {
+        const [jobId = "", , , taskIndex = ""] = name.split(".");
+        return `${Number.parseInt(jobId, 16)}.${taskIndex}`;
+    };
+    const plan = planStarts({
+        waiting: [...book.listRunnable()].map(step => rankStep(step, QUEUE, NOW)),
+        workersByPool: new Map([["pool", workers.map(makeWorker)]]),
+        unheardByPool: new Map(),
+        getPermits: () => new StepPermits(),
+        preemptionLooks: new PreemptionLooks(),
+        getClaimedCpu: () => 0,
+        getAllowedShare: () => 0.4,
+        isAdviceShort: false,
+        listRefusing: () => new Set(),
+        isPaused: task => paused.includes(nameTask(task.name)),
+        now: NOW,
+    });
+    return plan.starts.map(({ task, worker }) => `${nameTask(task.name)}>${worker.id}`).sort();
+}
+
+describe("planStarts, of tasks that may crash their workers", () => {
+    for (const testCase of CASES) {
+        it(testCase.name, () => {
+            assert.deepEqual(listStarts(testCase), testCase.starts);
+        });
+    }
+});
--- a/src/test/leader/crash-cell.ts
+++ b/src/test/leader/crash-cell.ts
@@ -67,6 +67,22 @@
             return;
         }
         this.crashes.push(start);
-        this.cell.clock.schedule(CRASH_AFTER_MS, () => this.killWorker(start.workerId));
+        this.cell.clock.schedule(CRASH_AFTER_MS, () => {
+            this.killWorker(start.workerId);
+            this.endRestOfGang(start);
+        });
+    }
+
+    /** Members of a gang end with the one that is gone. */
+    private endRestOfGang({ task, run }: SeenStart): void {
+        const step = task.slice(0, task.lastIndexOf("."));
+        for (const other of this.cell.starts) {
+            const address = this.cell.records.get(other.workerId)?.address;
+            const isMember = other.run === run && other.task.startsWith(`${step}.`) &&
+                this.cell.getBehavior(other.task, run).waitsForGang === true;
+            if (isMember && address !== undefined) {
+                this.cell.findModel(address)?.finishRun(other.task, run, "broken");
+            }
+        }
     }
 }
--- a/src/test/leader/crashing-tasks_test.ts
+++ b/src/test/leader/crashing-tasks_test.ts
@@ -41,7 +41,14 @@
                 isCrashing: task => task === CRASHING_TASK,
             });
             const { cell, crashes } = crashCell;
-            cell.getBehavior = () => ({ demand: CORE, runMs: 1_500, end: "done" });
+            const waitsForGang = (task: string): boolean =>
+                step.isGang === true && task.startsWith(makeJobId(CRASHING_JOB));
+            cell.getBehavior = task => ({
+                demand: CORE,
+                runMs: 1_500,
+                end: "done",
+                waitsForGang: waitsForGang(task),
+            });
             await crashCell.startLeader();
             for (const job of INNOCENT_JOBS) {
                 await cell.submit(crashCell.leader, job, makeSpec({ taskCount: 2 }));
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -196,8 +196,13 @@
         this.records.set(workerId, makeWorkerRecord(workerId, { address, ...change }));
     }
 
+    /** Finds the life at an address; undefined where nothing answers. */
+    findModel(address: string): TaskWorkerModel | undefined {
+        return this.models.get(address);
+    }
+
     getModel(address: string): TaskWorkerModel {
-        const model = this.models.get(address);
+        const model = this.findModel(address);
         assert(model !== undefined);
         return model;
     }
--- a/src/test/leader/wait-cause_test.ts
+++ b/src/test/leader/wait-cause_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { StepPermits } from "../../process/dispatch/permits.js";
-import { buildJob, buildOccurrence } from "../../process/jobs/job-book.js";
+import { buildJob, buildOccurrence } from "../../process/jobs/build-job.js";
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import type { Step } from "../../process/jobs/job.js";
 import { RunPlace } from "../../process/leader/run-view.js";
@@ -59,6 +59,15 @@
     return permits;
 }
 
+/** Makes a step whose first task was lost with workers, the first of which crashed. */
+function makeLostStep(losses: number, isGang = false): Step {
+    const step = makeLastStep(0, { taskCount: 2, isGang });
+    for (let run = 1; run <= losses; run++) {
+        step.tasks[0]?.losses.push({ workerId: `w${run}`, run, isCrash: run === 1 });
+    }
+    return step;
+}
+
 function makeFailed(): StepPermits {
     const permits = new StepPermits();
     permits.observeFailure(NOW - 400);
@@ -183,6 +192,21 @@
             state: { keeper: gang },
             expected: { reason: "gangKeepsRoom", keeper: gang.name },
         },
+        {
+            name: "a task that waits after its losses",
+            state: { step: makeLostStep(3), isPaused: () => true },
+            expected: { reason: "lossPause", losses: 3, crashes: 1 },
+        },
+        {
+            name: "a member of a gang that waits after its losses",
+            state: { step: makeLostStep(3, true), isPaused: ({ index }) => index === 0 },
+            expected: { reason: "lossPause", losses: 3, crashes: 1 },
+        },
+        {
+            name: "a task that needs a worker for itself",
+            state: { step: makeLostStep(2) },
+            expected: { reason: "noIdleWorker", losses: 2, crashes: 1 },
+        },
         { name: "steps that go first", state: {}, expected: { reason: "othersFirst" } },
     ];
     for (const { name, state, expected } of cases) {
@@ -197,6 +221,7 @@
                 record: undefined,
                 keeper: undefined,
                 showRun: () => RUN,
+                isPaused: () => false,
                 now: NOW,
                 ...state,
             });
--- a/src/test/leader/worker-health_test.ts
+++ b/src/test/leader/worker-health_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { WorkerState } from "../../process/dispatch/worker-state.js";
-import { buildJob } from "../../process/jobs/job-book.js";
+import { buildJob } from "../../process/jobs/build-job.js";
 import type { Job } from "../../process/jobs/job.js";
 import type { LeaderContext } from "../../process/leader/context.js";
 import { WorkerHealth } from "../../process/leader/worker-health.js";
