A run is not sent to a worker whose capacity shrank while its assignment was written

Callers would see a worker overloaded: a worker that does not guard its capacity starts whatever it is told (LIMIT). Cause: room is reserved when a pass assigns a run, and the order goes out once that is durable. Nothing looked again whether the worker still has that room; the store may take seconds. Change: a worker whose runs take more than its capacity gets no further order; the run counts as not started and is placed anew.

--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -1,6 +1,6 @@
 /** What the leader holds of one worker: what it has, and every run that may be on it. */
 import type { Millis } from "../../common/clock.js";
-import { addResources, removeResources } from "../../common/resources.js";
+import { addResources, isWithin, NO_RESOURCES, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { WorkerRecord } from "../ports/task-worker-port.js";
 
@@ -205,6 +205,11 @@
         return this.runs.get(makeRunKey(task, run));
     }
 
+    /** Tells whether less room is left than its runs take: its capacity has shrunk since they were given to it. */
+    isOverdrawn(): boolean {
+        return !isWithin(NO_RESOURCES, this.free);
+    }
+
     /** Counts the runs of a step here. */
     countOfStep(step: string): number {
         let count = 0;
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -100,6 +100,10 @@
             this.settleNotRun(start, record, "no longer wanted");
             return;
         }
+        if (worker.isOverdrawn()) {
+            this.settleNotRun(start, record, "its room has shrunk");
+            return;
+        }
         record.phase = RunPhase.ordered;
         record.settledAfter = Math.floor(workerNow + ORDER_LIFE_MS);
         record.orderedAt = context.clock.now();
