A life of a worker that is over is not taken up again while its entry stands in the list

Cause: a life that is known to be over was removed from the fleet and added again with the next reading of the list, which keeps it for three of its check-ins.

--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -49,6 +49,8 @@
     private readonly inherited: InheritedRuns;
     private readonly losses: LostRuns;
     private readonly lostAnswers: LostAnswers;
+    /** Lives that are over, though they still stand in the list. */
+    private readonly endedLives = new Set<string>();
     private closed = false;
 
     /**
@@ -66,7 +68,14 @@
     setWorkers(records: ReadonlyMap<string, WorkerRecord>): void {
         const now = this.context.clock.now();
         for (const record of records.values()) {
-            this.upsertWorker(record);
+            if (!this.endedLives.has(record.workerId)) {
+                this.upsertWorker(record);
+            }
+        }
+        for (const workerId of this.endedLives) {
+            if (!records.has(workerId)) {
+                this.endedLives.delete(workerId);
+            }
         }
         for (const [workerId, member] of this.members) {
             const isListed = records.has(workerId);
@@ -355,6 +364,7 @@
             this.losses.expireAll(member, RunLoss.replaced);
         }
         if (reason === RemovalReason.replaced) {
+            this.endedLives.add(workerId);
             this.ends.crashes.handleReplaced(workerId);
         }
         session.close();
--- a/src/test/leader/crash-suspects_test.ts
+++ b/src/test/leader/crash-suspects_test.ts
@@ -4,7 +4,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import { CrashCell } from "./crash-cell.js";
-import { CORE, makeJobId, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, makeJobId, makeSpec } from "./leader-cell.js";
 
 const JOB = 1;
 const TASK = `${makeJobId(JOB)}.0.0.0`;
@@ -93,6 +93,24 @@
         });
     }
 
+    it("is looked for once on each worker that is gone, however long that stands in the list", async () => {
+        const cell = new LeaderCell(1);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, JOB, makeSpec({}));
+        await cell.clock.step(500);
+        cell.addWorker("w9", cell.records.get("w1")?.address ?? "");
+        for (let list = 0; list < 6; list++) {
+            cell.refreshWorkers(leader);
+            await cell.clock.step(300);
+        }
+        const added = leader.log.lines.filter(({ event, fields }) =>
+            event === "workerAdded" && fields.workerId === "w1"
+        );
+        assert.equal(added.length, 1);
+    });
+
     it("runs alone after two losses, and others beside it once it has run for long", async () => {
         const crashCell = new CrashCell({ workers: 2, downMs: 500, isCrashing: () => false });
         const { cell } = crashCell;
