Entries: a repeatable task that is lost with its worker again and again starts ever less often

Callers would see: a task that crashes its workers takes down three of them a second for as long as its job is open. A loss is no failure of the task, so no limit of attempts counts it, and only the pace of recovery after a correlated loss held it back. Change: from the second loss in a row on it pauses, 0.5 s to 30 s; a run of a minute begins the count anew. The pause after failures and that after losses are computed in one place.

--- a/src/process/home/run/job-run.ts
+++ b/src/process/home/run/job-run.ts
@@ -58,6 +58,9 @@
     readonly notBefore: Millis;
 }
 
+/** A task that has run for this long did not crash its worker by starting. */
+const LOSS_CLEARED_MS: Millis = 60_000;
+
 /** A job under way. */
 export class JobRun {
     readonly live = new Map<number, LiveAttempt>();
@@ -79,6 +82,8 @@
         left.notBefore - right.notBefore || left.index - right.index
     );
     private readonly tries = new Map<number, number>();
+    /** Losses in a row of each task with its worker, none of them after it had run for long. */
+    private readonly losses = new Map<number, number>();
 
     /**
      * @param record - The durable part.
@@ -126,6 +131,16 @@
         return (this.tries.get(index) ?? 0) + (this.record.retries.has(index) ? 1 : 0);
     }
 
+    /** Takes in that a task's worker was lost with it. */
+    recordLoss({ index, runningSince }: LiveAttempt, now: Millis): void {
+        const ranLong = runningSince !== undefined && now - runningSince >= LOSS_CLEARED_MS;
+        this.losses.set(index, ranLong ? 0 : this.countLosses(index) + 1);
+    }
+
+    countLosses(index: number): number {
+        return this.losses.get(index) ?? 0;
+    }
+
     /** Open tasks without an attempt, in rising order. */
     listFree(): number[] {
         const free: number[] = [];
--- a/src/process/home/run/task-engine.ts
+++ b/src/process/home/run/task-engine.ts
@@ -15,8 +15,8 @@
 import { AttemptPhase, JobRun } from "./job-run.js";
 import type { Outbox } from "./outbox.js";
 import type { PlacerChoice } from "./placer-choice.js";
+import { computeLossPause, RETRY_BASE_MS } from "./retry-pause.js";
 
-const RETRY_BASE_MS: Millis = 500;
 const SECOND_MS: Millis = 1_000;
 const ENDS_PER_ENTRY = 500;
 /**
@@ -197,7 +197,8 @@
     returnLostTask(live: LiveAttempt, reason: string): void {
         const now = this.core.context.clock.now();
         this.nextRecoveryAt = Math.max(now, this.nextRecoveryAt + SECOND_MS / this.getRecoveryRate());
-        this.returnTask(live, this.nextRecoveryAt - now, reason);
+        const pause = computeLossPause(live.run.countLosses(live.index));
+        this.returnTask(live, Math.max(pause, this.nextRecoveryAt - now), reason);
     }
 
     /** Writes entries about an attempt that has ended, then acknowledges it. */
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -3,14 +3,13 @@
 import type { TaskUpdate, TaskUpdateState } from "../../../connection/messages.js";
 import type { JobRun, LiveAttempt } from "./job-run.js";
 import { AttemptPhase } from "./job-run.js";
+import { computeRetryPause } from "./retry-pause.js";
 import { isFinalState } from "./task-engine.js";
 import type { TaskEngine } from "./task-engine.js";
 
 /** Longest answer of a task that is kept, in characters; what is over is cut, and the media type says so. */
 export const MAX_ANSWER_CHARACTERS = 65_536;
 const ANSWER_TYPE = "text/plain; charset=utf-8";
-const RETRY_BASE_MS: Millis = 500;
-const MAX_RETRY_MS: Millis = 30_000;
 const DEFAULT_REFUSED_PAUSE_MS: Millis = 1_000;
 
 type UpdateHandler = (engine: TaskEngine, live: LiveAttempt, update: TaskUpdate, from: string) => void;
@@ -74,8 +73,7 @@
         const failures = (record.retries.get(live.index)?.failures ?? 0) + 1;
         const { maxAttempts } = engine.core.getBranch(record.spec.branch);
         if (record.spec.repeatable && !record.cancelled && failures < maxAttempts) {
-            const delay = Math.min(MAX_RETRY_MS, RETRY_BASE_MS * 2 ** (failures - 1));
-            engine.retryTask(live, failures, undefined, delay);
+            engine.retryTask(live, failures, undefined, computeRetryPause(failures));
             return;
         }
         const message = update.message ?? update.answer ?? "the worker gave no reason";
@@ -118,6 +116,7 @@
     lost: (engine, live, _update, from) => {
         engine.movePlacer(live, from);
         live.run.started.add(live.index);
+        live.run.recordLoss(live, engine.core.context.clock.now());
         if (live.run.record.spec.repeatable && !live.run.record.cancelled) {
             engine.outbox.addAcknowledgement(from, live.attempt);
         }
--- a/src/test/process/home/home-updates_test.ts
+++ b/src/test/process/home/home-updates_test.ts
@@ -116,6 +116,46 @@
     }
 });
 
+describe("a task whose worker is lost each time", () => {
+    const cases: readonly {
+        readonly name: string;
+        /** How long each run goes on before its worker is lost. */
+        readonly ranMs: number;
+        readonly forMs: number;
+        readonly mostOrders: number;
+        readonly leastOrders: number;
+    }[] = [
+        {
+            name: "is started ever less often, as it may crash its workers",
+            ranMs: 0,
+            forMs: 60_000,
+            mostOrders: 9,
+            leastOrders: 5,
+        },
+        {
+            name: "is started again at once where it ran for long",
+            ranMs: 90_000,
+            forMs: 500_000,
+            mostOrders: 6,
+            leastOrders: 6,
+        },
+    ];
+    for (const { name, ranMs, forMs, mostOrders, leastOrders } of cases) {
+        it(name, async () => {
+            const { cell, entry, placer } = await makeCell();
+            cell.handleOrder = (at, order) => {
+                at.startTask(order);
+                at.report(order, { state: "running", workerId: "w1" });
+                cell.clock.schedule(ranMs, () => at.report(order, { state: "lost", workerId: "w1" }));
+            };
+            await cell.query(entry, makeSubmit("j"));
+            await cell.clock.step(forMs);
+            const { length } = placer.orders;
+            assert.ok(length <= mostOrders && length >= leastOrders, `${length} orders`);
+        });
+    }
+});
+
 describe("a task that runs too long", () => {
     // A sweep's task hangs. Its branch allows a minute: it is stopped and ends as failed, and is not tried again,
     // since it would hang again.
