--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -79,6 +79,8 @@
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
     private readonly keepers: Step[] = [];
+    /** Names of the pools of the gangs that were looked at for suspects. */
+    private readonly poolsWithGangs = new Set<string>();
     /** Tasks that should run alone, for which no worker becomes idle soon. */
     private readonly besideOthers = new Set<Task>();
     private preemptingGangs = 0;
@@ -136,17 +138,26 @@
 
     /** Keeps workers for tasks that must run alone, before others take the room that they need. */
     private reserveWorkers(urgency: Urgency): void {
-        const { step } = urgency;
-        const suspects = this.listStartable(step).filter(isSuspect);
-        if (suspects.length === 0) {
+        const { step, queue } = urgency;
+        const isFirstGang = isAllOrNothing(step) && !this.poolsWithGangs.has(queue.pool);
+        if (isAllOrNothing(step)) {
+            this.poolsWithGangs.add(queue.pool);
+        }
+        if (!step.tasks.some(isSuspect)) {
             return;
         }
-        const { pool, candidates } = this.buildWaitingStep(urgency, suspects);
+        const suspects = this.listStartable(step).filter(isSuspect);
+        const { pool, permits, candidates } = this.buildWaitingStep(urgency, suspects);
         const { now } = this.input;
         if (!candidates.some(slot => canBecomeIdle(slot, now))) {
             suspects.forEach(task => this.besideOthers.add(task));
             return;
         }
+        // Two gangs that each keep a worker which the other needs would wait for ever.
+        const mayReserve = !isAllOrNothing(step) || isFirstGang && canEverHold(step, candidates);
+        if (!mayReserve || permits !== undefined && permits.countFailures() > 0) {
+            return;
+        }
         for (let count = 0; count < suspects.length; count++) {
             chooseReserved({ step, candidates, pool, now })?.reserve(step);
         }
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -266,7 +266,8 @@
         }
         if (event.loss !== undefined && task.workerId !== undefined) {
             const isCrash = event.loss === LossKind.crashed;
-            this.losses.add(task, { workerId: task.workerId, run: event.run, isCrash });
+            const isEarly = event.isEarlyLoss === true;
+            this.losses.add(task, { workerId: task.workerId, run: event.run, isCrash, isEarly });
         }
         task.state = TaskState.waiting;
         task.workerId = undefined;
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -78,6 +78,8 @@
     readonly checkpoint: string;
     /** Set where the run's worker was lost with it; not in events of earlier versions. */
     readonly loss?: LossKind;
+    /** Whether the run had just started when its worker was lost. */
+    readonly isEarlyLoss?: boolean;
 }
 
 /** A job was cancelled by its caller. */
--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -4,7 +4,8 @@
  * @remarks Failure guarded against: a task crashes each worker that starts it. None of its runs ends as failed, so no limit of
  * attempts is ever reached, and each new start takes a worker down with everything else that runs there. A loss alone proves
  * nothing: workers crash, lose power and are cut off for reasons of their own, and many tasks share one. So a task that was
- * lost with its worker again and again next runs alone, and only a loss more, with workers that surely crashed, condemns it.
+ * lost with its worker again and again next runs alone, and only more losses, with workers that surely crashed, condemn it:
+ * one if all came just after a start, three if not.
  */
 import type { Millis } from "../../common/clock.js";
 import type { Task } from "./job.js";
@@ -15,17 +16,25 @@
     readonly run: number;
     /** Whether the worker surely crashed; until that is known it may be cut off and go on. */
     isCrash: boolean;
+    /** Whether the run had just started, as far as its worker has told. */
+    readonly isEarly: boolean;
 }
 
 /** Losses after which a task runs alone on its worker: whoever else runs there is safe, and a further loss is its own. */
 const SUSPECT_LOSSES = 2;
-/** Losses after which a task is given up, if enough of them were crashes. */
-const FINAL_LOSSES = 3;
+/** Losses just after the start of a run after which a task is given up, if enough of all were crashes. */
+const FINAL_EARLY_LOSSES = 3;
+/** Losses at any time after which it is: a worker that crashes later in a run may do so for reasons of its own. */
+const FINAL_LOSSES = 5;
 /** Crashes without which no task is given up. */
 const FINAL_CRASHES = 2;
+/** A run that its worker has reported for this long has not just started. */
+export const EARLY_MS: Millis = 1_000;
 /** A run that has gone on for this long did not crash its worker by starting. */
 export const CLEARED_MS: Millis = 10_000;
-/** Pause of a task that would be given up were its losses known to be crashes; it doubles with each further loss. */
+/** Losses after which a task pauses until more is known of them. */
+const PAUSE_LOSSES = 3;
+/** Length of the first pause; it doubles with each further loss. */
 const FIRST_PAUSE_MS: Millis = 5_000;
 const LONGEST_PAUSE_MS: Millis = 60_000;
 
@@ -36,7 +45,9 @@
 
 /** Tells whether a task crashes the workers that start it, as far as that can be known. */
 export function isCrasher({ losses }: Task): boolean {
-    return losses.length >= FINAL_LOSSES && losses.filter(loss => loss.isCrash).length >= FINAL_CRASHES;
+    const early = losses.filter(loss => loss.isEarly).length;
+    const crashes = losses.filter(loss => loss.isCrash).length;
+    return (early >= FINAL_EARLY_LOSSES || losses.length >= FINAL_LOSSES) && crashes >= FINAL_CRASHES;
 }
 
 /**
@@ -46,7 +57,7 @@
  * task that starts again at once crashes several more meanwhile.
  */
 export function computeLossPause({ losses }: Task): Millis {
-    const further = losses.length - FINAL_LOSSES;
+    const further = losses.length - PAUSE_LOSSES;
     return further < 0 ? 0 : Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** further);
 }
 
--- a/src/process/leader/crash-desk.ts
+++ b/src/process/leader/crash-desk.ts
@@ -3,17 +3,25 @@
 import { LossKind } from "../jobs/job-events.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
-import { CLEARED_MS, computeLossPause, isCrasher } from "../jobs/worker-losses.js";
+import { CLEARED_MS, computeLossPause, EARLY_MS, isCrasher } from "../jobs/worker-losses.js";
 import type { LeaderContext } from "./context.js";
 import { RunLoss } from "./run-loss.js";
 
 /** What is known of a run's worker when the run is taken for lost. */
 export interface LostRun {
     readonly cause: RunLoss;
-    /** Whether the worker was to leave: then its end says nothing about what ran there. */
+    /** Whether the worker was to leave: then its end says nothing about what had run there for some time. */
     readonly isDraining: boolean;
-    /** How long the run is known to have been at work. */
+    /** How long the run is known to have been at work at least. */
     readonly provenMs: Millis;
+    /** Whether an earlier leader ordered it, so that it may have been at work for longer. */
+    readonly isInherited: boolean;
+}
+
+/** What counts against a task. */
+export interface CountedLoss {
+    readonly loss: LossKind;
+    readonly isEarlyLoss: boolean;
 }
 
 const KINDS: Readonly<Record<RunLoss, LossKind | undefined>> = {
@@ -44,9 +52,10 @@
      * Resolves what the loss of a task's current run.
      * @returns What counts against the task; undefined where nothing does.
      */
-    resolveLoss(task: Task, { cause, isDraining, provenMs }: LostRun): LossKind | undefined {
-        const kind = KINDS[cause];
-        if (kind === undefined || isDraining) {
+    resolveLoss(task: Task, { cause, isDraining, provenMs, isInherited }: LostRun): CountedLoss | undefined {
+        const loss = KINDS[cause];
+        const isEarlyLoss = !isInherited && provenMs < EARLY_MS;
+        if (loss === undefined || isDraining && !isEarlyLoss) {
             return undefined;
         }
         if (provenMs >= CLEARED_MS) {
@@ -54,7 +63,7 @@
             return undefined;
         }
         this.lostAt.set(task, this.context.clock.now());
-        return kind;
+        return { loss, isEarlyLoss };
     }
 
     /** Takes in that a task has run for long, so that it need not run alone any more. */
--- a/src/process/leader/end-desk.ts
+++ b/src/process/leader/end-desk.ts
@@ -93,7 +93,7 @@
         }
         const { task, run, end, checkpoint, lost } = notice;
         const loss = lost && this.crashes.resolveLoss(found.task, lost);
-        context.record({ type: "ended", task, run, end, checkpoint, ...loss && { loss } });
+        context.record({ type: "ended", task, run, end, checkpoint, ...loss });
         if (step.spec.isGang) {
             this.gangs.handleEnd(step, run, end);
         }
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -99,7 +99,7 @@
                     run,
                     end: RunEnd.lost,
                     checkpoint,
-                    lost: { cause: RunLoss.unheard, isDraining: false, provenMs: 0 },
+                    lost: { cause: RunLoss.unheard, isDraining: false, provenMs: 0, isInherited: true },
                 });
             }
         }
--- a/src/process/leader/lost-runs.ts
+++ b/src/process/leader/lost-runs.ts
@@ -42,7 +42,7 @@
         }
         const ranMs = isInherited ? undefined : this.context.clock.now() - orderedAt;
         const provenMs = computeProvenMs(record, session);
-        const lost = { cause, isDraining: state.record.isDraining, provenMs };
+        const lost = { cause, isDraining: state.record.isDraining, provenMs, isInherited };
         this.ends.recordEnd({ state, task, run, end: RunEnd.lost, checkpoint, ranMs, lost });
     }
 
