--- a/src/process/leader/crash-desk.ts
+++ b/src/process/leader/crash-desk.ts
@@ -49,7 +49,7 @@
     }
 
     /**
-     * Resolves what the loss of a task's current run.
+     * Resolves what the loss of a task's current run counts for.
      * @returns What counts against the task; undefined where nothing does.
      */
     resolveLoss(task: Task, { cause, isDraining, provenMs, isInherited }: LostRun): CountedLoss | undefined {
