--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -38,7 +38,7 @@
 const FIRST_PAUSE_MS: Millis = 5_000;
 const LONGEST_PAUSE_MS: Millis = 60_000;
 
-/** Tells whether a task is to run on a worker that runs nothing else. */
+/** Tells whether a task is to run on a worker that runs nothing of other steps. */
 export function isSuspect({ losses }: Task): boolean {
     return losses.length >= SUSPECT_LOSSES;
 }
--- a/src/process/leader/lost-runs.ts
+++ b/src/process/leader/lost-runs.ts
@@ -35,6 +35,7 @@
     /** Records the end of a run that is no longer among its worker's. */
     record({ state, session }: Member, record: RunRecord, cause: RunLoss): void {
         const { task, run, checkpoint, phase, wasSeen, isInherited, orderedAt } = record;
+        // A worker that answers shows whether the run ever began; of one that is gone it may have.
         const hasBegun = cause === RunLoss.absent ? wasSeen : phase !== RunPhase.reserved;
         if (!hasBegun) {
             this.ends.recordEnd({ state, task, run, end: RunEnd.notRun, checkpoint });
