One count of the tasks that a pass puts on a worker; suspects are sorted only where there are any

The view of a worker counted what a pass puts there twice, once for limits of steps and once for tasks that run alone, and made the second map for every worker in every pass: one map, made when something is put there. Steps without suspects are not copied and sorted. Certain crashes are counted in one place, and clearing a task without losses does nothing by itself. Two comments are shorter. Behaviour is as it was.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -183,10 +183,7 @@
         }
         // All tasks of a step need the same room, so where one does not fit no other of its kind does.
         const isFull = { alone: false, beside: false };
-        const ordered = [...startable].sort((left, right) =>
-            Number(isSuspect(right)) - Number(isSuspect(left))
-        );
-        for (const task of ordered) {
+        for (const task of putSuspectsFirst(startable)) {
             const isAlone = isSuspect(task) && !this.besideOthers.has(task);
             const kind = isAlone ? "alone" : "beside";
             const slot = isFull[kind] ? undefined : this.chooseSlot(current, task, isAlone);
@@ -208,6 +205,7 @@
     ): Slot | undefined {
         const isPermitted = ({ id }: Slot): boolean =>
             permits === undefined || permits.getUsable(id, this.input.now) !== undefined;
+        const isBesideOthers = this.besideOthers.has(task);
         let best: Slot | undefined;
         let bestScore = Infinity;
         for (const slot of candidates) {
@@ -215,7 +213,7 @@
             if (!isPossible) {
                 continue;
             }
-            const score = this.besideOthers.has(task) ?
+            const score = isBesideOthers ?
                 slot.worker.runs.size :
                 computePlaceScore({ step, task, slot, isPermitted: isPermitted(slot) });
             if (score < bestScore) {
@@ -381,6 +379,12 @@
     }
 }
 
+function putSuspectsFirst(tasks: readonly Task[]): readonly Task[] {
+    return tasks.some(isSuspect) ?
+        [...tasks].sort((left, right) => Number(isSuspect(right)) - Number(isSuspect(left))) :
+        tasks;
+}
+
 function listAllowed(step: Step, pool: PoolView, permits: StepPermits): readonly Slot[] {
     const allowed: Slot[] = [];
     for (const workerId of permits.listAllowed()) {
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -20,14 +20,12 @@
     free: Resources;
     /** Logarithm of how much longer runs take here than elsewhere. */
     readonly slowness: number;
-    /** Tasks of steps with a limit for each worker that this pass has put here, by step. */
-    private placed: Map<string, number> | undefined;
+    /** Tasks that this pass has put here, by step. */
+    private taken: Map<Step, number> | undefined;
     /** Name of the step beside whose tasks no others may start. */
     private exclusiveStep: string | undefined;
     /** Step for which the worker is kept. */
     private reservedFor: Step | undefined;
-    /** Tasks that this pass has put here, by step. */
-    private readonly taken = new Map<Step, number>();
 
     /**
      * @param worker - The worker.
@@ -53,7 +51,7 @@
     /** Tells whether nothing but a step's own tasks runs here or was put here by this pass. */
     isIdleBut(step: Step): boolean {
         return [...this.worker.runs.values()].every(run => run.step === step.name) &&
-            [...this.taken.keys()].every(other => other === step);
+            [...this.taken?.keys() ?? []].every(other => other === step);
     }
 
     /** Whether the worker is kept for a step and runs others still. */
@@ -77,29 +75,22 @@
      */
     take(step: Step, isAlone = false): void {
         this.free = removeResources(this.free, step.spec.demand);
-        this.taken.set(step, (this.taken.get(step) ?? 0) + 1);
+        this.taken ??= new Map();
+        this.taken.set(step, this.countTaken(step) + 1);
         this.exclusiveStep ??= isAlone ? step.name : undefined;
-        if (step.spec.maxPerWorker !== undefined) {
-            this.placed ??= new Map();
-            this.placed.set(step.name, (this.placed.get(step.name) ?? 0) + 1);
-        }
     }
 
     /** Gives the room of one task back. */
     release(step: Step): void {
         this.free = addResources(this.free, step.spec.demand);
-        const left = (this.taken.get(step) ?? 0) - 1;
+        const left = this.countTaken(step) - 1;
         if (left > 0) {
-            this.taken.set(step, left);
+            this.taken?.set(step, left);
         }
         else {
-            this.taken.delete(step);
+            this.taken?.delete(step);
             this.exclusiveStep = this.worker.exclusiveRun?.step;
         }
-        const count = this.placed?.get(step.name);
-        if (count !== undefined) {
-            this.placed?.set(step.name, count - 1);
-        }
     }
 
     /** Tells whether one more task of a step may run here now. */
@@ -127,7 +118,11 @@
         const limit = step.spec.maxPerWorker;
         return limit === undefined ?
             Infinity :
-            limit - this.worker.countOfStep(step.name) - (this.placed?.get(step.name) ?? 0);
+            limit - this.worker.countOfStep(step.name) - this.countTaken(step);
+    }
+
+    private countTaken(step: Step): number {
+        return this.taken?.get(step) ?? 0;
     }
 }
 
--- a/src/process/home/run/retry-pause.ts
+++ b/src/process/home/run/retry-pause.ts
@@ -15,9 +15,7 @@
 /**
  * Computes the pause after a task was lost with its worker.
  *
- * @remarks Failure guarded against: a task crashes each worker that starts it. A loss is no failure of the task, so nothing
- * ever ends it, and started again at once it takes down one worker after the other. The first loss is most often the
- * worker's own, and costs no pause.
+ * @remarks Failure guarded against: a task crashes each worker that starts it, one after the other, as a loss is no failure.
  * @param count - Losses in a row, from 1.
  */
 export function computeLossPause(count: number): Millis {
--- a/src/process/jobs/job-book.ts
+++ b/src/process/jobs/job-book.ts
@@ -328,7 +328,7 @@
 
     private forgetLosses(job: Job): void {
         for (const step of listSteps(job)) {
-            step.tasks.filter(task => task.losses.length > 0).forEach(task => this.losses.clear(task));
+            step.tasks.forEach(task => this.losses.clear(task));
         }
     }
 
--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -2,10 +2,7 @@
  * Workers that were lost while they ran a task, and what follows from that for the task.
  *
  * @remarks Failure guarded against: a task crashes each worker that starts it. None of its runs ends as failed, so no limit of
- * attempts is ever reached, and each new start takes a worker down with everything else that runs there. A loss alone proves
- * nothing: workers crash, lose power and are cut off for reasons of their own, and many tasks share one. So a task that was
- * lost with its worker again and again next runs alone, and only more losses, with workers that surely crashed, condemn it:
- * one if all came just after a start, three if not.
+ * attempts is reached. Workers are also lost for other reasons, so a suspect first runs alone.
  */
 import type { Millis } from "../../common/clock.js";
 import type { Task } from "./job.js";
@@ -44,10 +41,16 @@
 }
 
 /** Tells whether a task crashes the workers that start it, as far as that can be known. */
-export function isCrasher({ losses }: Task): boolean {
+export function isCrasher(task: Task): boolean {
+    const { losses } = task;
     const early = losses.filter(loss => loss.isEarly).length;
-    const crashes = losses.filter(loss => loss.isCrash).length;
-    return (early >= FINAL_EARLY_LOSSES || losses.length >= FINAL_LOSSES) && crashes >= FINAL_CRASHES;
+    const isOften = early >= FINAL_EARLY_LOSSES || losses.length >= FINAL_LOSSES;
+    return isOften && countCrashes(task) >= FINAL_CRASHES;
+}
+
+/** Counts the workers that surely crashed with a run of a task. */
+export function countCrashes({ losses }: Task): number {
+    return losses.filter(loss => loss.isCrash).length;
 }
 
 /**
@@ -109,6 +112,9 @@
 
     /** Forgets all losses of a task. */
     clear(task: Task): void {
+        if (task.losses.length === 0) {
+            return;
+        }
         for (const { workerId } of task.losses) {
             const tasks = this.tasks.get(workerId);
             tasks?.delete(task);
--- a/src/process/leader/crash-desk.ts
+++ b/src/process/leader/crash-desk.ts
@@ -3,7 +3,7 @@
 import { LossKind } from "../jobs/job-events.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
-import { CLEARED_MS, computeLossPause, EARLY_MS, isCrasher } from "../jobs/worker-losses.js";
+import { CLEARED_MS, computeLossPause, countCrashes, EARLY_MS, isCrasher } from "../jobs/worker-losses.js";
 import type { LeaderContext } from "./context.js";
 import { RunLoss } from "./run-loss.js";
 
@@ -122,7 +122,7 @@
             task: task.name,
             runs: task.losses.map(loss => loss.run).join(),
             workers: task.losses.map(loss => loss.workerId).join(),
-            crashes: task.losses.filter(loss => loss.isCrash).length,
+            crashes: countCrashes(task),
         });
         metrics.count("tasks.givenUp");
     }
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -3,7 +3,7 @@
 import type { OpenQuestion, StepPermits } from "../dispatch/permits.js";
 import { isStepReady, TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
-import { isSuspect } from "../jobs/worker-losses.js";
+import { countCrashes, isSuspect } from "../jobs/worker-losses.js";
 import type { LogValue } from "../telemetry.js";
 import type { RunView } from "./run-view.js";
 import type { StepRecord } from "./step-history.js";
@@ -186,9 +186,8 @@
     return tasks.find(task => task.state === TaskState.waiting && isWanted(task));
 }
 
-function describeLosses({ name, losses }: Task): WaitFields {
-    const crashes = losses.filter(loss => loss.isCrash).length;
-    return { task: name, losses: losses.length, crashes };
+function describeLosses(task: Task): WaitFields {
+    return { task: task.name, losses: task.losses.length, crashes: countCrashes(task) };
 }
 
 function findLongQuestion({ permits, now }: WaitingState): WaitCause | undefined {
