--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -102,10 +102,8 @@
 /**
  * The store under the leader's guard.
  *
- * @remarks Failure guarded against: the store is away for seconds, and each of a dozen waiting records is sent to it again
- * and again. With connections that are reset at once these are thousands of priced calls; with a store that answers nothing
- * all tries hang on lost connections, and work goes on only seconds after its return. So while the store answers nothing only
- * the oldest write is tried again, and any answer, also that of a lease renewal, sends the others.
+ * @remarks Failure guarded against: the store is away, and all waiting records are sent to it again and again. While it answers
+ * nothing only the oldest write is tried again, and any answer, also that of a lease renewal, sends the others.
  */
 export class GuardedStore {
     private readonly timeout = new CallTimeout(SHORTEST_TIMEOUT_MS);
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -295,10 +295,8 @@
     /**
      * Begins a snapshot of the state as it is now, once enough records have been written since the last one.
      *
-     * @remarks Failure guarded against: a snapshot that holds events beyond the records that it covers has them applied
-     * again by the next leader. That is not the same state: an older end put an older checkpoint back on a whole gang.
-     * So the events that the state holds fill records of their own up to here, and the snapshot covers the last of them:
-     * what follows it is what the state does not hold.
+     * @remarks Failure guarded against: a snapshot holds events beyond the records that it covers, and the next leader
+     * applies them again. So the events that the state holds fill records of their own, the last of which it covers.
      */
     private startSnapshotIfDue(): void {
         if (this.snapshotting || !this.isSnapshotDue()) {
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -32,9 +32,8 @@
 /**
  * Decides on a job that nobody has handed in before.
  *
- * @remarks Load answered: more jobs than the leader's processor can decide on, as in a burst on the smallest VMs. Each one
- * that is accepted then delays all others, until none is in time and the leader's own renewals are late. Refusing costs a
- * fraction of a job, so what is accepted is served. The least urgent queues are refused first.
+ * @remarks Load answered: more jobs than the leader's processor can decide on. Each one that is accepted then delays all
+ * others. The least urgent queues are refused first.
  */
 export function decideAdmission({ latenessMs, priority, priorities, draw }: AdmissionInputs): Admission {
     const share = (latenessMs - SHED_FROM_MS) / (SHED_ALL_MS - SHED_FROM_MS);
