Probes of risky queues run on workers that are idle, and two early crashes condemn a task of theirs

Cause: late and blamed steps needed an idle worker among those kept for their queue, on which timely work always ran; and steps that could not start took the few turns of each pass.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -108,9 +108,16 @@
         this.crashes = this.crashes.filter(crash => crash.workerId !== workerId);
     }
 
-    /** Counts the workers of a pool that are probably away because a task crashed them. */
-    countAway(pool: string, now: Millis): number {
-        return this.crashes.filter(crash => crash.pool === pool && now - crash.at < AWAY_MS).length;
+    /**
+     * Counts the workers of a pool that are probably away because a task crashed them.
+     * @param pool - The pool.
+     * @param isExplained - Whether the crashes are meant that a suspect explains, or all others.
+     * @param now - On our clock.
+     */
+    countAway(pool: string, isExplained: boolean, now: Millis): number {
+        return this.crashes.filter(crash =>
+            crash.pool === pool && now - crash.at < AWAY_MS && (crash.blame.size === 0) === isExplained
+        ).length;
     }
 
     /**
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -83,9 +83,11 @@
         if (startable.length === 0 || isAllOrNothing(step) && startable.length < step.waiting) {
             return;
         }
-        if (!this.probation.takeTurn(urgency, this.getPool(queue.pool))) {
+        const pool = this.getPool(queue.pool);
+        if (!this.probation.hasTurn(urgency, pool)) {
             return;
         }
+        const asked = this.wishes.length;
         const current = this.buildWaitingStep(urgency, startable);
         const placements = this.placeTasks(current);
         const isWhole = placements.length === step.waiting;
@@ -98,6 +100,9 @@
         if (!isWhole) {
             this.requestUnknown(current);
         }
+        if (placements.length > 0 || this.wishes.length > asked) {
+            this.probation.observeTurn(urgency, pool);
+        }
     }
 
     private listStartable(step: Step): readonly Task[] {
@@ -268,6 +273,10 @@
     /** A gang without enough room keeps what it found, or gives it back to those behind it. */
     private settleBlockedGang(current: WaitingStep, placements: readonly Placement[]): void {
         const { urgency, step, candidates, permits } = current;
+        if (this.probation.isRisky(urgency.queue.name)) {
+            placements.forEach(({ slot }) => slot.release(step));
+            return;
+        }
         const isKeeping = this.keepers.length < MAX_KEEPING_GANGS && placements.length > 0;
         const canHold = canEverHold(step, candidates);
         if (canHold && urgency.lateness === 0) {
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -32,8 +32,8 @@
 /** What is known of queues whose tasks crash workers. */
 export interface ProbationInput {
     readonly risky: ReadonlyMap<string, QueueRisk>;
-    /** Counts the workers of a pool that are away because of a crash. */
-    readonly countAway: (pool: string) => number;
+    /** Counts the workers of a pool that are away because of a crash, by whether a probe or another suspect explains it. */
+    readonly countAway: (pool: string, isExplained: boolean) => number;
 }
 
 /** What waits of a queue whose tasks crash workers. */
@@ -58,17 +58,17 @@
 } as const;
 type Rank = (typeof Rank)[keyof typeof Rank];
 
-/** Part of the kept workers on which late work may start while other work of its queue waits. */
-const LATE_SHARE = 1 / 4;
+/** Part of the bounded part on which probes run while timely work of their queue waits. */
+const PROBE_SHARE = 1 / 4;
 
 /** What is left of a pool's part for risky queues in this pass. */
 interface Kept {
     /** How many more may be added for steps that may run on none of them. */
     extra: number;
-    /** How many more steps may have their turn in this pass. */
+    /** How many more timely steps may start, or ask for permits, in this pass. */
     turns: number;
-    /** How many of these may be late. */
-    lateTurns: number;
+    /** The same for probes. */
+    probeTurns: number;
 }
 
 /** The choice for one pass; see the module comment. */
@@ -91,27 +91,25 @@
         return this.input.risky.has(queue);
     }
 
-    /**
-     * Puts steps behind all others that have probably crashed a worker: they belong to a risky queue, and a task of theirs
-     * was lost just after its start.
-     */
+    /** Puts probes behind all other steps: they get what these leave idle. */
     order(ordered: readonly Urgency[]): readonly Urgency[] {
         if (this.input.risky.size === 0) {
             return ordered;
         }
         this.ordered = ordered;
-        this.hasTimely = ordered.some(urgency =>
-            this.isRisky(urgency.queue.name) && !this.isLast(urgency) && isTimely(urgency)
-        );
-        return [
-            ...ordered.filter(urgency => !this.isLast(urgency)),
-            ...ordered.filter(urgency => this.isLast(urgency)),
-        ];
+        const probes = ordered.filter(urgency => this.isProbe(urgency));
+        const others = ordered.filter(urgency => !this.isProbe(urgency));
+        this.hasTimely = others.some(({ queue }) => this.isRisky(queue.name));
+        return [...others, ...probes];
     }
 
-    /** Tells whether little is lost if a step waits, while a crash would cost as much as any other. */
-    isProbe(urgency: Urgency): boolean {
-        return this.isRisky(urgency.queue.name) && (!isTimely(urgency) || this.isLast(urgency));
+    /**
+     * Tells whether a step of a risky queue is too late for its caller, or has probably crashed a worker: little is lost if it
+     * waits, while a crash would cost as much as any other.
+     */
+    isProbe({ step, queue, lateness }: Urgency): boolean {
+        return this.isRisky(queue.name) &&
+            (lateness === 2 || step.tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly)));
     }
 
     /** Collects what waits of each risky queue. */
@@ -129,22 +127,27 @@
         return backlogs;
     }
 
-    /**
-     * Takes one of the turns of risky queues.
-     * @returns Whether the step may be planned in this pass.
-     */
-    takeTurn(urgency: Urgency, pool: PoolView): boolean {
+    /** Tells whether a step may start, or ask for permits, in this pass; few at a time of risky queues. */
+    hasTurn(urgency: Urgency, pool: PoolView): boolean {
         if (!this.isRisky(urgency.queue.name)) {
             return true;
         }
+        const { turns, probeTurns } = this.getKept(pool);
+        return (this.isProbe(urgency) ? probeTurns : turns) > 0;
+    }
+
+    /** Counts a step that has started, or asked for permits, in this pass. */
+    observeTurn(urgency: Urgency, pool: PoolView): void {
+        if (!this.isRisky(urgency.queue.name)) {
+            return;
+        }
         const kept = this.getKept(pool);
-        const isProbe = this.isProbe(urgency);
-        if (kept.turns <= 0 || isProbe && kept.lateTurns <= 0) {
-            return false;
+        if (this.isProbe(urgency)) {
+            kept.probeTurns -= 1;
+        }
+        else {
+            kept.turns -= 1;
         }
-        kept.turns -= 1;
-        kept.lateTurns -= isProbe ? 1 : 0;
-        return true;
     }
 
     /**
@@ -153,15 +156,15 @@
      * @param pool - Its pool.
      * @param candidates - Workers that may run it.
      */
-    select(
-        { step, queue }: Urgency,
-        pool: PoolView,
-        candidates: readonly Slot[],
-    ): readonly Slot[] {
+    select(urgency: Urgency, pool: PoolView, candidates: readonly Slot[]): readonly Slot[] {
         if (this.input.risky.size === 0) {
             return candidates;
         }
+        const { step, queue } = urgency;
         const kept = this.getKept(pool);
+        if (this.isProbe(urgency)) {
+            return candidates.filter(slot => slot.isIdleBut(step));
+        }
         const others = candidates.filter(slot => !this.keptSlots.has(slot));
         if (!this.isRisky(queue.name)) {
             return others;
@@ -178,17 +181,8 @@
 
     /** Tells whether a step may start on one of its workers now. */
     isReady(slot: Slot, urgency: Urgency): boolean {
-        const { step } = urgency;
-        if (!this.isRisky(urgency.queue.name) || !this.keptSlots.has(slot)) {
-            return true;
-        }
-        return this.isProbe(urgency) ? slot.isIdleBut(step) : this.isHarmless(slot, step);
-    }
-
-    /** Tells whether a task of a step has probably crashed a worker. */
-    private isLast({ step, queue }: Urgency): boolean {
-        return this.isRisky(queue.name) &&
-            step.tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
+        const isOnProbation = this.isRisky(urgency.queue.name) && this.keptSlots.has(slot);
+        return !isOnProbation || this.isProbe(urgency) || this.isHarmless(slot, urgency.step);
     }
 
     private getKept(pool: PoolView): Kept {
@@ -200,15 +194,22 @@
         slots.forEach(slot => this.keptSlots.add(slot));
         const extra = slots.size === 0 ? 0 : MAX_EXTRA;
         const turns = (slots.size + extra) * TURNS_PER_WORKER;
-        const lateTurns = this.hasTimely ? Math.max(1, Math.floor(slots.size * LATE_SHARE)) : turns;
-        const created = { extra, turns, lateTurns };
+        const created = { extra, turns, probeTurns: this.computeProbeTurns(pool) };
         this.kept.set(pool, created);
         return created;
     }
 
+    /** Probes that run, and workers that are away, count as turns taken. */
+    private computeProbeTurns({ name, slots }: PoolView): number {
+        const part = this.parts.get(name) ?? 0;
+        const limit = this.hasTimely ? Math.max(1, Math.floor(part * PROBE_SHARE)) : part;
+        const isProbing = ({ worker }: Slot): boolean => [...worker.runs.values()].some(run => run.isProbe);
+        return limit - this.input.countAway(name, true) - slots.filter(isProbing).length;
+    }
+
     private chooseKept(pool: PoolView): Set<Slot> {
         const { name, slots } = pool;
-        const away = this.input.countAway(name);
+        const away = this.input.countAway(name, false);
         const part = Math.max(1, Math.floor((slots.length + away) * KEPT_SHARE));
         const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
         this.parts.set(name, Math.max(part, idle - part));
@@ -277,7 +278,3 @@
 function hasRoom({ free, capacity }: Slot): boolean {
     return free.cpuMillis >= capacity.cpuMillis * MIN_FREE_SHARE;
 }
-
-function isTimely({ lateness }: Urgency): boolean {
-    return lateness < 2;
-}
--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -21,6 +21,8 @@
 const SUSPECT_LOSSES = 2;
 /** Losses just after the start of a run after which a task is given up, if enough of all were crashes. */
 const FINAL_EARLY_LOSSES = 3;
+/** The same for a task of a queue whose tasks have been crashing workers. */
+const FINAL_EARLY_LOSSES_OF_RISKY = 2;
 /** Losses at any time after which it is: a worker that crashes later in a run may do so for reasons of its own. */
 const FINAL_LOSSES = 5;
 /** Crashes without which no task is given up. */
@@ -40,11 +42,16 @@
     return losses.length >= SUSPECT_LOSSES;
 }
 
-/** Tells whether a task crashes the workers that start it, as far as that can be known. */
-export function isCrasher(task: Task): boolean {
+/**
+ * Tells whether a task crashes the workers that start it, as far as that can be known.
+ * @param task - The task.
+ * @param isOfRiskyQueue - Whether other tasks of its queue have been crashing workers, so that less has to be shown of it.
+ */
+export function isCrasher(task: Task, isOfRiskyQueue = false): boolean {
     const { losses } = task;
     const early = losses.filter(loss => loss.isEarly).length;
-    const isOften = early >= FINAL_EARLY_LOSSES || losses.length >= FINAL_LOSSES;
+    const finalEarly = isOfRiskyQueue ? FINAL_EARLY_LOSSES_OF_RISKY : FINAL_EARLY_LOSSES;
+    const isOften = early >= finalEarly || losses.length >= FINAL_LOSSES;
     return isOften && countCrashes(task) >= FINAL_CRASHES;
 }
 
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -51,8 +51,10 @@
     };
 }
 
-/** Steps for each worker on probation that may wait: more would be late by the time of their turn. */
-const WAITING_PER_WORKER = 4;
+/** Timely steps for each worker on probation that may wait: more would be late by the time of their turn. */
+const TIMELY_PER_WORKER = 3;
+/** Steps for each such worker that may wait in all: they have to be done in the end. */
+const WAITING_PER_WORKER = 8;
 const SHORTEST_RISKY_RETRY_MS: Millis = 1_000;
 const RISKY_RETRY_SPREAD_MS: Millis = 2_000;
 
@@ -64,8 +66,8 @@
  * @param backlog - What waits of the queue.
  * @param draw - From 0 to 1, at random.
  */
-export function decideRiskyAdmission({ steps, workers }: RiskyBacklog, draw: number): Admission {
-    if (steps < workers * WAITING_PER_WORKER) {
+export function decideRiskyAdmission({ steps, probes, workers }: RiskyBacklog, draw: number): Admission {
+    if (steps - probes < workers * TIMELY_PER_WORKER && steps < workers * WAITING_PER_WORKER) {
         return { kind: "admitted" };
     }
     const retryAfterMs = SHORTEST_RISKY_RETRY_MS + Math.round(draw * RISKY_RETRY_SPREAD_MS);
--- a/src/process/leader/crash-desk.ts
+++ b/src/process/leader/crash-desk.ts
@@ -121,7 +121,7 @@
         }
         this.risky = risky;
         metrics.gauge("queues.onProbation", risky.size);
-        return { risky, countAway: pool => this.risk.countAway(pool, now) };
+        return { risky, countAway: (pool, isExplained) => this.risk.countAway(pool, isExplained, now) };
     }
 
     /**
@@ -188,8 +188,9 @@
     }
 
     /** Finds a task of a step that is to be given up: no run of it is under way that could still clear it. */
-    findCrasher({ tasks }: Step): Task | undefined {
-        return tasks.find(task => task.state === TaskState.waiting && isCrasher(task));
+    findCrasher({ tasks, job }: Step): Task | undefined {
+        const isRisky = this.risky.has(job.queue);
+        return tasks.find(task => task.state === TaskState.waiting && isCrasher(task, isRisky));
     }
 
     /** Says which task was given up, and why. */
