A newer configuration is asked for once, not pushed to the leader by every node with every beat

Cause: a follower that had a newer configuration than the leader's last status sent it the whole of it, again with each beat (450 ms) until a status said otherwise, and before each request; the leader did the same to followers. With 906 queues that is some 200 KB from each of 17 nodes on a link of 250 KB a second: the leader heard neither the store nor its workers for ten seconds and more, was replaced, and the next one was sent the same. Class: retries that sustain the overload that they answer (metastable failure).

A request that the leader cannot place in any queue is the only reason to send it unasked, once.

--- a/src/process/node/caller-way.ts
+++ b/src/process/node/caller-way.ts
@@ -14,8 +14,10 @@
     readonly hasConfig: () => boolean;
     /** Set where this node leads. */
     readonly getSeat: () => LeaderSeat | undefined;
-    /** Set where this node follows; the leader has this node's configuration. */
+    /** Set where this node follows. */
     readonly getLink: () => NodeLink | undefined;
+    /** Gives the leader a configuration that it lacks; tells whether it does. */
+    readonly offerConfig: () => boolean;
 }
 
 /** Time that a request waits for a leader before it is refused: a take-over usually takes less. */
@@ -68,7 +70,7 @@
         { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
 }
 
-/** Tries once; undefined means that no leader was asked. */
+/** Tries once; undefined means that no leader was asked, or one that lacks this node's configuration. */
 async function tryServe(
     way: WayToLeader,
     request: CallerRequest,
@@ -87,7 +89,10 @@
         return { kind: "unknown", message: answer.message };
     }
     const body = answer.body as NodeAnswer;
-    return body.kind === "served" ? body.reply : undefined;
+    if (body.kind !== "served" || body.reply.kind === "noQueue" && way.offerConfig()) {
+        return undefined;
+    }
+    return body.reply;
 }
 
 /** The leader on this node answers when the store has, however long that takes. */
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -13,6 +13,7 @@
 import { serveCaller } from "./caller-way.js";
 import type { WayToLeader } from "./caller-way.js";
 import { ClaimPatience } from "./claim-patience.js";
+import { CatchUpPatience, ConfigCatchUp } from "./config-catch-up.js";
 import { isMuchLarger } from "./larger-node.js";
 import { LeaderFollower } from "./leader-follower.js";
 import { LeaderNotes } from "./leader-notes.js";
@@ -58,11 +59,15 @@
     private isDraining = false;
     private closed = false;
 
+    private readonly catchUp: ConfigCatchUp;
+
     constructor(private readonly options: ClusterNodeOptions) {
+        this.catchUp = new ConfigCatchUp(options);
         const peers = new PeerBook(options.random, options.network);
         const shared = {
             ...options,
             peers,
+            catchUp: this.catchUp,
             reach: new LeaderReach(),
             epochs: this.epochs,
             patience: new ClaimPatience(),
@@ -193,6 +198,7 @@
             hasConfig: () => this.options.config.get().version > 0,
             getSeat: () => this.seat,
             getLink: () => this.follower.getLink()?.link,
+            offerConfig: () => this.follower.offerConfig(),
         };
     }
 
@@ -216,16 +222,16 @@
         if (note.kind === "config") {
             this.options.config.accept(note.config, "follower");
         }
+        if (note.kind === "configWanted") {
+            this.catchUp.sendNewer(inbound, note.version);
+        }
         if (note.kind === "offer") {
             this.acceptOffer(inbound, note.epoch);
         }
         if (note.kind !== "status") {
             return;
         }
-        const { config } = this.options;
-        if (note.configVersion < config.get().version) {
-            inbound.link.note({ kind: "config", config: config.get() } satisfies NodeNote);
-        }
+        this.catchUp.observeVersion(inbound, note.configVersion, CatchUpPatience.leader);
         if (this.seat !== undefined && !this.knownCallers.has(inbound)) {
             addRemoteCaller(this.seat, inbound);
             this.notes.publishMembers();
--- a/src/process/node/leader-follower.ts
+++ b/src/process/node/leader-follower.ts
@@ -8,6 +8,8 @@
 import type { StorePort } from "../ports/index.js";
 import type { Log } from "../telemetry.js";
 import type { ClaimPatience } from "./claim-patience.js";
+import { CatchUpPatience } from "./config-catch-up.js";
+import type { ConfigCatchUp } from "./config-catch-up.js";
 import type { ConfigHolder } from "./config-holder.js";
 import { shouldOffer, shouldOvertake } from "./larger-node.js";
 import { connectToLeader } from "./leader-dialer.js";
@@ -24,6 +26,7 @@
     readonly network: LinkNetwork;
     readonly storePort: StorePort;
     readonly config: ConfigHolder;
+    readonly catchUp: ConfigCatchUp;
     readonly peers: PeerBook;
     readonly reach: LeaderReach;
     readonly epochs: EpochHistory;
@@ -56,14 +59,18 @@
         this.silenced = new SilencedLeader(options);
     }
 
-    /** Returns the link to the leader while it is up, after giving it a configuration that it lacks. */
+    /** Returns the link to the leader while it is up. */
     getLink(): LeaderLink | undefined {
-        if (this.link !== undefined) {
-            this.forwardConfig(this.link);
-        }
         return this.link;
     }
 
+    /** Gives the leader a configuration that it lacks; tells whether it does. */
+    offerConfig(): boolean {
+        const { link } = this;
+        return link?.status !== undefined &&
+            this.options.catchUp.offerNewer(link, link.status.configVersion);
+    }
+
     /** Returns what the leader last said of itself. */
     getLeaderStatus(): StatusNote | undefined {
         return this.link?.status;
@@ -227,6 +234,9 @@
             case "config":
                 this.options.config.accept(note.config, "leader");
                 return;
+            case "configWanted":
+                this.options.catchUp.sendNewer(link, note.version);
+                return;
             case "handover":
                 this.handoverEpoch = note.epoch;
                 link.link.close("it handed over");
@@ -236,21 +246,11 @@
                 this.options.log.info("peersChanged", { nodes: note.members.length });
                 return;
             case "status":
-                this.forwardConfig(link);
+                this.options.catchUp.observeVersion(link, note.configVersion, CatchUpPatience.follower);
                 return;
             case "offer":
                 // Followers make offers, leaders take them.
                 return;
         }
     }
-
-    /** Gives the leader a configuration that it does not have: it decides for all nodes. */
-    private forwardConfig(link: LeaderLink): void {
-        const config = this.options.config.get();
-        const known = link.status?.configVersion;
-        if (known !== undefined && known < config.version) {
-            link.link.note({ kind: "config", config } satisfies NodeNote);
-            link.status = link.status && { ...link.status, configVersion: config.version };
-        }
-    }
 }
--- a/src/process/node/messages.ts
+++ b/src/process/node/messages.ts
@@ -84,6 +84,13 @@
     readonly config: ClusterConfig;
 }
 
+/** The sender lacks a configuration that the other end has said to have. */
+export interface ConfigWantedNote {
+    readonly kind: "configWanted";
+    /** What the sender has. */
+    readonly version: number;
+}
+
 /** The leader gives its place up: the node that hears this claims it at once. */
 export interface HandoverNote {
     readonly kind: "handover";
@@ -91,7 +98,7 @@
 }
 
 /** Any message without an answer. */
-export type NodeNote = StatusNote | ConfigNote | HandoverNote | MembersNote | OfferNote;
+export type NodeNote = StatusNote | ConfigNote | ConfigWantedNote | HandoverNote | MembersNote | OfferNote;
 
 /** Tells whether a received body has the shape of a message: only nodes of the same cluster speak on links. */
 export function hasKind(body: unknown): body is { readonly kind: string; } {
--- a/src/test/model/model-cluster.ts
+++ b/src/test/model/model-cluster.ts
@@ -5,7 +5,7 @@
 import { ClusterNode } from "../../process/node/cluster-node.js";
 import { ConfigHolder } from "../../process/node/config-holder.js";
 import { StoreModel } from "../../stand-ins/index.js";
-import type { ClusterConfig } from "../../version/cluster-config.js";
+import type { ClusterConfig, QueueConfig } from "../../version/cluster-config.js";
 import { FakeClock } from "../fakes/fake-clock.js";
 import { FakeStorePort } from "../fakes/fake-store-port.js";
 import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
@@ -34,6 +34,8 @@
     readonly vm: ModelVm;
     readonly node: ClusterNode;
     readonly log: FakeLog;
+    /** Delivers what the node's watch of the configuration brings. */
+    readonly deliverConfig: (config: ClusterConfig) => void;
 }
 
 /** The cluster; see the module comment. */
@@ -55,6 +57,7 @@
         const number = this.nodes.length + 1;
         const vm = new ModelVm(this.clock, size);
         const log = createFakeLog(true);
+        let accept: ModelNode["deliverConfig"] = () => undefined;
         const node = new ClusterNode({
             name: `node-${number}`,
             host: `10.0.0.${number}`,
@@ -68,7 +71,8 @@
             storePort: new FakeStorePort(this.store, new ModelStoreWay(this.clock, vm)),
             config: new ConfigHolder(log),
             configSource: {
-                follow: accept => {
+                follow: handle => {
+                    accept = handle;
                     accept(CONFIG);
                     return { stop: () => undefined };
                 },
@@ -86,7 +90,7 @@
             maxLeaseMs: MAX_LEASE_MS,
             cores: size.cores,
         });
-        this.nodes.push({ name: `node-${number}`, vm, node, log });
+        this.nodes.push({ name: `node-${number}`, vm, node, log, deliverConfig: config => accept(config) });
         await this.clock.wait(node.open(), CALLER_PATIENCE_MS);
     }
 
@@ -116,6 +120,23 @@
             .then(() => entry.node.serve({ kind: "cancel", ...address }, CALLER_PATIENCE_MS));
     }
 
+    /**
+     * Puts a large configuration in force: each node's watch delivers it, the leader's later than the others'.
+     * @param queueCount - Its queues.
+     * @param leaderDelayMs - By how much later.
+     */
+    publishConfig(queueCount: number, leaderDelayMs: Millis): void {
+        const added = Array.from({ length: queueCount }, (_, index): QueueConfig => ({
+            ...QUEUE,
+            name: `queue-${index}`,
+            pathPrefix: `/queue-${index}/`,
+        }));
+        const config = { ...CONFIG, version: 2, queues: [...CONFIG.queues, ...added] };
+        const leader = this.getLeader();
+        this.nodes.filter(node => node !== leader).forEach(({ deliverConfig }) => deliverConfig(config));
+        this.clock.schedule(leaderDelayMs, () => leader?.deliverConfig(config));
+    }
+
     /** Counts lines of all nodes' logs. */
     countLines(event: string): number {
         return this.nodes.reduce(
--- a/src/test/node/caller-way_test.ts
+++ b/src/test/node/caller-way_test.ts
@@ -14,7 +14,13 @@
 function makeWay(clock: FakeClock, serve: () => Promise<CallerReply>): WayToLeader {
     // Only the seat's `serve` is used by what is tested here.
     const seat = { serve } as unknown as LeaderSeat;
-    return { clock, hasConfig: () => true, getSeat: () => seat, getLink: () => undefined };
+    return {
+        clock,
+        hasConfig: () => true,
+        getSeat: () => seat,
+        getLink: () => undefined,
+        offerConfig: () => false,
+    };
 }
 
 describe("a caller of a leader whose store is silent", () => {
--- a/src/test/node/refusals-in-doubt_test.ts
+++ b/src/test/node/refusals-in-doubt_test.ts
@@ -58,6 +58,7 @@
                             // Only the seat's `serve` is used by what is tested here.
                             getSeat: () => ({ serve }) as unknown as LeaderSeat,
                             getLink: () => undefined,
+                            offerConfig: () => false,
                         },
                         request,
                         PATIENCE_MS,
