Timeouts for a leader are as much longer as its VM is slower than usual

Cause: the turns in which a new leader hears all workers at once take more than a second on an eighth of a core. Its lease of one second runs out and its links count as silent after 0.9 s meanwhile, so it is replaced just after it has loaded, and so is the next one.

--- a/src/process/leadership/leader-lease.ts
+++ b/src/process/leadership/leader-lease.ts
@@ -27,6 +27,8 @@
     readonly clock: Clock;
     readonly life: string;
     readonly leaderRevision: number;
+    /** Factor by which the lease is longer than usual. */
+    readonly slowness?: number;
     /** Returns when the last call was sent whose answer showed that this node leads. */
     readonly getLastContact: () => Millis;
     /** Such a call was sent at this instant. */
@@ -110,8 +112,8 @@
     }
 
     private async grant(sentAt: Millis): Promise<boolean> {
-        const { port, life, leaderRevision } = this.options;
-        const granted = await port.grantLease(ALIVE_TTL_MS, CALL_TIMEOUT_MS);
+        const { port, life, leaderRevision, slowness = 1 } = this.options;
+        const granted = await port.grantLease(Math.round(ALIVE_TTL_MS * slowness), CALL_TIMEOUT_MS);
         if (granted.kind !== "done") {
             return false;
         }
--- a/src/process/leadership/leader-record.ts
+++ b/src/process/leadership/leader-record.ts
@@ -12,6 +12,8 @@
     readonly address: string;
     /** Unique for each life of a process. */
     readonly life: string;
+    /** Processor time of its VM, in cores. */
+    readonly cores?: number;
     /** Consecutive earlier leaders that were replaced without being seen to have loaded the journal. */
     readonly failedBefore?: number;
 }
--- a/src/process/node/leader-dialer.ts
+++ b/src/process/node/leader-dialer.ts
@@ -18,6 +18,8 @@
     buildStatus(): StatusNote;
     handleCall(body: unknown): Promise<unknown>;
     handleNote(link: LeaderLink, note: NodeNote): void;
+    /** Factor by which the leader is given more time than usual before its link counts as silent. */
+    readonly slowness?: number;
 }
 
 /** Time for a connection, and for the first status over it. */
@@ -90,7 +92,7 @@
     function scheduleTick(leaderLink: LeaderLink): void {
         clock.schedule(LINK_TICK_MS, () => {
             if (!leaderLink.link.isClosed()) {
-                leaderLink.link.tick(computeExtraTicks(leaderLink.status));
+                leaderLink.link.tick(computeExtraTicks(leaderLink.status, owner.slowness ?? 1));
                 scheduleTick(leaderLink);
             }
         });
@@ -98,7 +100,11 @@
 }
 
 /** An end that has said that it is late is given the time of a few of its turns more. */
-function computeExtraTicks(status: StatusNote | undefined): number {
+function computeExtraTicks(status: StatusNote | undefined, slowness: number): number {
     const extraMs = (status?.latenessMs ?? 0) * LATE_TURNS;
-    return Math.min(MAX_EXTRA_TICKS, Math.round(extraMs / LINK_TICK_MS));
+    const usualTicks = LinkSide.follower.maxQuietTicks;
+    return Math.max(
+        Math.round(usualTicks * (slowness - 1)),
+        Math.min(MAX_EXTRA_TICKS, Math.round(extraMs / LINK_TICK_MS)),
+    );
 }
--- a/src/process/node/leader-search.ts
+++ b/src/process/node/leader-search.ts
@@ -137,12 +137,13 @@
 
     /** Claims the place that was seen, and leads if the claim is won. */
     private async claim(view: LeaderView): Promise<void> {
-        const { name, life, clock, log, storePort, reach, epochs, patience } = this.options;
+        const { name, life, cores, clock, log, storePort, reach, epochs, patience } = this.options;
         const wasHandedOver = this.options.follower.isHeirOf(view.record?.epoch);
         const own = {
             nodeName: name,
             address: this.options.buildStatus().address,
             life,
+            cores,
             failedBefore: patience.countFailedBefore(view.record),
         };
         const result = await claimLeadership(storePort, view, own, READ_TIMEOUT_MS);
--- a/src/process/node/leader-seat.ts
+++ b/src/process/node/leader-seat.ts
@@ -13,6 +13,7 @@
 import type { EpochHistory } from "../leadership/epoch-history.js";
 import { InheritedLeases } from "../leadership/inherited-leases.js";
 import { LeaderLease } from "../leadership/leader-lease.js";
+import { computeSlowness } from "../leadership/slow-leader.js";
 import type { ConfigSource, SourceHandle, WorkerSource } from "../ports/cluster-sources.js";
 import type { StorePort } from "../ports/index.js";
 import type { TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
@@ -31,6 +32,8 @@
     readonly configSource: ConfigSource;
     readonly config: ConfigHolder;
     readonly life: string;
+    /** Processor time of this VM, in cores. */
+    readonly cores: number;
     readonly epochs: EpochHistory;
     /** Longest lease that workers give. */
     readonly maxLeaseMs: Millis;
@@ -173,6 +176,7 @@
             clock,
             life: parts.life,
             leaderRevision: claim.revision,
+            slowness: computeSlowness(parts.cores),
             getLastContact: () => this.store.getLastContact(),
             observeContact: sentAt => this.store.observeContact(sentAt),
             observeAnswer: tookMs => this.store.observeAnswer(tookMs),
