Late work of a risky queue may use what timely work leaves idle

Cause: a timely step of the queue nearly always waits, and then probes had a quarter of its part less the workers that they had crashed, which is nothing; 108 open jobs at the end of the traffic went down by four a second. Evidence: leaderState after 34 s, stepWaiting with probation and no question for 16 s, about 15 questions a second in all.

Change: probes may have the idle workers that timely work does not need, besides their quarter.

--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -61,6 +61,9 @@
 /** Part of the bounded part on which probes run while timely work of their queue waits. */
 const PROBE_SHARE = 1 / 4;
 
+/** Part of a pool that probes leave idle for other queues. */
+const IDLE_RESERVE = 1 / 8;
+
 /** What is left of a pool's part for risky queues in this pass. */
 interface Kept {
     /** How many more may be added for steps that may run on none of them. */
@@ -199,12 +202,17 @@
         return created;
     }
 
-    /** Probes that run, and workers that are away, count as turns taken. */
+    /**
+     * Probes that run, and workers that probes have crashed, count as turns taken. Beside these, probes may have what is idle
+     * and not needed by timely work: late work has to be done in the end.
+     */
     private computeProbeTurns({ name, slots }: PoolView): number {
-        const part = this.parts.get(name) ?? 0;
-        const limit = this.hasTimely ? Math.max(1, Math.floor(part * PROBE_SHARE)) : part;
+        const limit = Math.max(1, Math.floor((this.parts.get(name) ?? 0) * PROBE_SHARE));
         const isProbing = ({ worker }: Slot): boolean => [...worker.runs.values()].some(run => run.isProbe);
-        return limit - this.input.countAway(name, true) - slots.filter(isProbing).length;
+        const left = limit - this.input.countAway(name, true) - slots.filter(isProbing).length;
+        const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
+        const kept = slots.length * (IDLE_RESERVE + (this.hasTimely ? KEPT_SHARE : 0));
+        return Math.max(left, (idle - Math.floor(kept)) * TURNS_PER_WORKER);
     }
 
     private chooseKept(pool: PoolView): Set<Slot> {
