Only workers whose process has ended count against a queue, and late work prolongs probation only after sure crashes

Change: evidence is a call that fails well before its timeout, or another process at the worker's address, and only runs that surely began; late work keeps a queue on probation for 30 s after the last sure crash.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -32,6 +32,8 @@
 const MIN_RATE = 0.005;
 /** Starts that are added to those counted, so that few starts prove little. */
 const PRIOR_STARTS = 20;
+/** Time for which late work keeps a queue on probation after the last worker that surely crashed. */
+const CONFIRMED_MS: Millis = 30_000;
 /** Rate at which a run must go on for the longest time before its worker is trusted with another one. */
 const HIGH_RATE = 0.05;
 const LONGEST_PROOF_MS: Millis = 500;
@@ -67,6 +69,8 @@
     private buckets: Bucket[] = [];
     private crashes: Crash[] = [];
     private risky: ReadonlyMap<string, QueueRisk> = new Map();
+    /** When each queue's last worker was lost that surely crashed. */
+    private readonly confirmedAt = new Map<string, Millis>();
 
     /** Counts a run that a worker has begun. */
     observeStart(queue: string, now: Millis): void {
@@ -92,6 +96,9 @@
         runs: readonly LostStart[],
         now: Millis,
     ): boolean {
+        if (this.crashes.some(crash => crash.workerId === workerId)) {
+            return false;
+        }
         const weights = runs.map(computeWeight);
         const started = runs.filter((_, index) => (weights[index] ?? 0) >= LIKELY_WEIGHT);
         if (started.length === 0) {
@@ -103,6 +110,13 @@
         return true;
     }
 
+    /** Records that a worker surely crashed. */
+    confirm(workerId: string): void {
+        for (const crash of this.crashes.filter(other => other.workerId === workerId)) {
+            crash.queues.forEach(queue => this.confirmedAt.set(queue, crash.at));
+        }
+    }
+
     /** Withdraws the loss of a worker that goes on. */
     withdraw(workerId: string): void {
         this.crashes = this.crashes.filter(crash => crash.workerId !== workerId);
@@ -133,7 +147,9 @@
         for (const queue of new Set([...concerned, ...this.risky.keys()])) {
             const risk = this.computeRisk(queue, now);
             const isNew = risk.crashes >= MIN_CRASHES && risk.rate >= MIN_RATE;
-            if (isNew || this.risky.has(queue) && (concerned.has(queue) || hasProbes(queue))) {
+            const isConfirmed = now - (this.confirmedAt.get(queue) ?? -Infinity) < CONFIRMED_MS;
+            const isLeft = concerned.has(queue) || isConfirmed && hasProbes(queue);
+            if (isNew || this.risky.has(queue) && isLeft) {
                 risky.set(queue, risk);
             }
         }
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -29,6 +29,8 @@
     handleReport(report: WorkerReport, ended: readonly EndedRun[], isFirst: boolean): void;
     /** Whether the worker can be given work has changed. */
     handleReachable(isReachable: boolean): void;
+    /** A call failed well before its timeout, as where the worker's process has ended. */
+    handleBroken(): void;
     /** This life is over: another one answers at its address. */
     handleReplaced(): void;
     /** The worker follows a later leader. */
@@ -67,6 +69,8 @@
 /** Time for the answer on top of what the worker may wait: one way is under 4 ms, a busy worker takes longer. */
 const ANSWER_MARGIN_MS: Millis = 500;
 const RETRY_PAUSE_MS: Millis = 100;
+/** A call that fails within this time of its timeout may have timed out. */
+const TIMEOUT_SLACK_MS: Millis = 100;
 /** Reports that fail one after the other before the worker gets no new work. */
 const MAX_FAILURES = 1;
 /** Time for an order's answer. What was not answered by then is settled by the reports. */
@@ -243,6 +247,9 @@
         const sentAt = clock.now();
         const answer = await send();
         metrics.time(`worker.${name}`, clock.now() - sentAt);
+        if (answer.kind === "notSent") {
+            this.checkIfBroken(sentAt, ORDER_TIMEOUT_MS);
+        }
         if (answer.kind === "done" || answer.kind === "refused") {
             this.orderAnsweredAt = Math.max(this.orderAnsweredAt, sentAt);
         }
@@ -283,6 +290,7 @@
         }
         if (!this.handleEnd(answer)) {
             this.countFailure(answer);
+            this.checkIfBroken(sentAt, waitMs + ANSWER_MARGIN_MS);
         }
     }
 
@@ -322,6 +330,14 @@
         return false;
     }
 
+    /** A call that a silent worker leaves unanswered fails at its timeout. */
+    private checkIfBroken(sentAt: Millis, timeoutMs: Millis): void {
+        const { clock, listener } = this.options;
+        if (clock.now() - sentAt < timeoutMs - TIMEOUT_SLACK_MS) {
+            listener.handleBroken();
+        }
+    }
+
     private countFailure(answer: WorkerAnswer<unknown>): void {
         this.failures += 1;
         this.options.metrics.count("worker.reportFailures");
--- a/src/process/leader/crash-desk.ts
+++ b/src/process/leader/crash-desk.ts
@@ -66,18 +66,19 @@
     }
 
     /**
-     * Records that a worker does not answer any more.
+     * Records that a worker's process has probably ended: its connection broke, or another one answers at its address. Silence
+     * says nothing, as the worker may be cut off.
      * @param state - The worker.
      * @param aliveAt - When it was last known to be at work.
      */
-    observeSilence(state: WorkerState, aliveAt: Millis): void {
+    observeEnd(state: WorkerState, aliveAt: Millis): void {
         const { clock, lateness, authority, metrics } = this.context;
         // A leader that is late, or may not order, stops hearing workers that are well.
         if (isLate(lateness) || !authority.mayOrder()) {
             return;
         }
         const runs = [...state.runs.values()]
-            .filter(({ phase }) => phase !== RunPhase.reserved)
+            .filter(({ phase }) => phase === RunPhase.running)
             .map(({ queue, task, orderedAt, isProbe }): LostStart => ({
                 queue,
                 provenMs: Math.max(0, aliveAt - orderedAt),
@@ -160,6 +161,7 @@
     handleReplaced(workerId: string): void {
         const { book, log, metrics } = this.context;
         const tasks = book.losses.listTasks(workerId);
+        this.risk.confirm(workerId);
         if (!tasks.some(task => task.losses.some(loss => loss.workerId === workerId && !loss.isCrash))) {
             return;
         }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -190,7 +190,8 @@
             inheritedLeaseEnd: this.inherited.computeLeaseEnd(record.workerId),
             listener: {
                 handleReport: (report, ended, isFirst) => this.handleReport(member, report, ended, isFirst),
-                handleReachable: isReachable => this.handleReachable(member, isReachable),
+                handleReachable: isReachable => this.handleReachable(state, isReachable),
+                handleBroken: () => this.ends.crashes.observeEnd(state, session.getAliveAt()),
                 handleReplaced: () => this.removeMember(member, RemovalReason.replaced),
                 handleFenced: () => context.handleDeposed("a worker follows a later leader"),
                 handleSuspended: gap => this.handleSuspended(gap),
@@ -217,12 +218,9 @@
         void session.run();
     }
 
-    private handleReachable({ state, session }: Member, isReachable: boolean): void {
+    private handleReachable(state: WorkerState, isReachable: boolean): void {
         state.isReachable = isReachable;
-        if (!isReachable) {
-            this.ends.crashes.observeSilence(state, session.getAliveAt());
-        }
-        else {
+        if (isReachable) {
             this.ends.crashes.handleHeard(state.id, state.record.address);
             this.context.requestPass();
         }
@@ -363,6 +361,9 @@
         const { state, session } = member;
         const { workerId, address } = state.record;
         this.context.log.info("workerRemoved", { workerId, address, reason });
+        if (reason === RemovalReason.replaced) {
+            this.ends.crashes.observeEnd(state, session.getAliveAt());
+        }
         if (state.runs.size > 0) {
             this.losses.expireAll(member, RunLoss.replaced);
         }
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -34,6 +34,7 @@
             listener: {
                 handleReport: () => undefined,
                 handleReachable: () => undefined,
+                handleBroken: () => undefined,
                 handleReplaced: () => undefined,
                 handleFenced: () => undefined,
                 handleSuspended: () => undefined,
