--- a/src/process/dispatch/advice-dispatcher.ts
+++ b/src/process/dispatch/advice-dispatcher.ts
@@ -194,6 +194,12 @@
         return this.waiting.length;
     }
 
+    /** Counts the nodes that can send requests, those with none in flight, and those reserved for short ones. */
+    countCallers(): { readonly all: number; readonly idle: number; readonly reserved: number; } {
+        const idle = [...this.callers.values()].filter(({ inFlightCount }) => inFlightCount === 0);
+        return { all: this.callers.size, idle: idle.length, reserved: this.countReserved() };
+    }
+
     private dispatch(): void {
         const unwanted: AdviceRequest[] = [];
         const unsent: AdviceRequest[] = [];
--- a/src/process/dispatch/permits.ts
+++ b/src/process/dispatch/permits.ts
@@ -122,6 +122,11 @@
         return this.held.size;
     }
 
+    /** Counts the permits that are still valid. */
+    countUsable(now: Millis): number {
+        return [...this.held.values()].filter(({ usableUntil }) => now < usableUntil).length;
+    }
+
     countDenied(): number {
         return this.denied.size;
     }
--- a/src/process/leader/permit-coordinator.ts
+++ b/src/process/leader/permit-coordinator.ts
@@ -19,10 +19,19 @@
     readonly step: Step;
     readonly permits: StepPermits;
     readonly workerIds: readonly string[];
+    readonly hasCapacity: boolean;
     /** Validity of its permits. */
     readonly validMs: Millis;
 }
 
+/** When and by which node a request was sent. */
+interface SentRequest {
+    readonly askedAt: Millis;
+    /** Since when its step had wanted an answer. */
+    readonly wantedSince: Millis;
+    readonly nodeName: string | undefined;
+}
+
 /**
  * Tracks at most one advice request per step, from the planning pass that makes it to the permits that answer
  * it.
@@ -116,7 +125,13 @@
             return;
         }
         permits.startRequest(now, workerIds.length, this.computeRefreshMs());
-        const pending: PendingRequest = { step, permits, workerIds, validMs: queue.advice.validMs };
+        const pending: PendingRequest = {
+            step,
+            permits,
+            workerIds,
+            hasCapacity,
+            validMs: queue.advice.validMs,
+        };
         this.waiting.set(step, {
             step: step.name,
             workerIds,
@@ -145,16 +160,16 @@
         if (answer === undefined) {
             return;
         }
-        this.logAnswer(pending, answer, askedAt, nodeName);
+        const wantedSince = pending.permits.getWantedSince();
         this.acceptAnswer(pending, answer);
+        this.logAnswer(pending, answer, { askedAt, wantedSince: wantedSince ?? askedAt, nodeName });
         this.context.requestPass();
     }
 
     private logAnswer(
-        { step, workerIds }: PendingRequest,
+        { step, workerIds, permits, hasCapacity }: PendingRequest,
         answer: AdviceAnswer,
-        askedAt: Millis,
-        nodeName: string | undefined,
+        { askedAt, wantedSince, nodeName }: SentRequest,
     ): void {
         const { clock, log, metrics } = this.context;
         const tookMs = clock.now() - askedAt;
@@ -165,6 +180,10 @@
             nodeName,
             asked: workerIds.length,
             allowed: answer.kind === "done" ? answer.permits.length : 0,
+            waiting: step.waiting,
+            permits: permits.countUsable(clock.now()),
+            hasCapacity,
+            waitedMs: Math.round(askedAt - wantedSince),
             tookMs: Math.round(tookMs),
         });
     }
--- a/src/process/leader/state-report.ts
+++ b/src/process/leader/state-report.ts
@@ -4,6 +4,7 @@
 import { MissingQueues } from "./missing-queues.js";
 import { WaitingReport } from "./waiting-report.js";
 import type { WaitingReportOptions } from "./waiting-report.js";
+import { computeUsedCpuShare } from "./workers-by-pool.js";
 
 /** The state that the report reads. */
 export interface StateReportOptions extends WaitingReportOptions {
@@ -35,11 +36,16 @@
         const lastPassAt = getLastPassAt();
         this.missingQueues.check();
         const waiting = this.waiting.report();
+        const callers = advice.countCallers();
         const fields = {
             epoch,
             openJobs: jobs.countOpen(),
             usableWorkers: fleet.countUsable(now),
+            usedCpuShare: Number(computeUsedCpuShare(fleet.collectUsable(now)).toFixed(3)),
             questions: advice.countWaiting(),
+            callers: callers.all,
+            idleCallers: callers.idle,
+            reservedCallers: callers.reserved,
             storeAway: isStalled(),
             mayOrder: authority.mayOrder(),
             sincePassMs: lastPassAt === undefined ? undefined : Math.round(now - lastPassAt),
--- a/src/process/leader/workers-by-pool.ts
+++ b/src/process/leader/workers-by-pool.ts
@@ -24,3 +24,11 @@
     }
     return pools;
 }
+
+/** Computes the share of the workers' processor capacity that runs take; 0 without workers. */
+export function computeUsedCpuShare(workersByPool: WorkersByPool): number {
+    const states = [...workersByPool.values()].flat();
+    const total = states.reduce((sum, { record }) => sum + record.capacity.cpuMillis, 0);
+    const free = states.reduce((sum, state) => sum + state.free.cpuMillis, 0);
+    return total === 0 ? 0 : 1 - free / total;
+}
