No node stays reserved for short requests of less urgent queues

Cause, one of several: one of two nodes was reserved for short requests as long as these kept 2% of a node busy, whatever their queue. A request of the last queue every second or two kept it closed to the gangs of the queue before, which all went through the other. Evidence: in plays with lines, after the traffic one node was idle for 1.6 to 5 s (`idleCallers` 1, `reservedCallers` 1) beside 27 to 45 waiting requests. Change: short requests reserve a node only against queues that are not more urgent than theirs (NodeReservation). Requests of quick jobs keep their node. In play the line does not end with it: the two nodes have more to ask than they can.

--- a/src/process/dispatch/advice-dispatcher.ts
+++ b/src/process/dispatch/advice-dispatcher.ts
@@ -11,6 +11,7 @@
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import type { Log } from "../telemetry.js";
 import { LoadMeter } from "./load-meter.js";
+import { NodeReservation, SHORT_REQUEST_MS } from "./node-reservation.js";
 
 /** A node that can call the advice service. */
 export interface AdviceCaller {
@@ -40,24 +41,8 @@
     readonly settle: (answer: AdviceAnswer | undefined, askedAt: Millis) => void;
 }
 
-/** Longer requests are not sent by the nodes reserved for short ones. */
-const SHORT_REQUEST_MS: Millis = 120;
 /** Requests up to this long may be sent by a reserved node once they have waited too long. */
 const BRIEF_REQUEST_MS: Millis = 250;
-/** Largest share of the nodes that is reserved for short requests, where there are at least two nodes. */
-const SHORT_SHARE = 0.34;
-/** Most nodes that are reserved. */
-const MAX_RESERVED_NODES = 8;
-/** Nodes reserved for each one that short requests keep busy, as these arrive unevenly. */
-const RESERVED_PER_BUSY_NODE = 2;
-/**
- * With this many nodes one stays reserved for a while after each short request; with fewer none can be spared
- * for that.
- */
-const MIN_NODES_TO_RESERVE = 3;
-const SHORT_REQUEST_MEMORY_MS: Millis = 10_000;
-/** Least load of short requests, in busy nodes, for which a node is reserved where none can be spared. */
-const MIN_SHORT_LOAD = 0.02;
 /** Wait of a request after which its queue gets a share of the nodes' time. */
 const LATE_REQUEST_MS: Millis = 1_000;
 /** A request that no node could send for this long shows that the nodes are overloaded. */
@@ -138,16 +123,13 @@
     private waiting: readonly AdviceRequest[] = [];
     /** Number of nodes that the requests of each share keep busy. */
     private readonly shareLoads = new Map<ShareKey, LoadMeter>();
-    /** Number of nodes that short requests keep busy. */
-    private readonly shortLoad: LoadMeter;
+    private readonly reservation: NodeReservation;
     /** When a request was last found that no node could send for long. */
     private lastOverloadAt: Millis = -Infinity;
-    /** When a short request was last sent. */
-    private lastShortRequestAt: Millis = -Infinity;
 
     /** @param log - Logs callers that throw or do not answer. */
     constructor(private readonly clock: Clock, private readonly log: Log) {
-        this.shortLoad = new LoadMeter(clock);
+        this.reservation = new NodeReservation(clock);
     }
 
     /** Adds a node that can send requests. */
@@ -194,10 +176,17 @@
         return this.waiting.length;
     }
 
-    /** Counts the nodes that can send requests, those with none in flight, and those reserved for short ones. */
+    /**
+     * Counts the nodes that can send requests, those with none in flight, and those reserved against the least
+     * urgent requests.
+     */
     countCallers(): { readonly all: number; readonly idle: number; readonly reserved: number; } {
         const idle = [...this.callers.values()].filter(({ inFlightCount }) => inFlightCount === 0);
-        return { all: this.callers.size, idle: idle.length, reserved: this.countReserved() };
+        return {
+            all: this.callers.size,
+            idle: idle.length,
+            reserved: this.reservation.count(Infinity, this.callers.size),
+        };
     }
 
     private dispatch(): void {
@@ -269,33 +258,10 @@
         return created;
     }
 
-    /**
-     * Counts the nodes reserved for short requests, by how busy these keep them.
-     *
-     * @remarks Where short requests are rare, the load alone would reserve no node, and the next one would
-     * wait behind a long request for longer than a quick job's whole slack. One node therefore stays reserved
-     * for a while.
-     */
-    private countReserved(): number {
-        const nodes = this.callers.size;
-        const load = this.shortLoad.compute();
-        const canSpareOne = nodes >= MIN_NODES_TO_RESERVE &&
-            this.clock.now() - this.lastShortRequestAt < SHORT_REQUEST_MEMORY_MS;
-        if (nodes < 2 || load < MIN_SHORT_LOAD) {
-            return canSpareOne ? 1 : 0;
-        }
-        return Math.min(
-            MAX_RESERVED_NODES,
-            Math.ceil(nodes * SHORT_SHARE),
-            Math.ceil(load * RESERVED_PER_BUSY_NODE),
-        );
-    }
-
     private observeSent(request: AdviceRequest, expectedMs: Millis): void {
         this.getShareLoad(getShareKey(request)).add(expectedMs);
         if (expectedMs <= SHORT_REQUEST_MS) {
-            this.shortLoad.add(expectedMs);
-            this.lastShortRequestAt = this.clock.now();
+            this.reservation.observeShortRequest(request.priority, expectedMs);
         }
     }
 
@@ -311,7 +277,7 @@
      */
     private chooseCaller(request: AdviceRequest, isLate: boolean): CallerState | undefined {
         const states = [...this.callers.values()];
-        const reserved = this.countReserved();
+        const reserved = this.reservation.count(request.priority, states.length);
         const isShort = estimateRequestMs(request) <= SHORT_REQUEST_MS;
         // A quick job's slack allows for a brief request in front of its own.
         const isLateAndBrief = isLate && estimateRequestMs(request) <= BRIEF_REQUEST_MS;
--- /dev/null
+++ b/src/test/load/few-callers_test.ts
@@ -0,0 +1,53 @@
+/**
+ * Jobs that stood still long after a load, beside mostly empty workers, because two nodes were left to send requests to
+ * the advice service and one of them was reserved for short requests of which there were hardly any.
+ */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
+import { makeJobId } from "../leader/leader-cell.js";
+import type { UsedRequest } from "./advice-use.js";
+import { FEW_CALLERS_LOAD, pickJobs } from "./load-profile.js";
+import { PlayedLoad } from "./played-load.js";
+
+const FINISH_MS: Millis = 14_000;
+
+/** Estimates how long the service takes for one request of each step that still made one after the load. */
+function estimateNeedMs(requests: readonly UsedRequest[], seed: number): Millis {
+    const policies = new Map(
+        pickJobs(FEW_CALLERS_LOAD, seed).map(({ number, kind }) => [makeJobId(number), kind.queue.advice]),
+    );
+    const needs = new Map<string, Millis>();
+    for (const { step, workers, sentAt } of requests) {
+        const policy = policies.get(step.split(".")[0] ?? "");
+        if (sentAt >= FEW_CALLERS_LOAD.durationMs && policy !== undefined) {
+            const tookMs = policy.decideMs + policy.perWorkerMs * workers;
+            needs.set(step, Math.max(needs.get(step) ?? 0, tookMs));
+        }
+    }
+    return [...needs.values()].reduce((sum, ms) => sum + ms, 0);
+}
+
+describe("a load with a burst, of which few nodes that can send requests are left", () => {
+    for (
+        const { seed, remaining } of [
+            { seed: 17, remaining: 3 },
+            { seed: 4, remaining: 2 },
+            { seed: 17, remaining: 2 },
+        ]
+    ) {
+        it(`leaves no job standing still 14 s after it: seed ${seed}, ${remaining} nodes`, async context => {
+            const profile = { ...FEW_CALLERS_LOAD, nodeLoss: { at: 12_000, remaining } };
+            const { stalled, advice, faults } = await new PlayedLoad(profile, seed).play();
+            const needMs = estimateNeedMs(advice.requests, seed);
+            context.diagnostic(
+                `${Math.round(needMs)} ms of requests after the load, ${
+                    FINISH_MS * remaining
+                } ms of nodes until jobs are observed`,
+            );
+            assert.deepEqual(faults, []);
+            assert.ok(needMs < FINISH_MS * remaining, "the nodes cannot send one request for each step");
+            assert.deepEqual(stalled, []);
+        });
+    }
+});
--- a/src/test/load/load-profile.ts
+++ b/src/test/load/load-profile.ts
@@ -31,6 +31,8 @@
     readonly checkpointingShare: number;
     readonly failingShare: number;
     readonly allowedShare: number;
+    /** Share of the steps of which each worker may run at most one task; 0 if omitted. */
+    readonly apartShare?: number;
     /** Period in which the arrival rate is multiplied by a factor. */
     readonly burst?: { readonly from: Millis; readonly to: Millis; readonly factor: number; };
 }
@@ -43,6 +45,16 @@
     readonly nodes: number;
     readonly durationMs: Millis;
     readonly classes: readonly LoadClass[];
+    /** When most nodes are lost for the rest of the load, and how many can send requests after it. */
+    readonly nodeLoss?: NodeLoss;
+}
+
+/** A loss of most nodes. */
+export interface NodeLoss {
+    readonly at: Millis;
+    readonly remaining: number;
+    /** Time without a leader; if omitted, the leader is on a node that remains. */
+    readonly vacancyMs?: Millis;
 }
 
 /** A job to be submitted. */
@@ -137,6 +149,82 @@
     ],
 };
 
+/**
+ * Three queues on 32 workers that demand four fifths of all processors, and all of them during a burst of gangs. Six
+ * of eight nodes are lost, and the two that remain can send about as many requests as the steps need.
+ */
+export const FEW_CALLERS_LOAD: LoadProfile = {
+    workers: 32,
+    capacity: { cpuMillis: 64_000, memoryMib: 131_072, accelerators: 0 },
+    nodes: 8,
+    durationMs: 34_000,
+    nodeLoss: { at: 12_000, remaining: 2 },
+    classes: [
+        {
+            queue: makeQueue("gangs", {
+                priority: 1,
+                stretch: 2.2,
+                targetMs: 1_000,
+                advice: { decideMs: 410, perWorkerMs: 5.9, validMs: VALID_MS },
+            }),
+            arrivalsPerSecond: 1.27,
+            worth: 8.55,
+            steps: 1.2,
+            width: { mean: 6.4, sigma: 0.6, max: 32 },
+            cpuMillis: { mean: 18_000, sigma: 0.4, max: 30_000 },
+            memoryMib: { mean: 19_000, sigma: 0.5, max: 37_000 },
+            runMs: { mean: 5_000, sigma: 0.5, max: 12_000 },
+            estimateSigma: 0.2,
+            gangShare: 1,
+            checkpointingShare: 0.5,
+            failingShare: 0.05,
+            allowedShare: 0.35,
+            burst: { from: 6_000, to: 30_000, factor: 1.5 },
+        },
+        {
+            queue: makeQueue("rows", {
+                priority: 2,
+                stretch: 4,
+                targetMs: 3_000,
+                advice: { decideMs: 82, perWorkerMs: 1.2, validMs: VALID_MS },
+            }),
+            arrivalsPerSecond: 3.05,
+            worth: 2.22,
+            steps: 1.5,
+            width: { mean: 10, sigma: 0.8, max: 60 },
+            cpuMillis: { mean: 3_900, sigma: 0.45, max: 12_000 },
+            memoryMib: { mean: 7_200, sigma: 0.6, max: 22_000 },
+            runMs: { mean: 3_400, sigma: 0.5, max: 8_400 },
+            estimateSigma: 0.2,
+            gangShare: 0,
+            checkpointingShare: 0.8,
+            failingShare: 0.005,
+            allowedShare: 0.45,
+            apartShare: 0.12,
+        },
+        {
+            queue: makeQueue("checks", {
+                priority: 0,
+                stretch: 1.5,
+                targetMs: 250,
+                advice: { decideMs: 12, perWorkerMs: 0.17, validMs: VALID_MS },
+            }),
+            arrivalsPerSecond: 21.6,
+            worth: 0.44,
+            steps: 1,
+            width: { mean: 2, sigma: 0.8, max: 12 },
+            cpuMillis: { mean: 5_600, sigma: 0.45, max: 17_000 },
+            memoryMib: { mean: 8_000, sigma: 0.6, max: 24_000 },
+            runMs: { mean: 1_000, sigma: 0.5, max: 2_500 },
+            estimateSigma: 0.5,
+            gangShare: 0.3,
+            checkpointingShare: 0,
+            failingShare: 0.05,
+            allowedShare: 0.7,
+        },
+    ],
+};
+
 /** Generates the jobs of a load, in order of arrival. */
 export function pickJobs(profile: LoadProfile, seed: number): readonly LoadJob[] {
     const random = createWarmRandom(seed);
@@ -183,6 +271,7 @@
         estimateMs: Math.round(trueMs * Math.exp(kind.estimateSigma * pickNormal(random))),
         isGang: random.pickFraction() < kind.gangShare,
         savesCheckpoints: random.pickFraction() < kind.checkpointingShare,
+        ...kind.apartShare !== undefined && random.pickFraction() < kind.apartShare && { maxPerWorker: 1 },
         after: index === 0 ? [] : [index - 1],
     }));
     const spec = { ...makeSpec(...steps), payload: makeJobId(number) };
--- a/src/test/load/played-load.ts
+++ b/src/test/load/played-load.ts
@@ -2,15 +2,20 @@
  * Plays a load against one leader in fake time, and measures what callers get and how many runs are preempted.
  */
 import type { Millis } from "../../common/clock.js";
+import { NO_RESOURCES } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
 import { RunEnd } from "../../process/jobs/job-events.js";
 import { parseTaskName } from "../../process/jobs/job-spec.js";
 import type { TaskBehavior } from "../../stand-ins/index.js";
-import { DayAdvice } from "../leader/day-advice.js";
+import { AdviceFault, DayAdvice } from "../leader/day-advice.js";
 import { hashToFraction } from "../leader/day-work.js";
 import { HOST, LeaderCell, makeJobId } from "../leader/leader-cell.js";
 import type { TestLeader } from "../leader/leader-cell.js";
+import { AdviceUse } from "./advice-use.js";
 import { pickJobs } from "./load-profile.js";
-import type { LoadClass, LoadJob, LoadProfile } from "./load-profile.js";
+import type { LoadClass, LoadJob, LoadProfile, NodeLoss } from "./load-profile.js";
+import { StalledJobs } from "./stalled-jobs.js";
+import type { StalledJob } from "./stalled-jobs.js";
 
 /** Time after the last submission within which ends still count. */
 const DRAIN_MS: Millis = 25_000;
@@ -18,6 +23,9 @@
 /** A job that takes longer than this multiple of its objective is worth nothing. */
 const LATE_FACTOR = 3;
 const LATE_WORTH = 0.2;
+/** How callers repeat a submission while there is no leader. */
+const RETRY_MS: Millis = 700;
+const MAX_RETRIES = 4;
 
 /** Results of one class of jobs. */
 export interface ClassResult {
@@ -42,6 +50,10 @@
     readonly utilization: number;
     /** Violations of guarantees. */
     readonly faults: readonly string[];
+    /** Jobs that stood still for seconds beside free capacity, long after the load. */
+    readonly stalled: readonly StalledJob[];
+    /** Use of the advice service. */
+    readonly advice: AdviceUse;
 }
 
 interface GangRun {
@@ -61,6 +73,9 @@
     private readonly advice: DayAdvice;
     private readonly startedAt = new Map<string, { readonly at: Millis; readonly cpuMillis: number; }>();
     private usedCpuMs = 0;
+    private readonly adviceUse = new AdviceUse(this.cell.clock);
+    private readonly stalled: StalledJobs;
+    private leader: TestLeader | undefined;
 
     /** @param seed - Seed from which the jobs are generated. */
     constructor(private readonly profile: LoadProfile, seed: number) {
@@ -80,6 +95,7 @@
         }
         this.cell.config = { ...this.cell.config, queues: profile.classes.map(({ queue }) => queue) };
         this.advice = new DayAdvice(this.cell.clock, step => this.findAdvice(step), () => true);
+        this.stalled = new StalledJobs(profile, (step, workerId) => this.advice.isAllowed(step, workerId));
         for (let number = 1; number <= profile.workers; number++) {
             this.addWorker(`w${number}`, `10.0.0.${number}:80`);
         }
@@ -88,42 +104,85 @@
     /** Plays the load until all jobs have ended or {@link DRAIN_MS} after its duration. */
     async play(): Promise<LoadResult> {
         const { clock } = this.cell;
-        const leader = await this.cell.startLeader();
-        for (let node = 1; node <= this.profile.nodes; node++) {
-            leader.leader.addCaller(this.advice.buildCaller(`n${node}`, leader.clock));
-        }
+        await this.installLeader(this.profile.nodes);
         await clock.step(1_000);
         const startTime = clock.now();
+        this.adviceUse.setStart(startTime);
         for (const job of this.jobs) {
-            clock.schedule(startTime + job.at - clock.now(), () => void this.submit(leader, job));
+            clock.schedule(startTime + job.at - clock.now(), () => void this.submit(job, 0));
         }
-        while (clock.now() - startTime < this.profile.durationMs + DRAIN_MS) {
+        const { nodeLoss, durationMs } = this.profile;
+        let hasLostNodes = false;
+        while (clock.now() - startTime < durationMs + DRAIN_MS) {
             await clock.step(POLL_INTERVAL_MS);
-            this.observeEnds(leader, startTime);
-            if (clock.now() - startTime >= this.profile.durationMs && this.open.size === 0) {
+            if (!hasLostNodes && nodeLoss !== undefined && clock.now() - startTime >= nodeLoss.at) {
+                hasLostNodes = true;
+                await this.loseNodes(nodeLoss);
+            }
+            this.observeEnds(startTime);
+            if (this.leader !== undefined) {
+                this.stalled.observe(clock.now() - startTime, this.leader.jobs);
+            }
+            if (clock.now() - startTime >= durationMs && this.open.size === 0) {
                 break;
             }
         }
         return this.computeResult();
     }
 
-    private async submit({ leader }: TestLeader, job: LoadJob): Promise<void> {
-        const result = this.getResult(job);
-        result.jobs += 1;
-        result.offeredWorth += job.worth;
-        this.open.add(job);
+    private async installLeader(nodes: number): Promise<void> {
+        const leader = await this.cell.startLeader();
+        for (let node = 1; node <= nodes; node++) {
+            const caller = this.advice.buildCaller(`n${node}`, leader.clock);
+            leader.leader.addCaller(this.adviceUse.observeCaller(caller));
+        }
+        this.leader = leader;
+    }
+
+    /** The leader's node is the first one; the last nodes are lost, and the leader's too if there is a vacancy. */
+    private async loseNodes({ remaining, vacancyMs }: NodeLoss): Promise<void> {
+        if (vacancyMs !== undefined) {
+            this.leader?.clock.kill();
+            this.leader = undefined;
+            await this.cell.clock.step(vacancyMs);
+            await this.installLeader(remaining);
+            return;
+        }
+        for (let node = remaining + 1; node <= this.profile.nodes; node++) {
+            this.advice.setFault(`n${node}`, AdviceFault.failing);
+            this.leader?.leader.advice.removeCaller(`n${node}`);
+        }
+    }
+
+    private async submit(job: LoadJob, retries: number): Promise<void> {
+        if (retries === 0) {
+            const result = this.getResult(job);
+            result.jobs += 1;
+            result.offeredWorth += job.worth;
+            this.open.add(job);
+        }
+        const { leader } = this;
+        if (leader === undefined) {
+            if (retries < MAX_RETRIES) {
+                this.cell.clock.schedule(RETRY_MS, () => void this.submit(job, retries + 1));
+            }
+            else {
+                this.open.delete(job);
+            }
+            return;
+        }
         const path = `${job.kind.queue.pathPrefix}${makeJobId(job.number)}`;
-        const reply = await leader.serve({ kind: "submit", host: HOST, path, spec: job.spec });
+        const reply = await leader.leader.serve({ kind: "submit", host: HOST, path, spec: job.spec });
         if (reply.kind !== "accepted") {
             this.open.delete(job);
         }
     }
 
     /** Records the jobs that have ended, as a polling caller sees them. */
-    private observeEnds({ jobs }: TestLeader, startTime: Millis): void {
+    private observeEnds(startTime: Millis): void {
         const now = this.cell.clock.now();
         for (const job of this.open) {
-            const found = jobs.get(makeJobId(job.number));
+            const found = this.leader?.jobs.get(makeJobId(job.number));
             if (found === undefined || found.endedAt === 0) {
                 continue;
             }
@@ -152,6 +211,8 @@
             worth: earnedWorth / offeredWorth,
             utilization: this.usedCpuMs / availableCpuMs,
             faults: this.cell.faults,
+            stalled: this.stalled.list(),
+            advice: this.adviceUse,
         };
     }
 
@@ -183,16 +244,26 @@
             stopMs: 400,
             getBehavior: (task, run) => this.describeRun(task, run),
             isPermitted: (task, permit) => this.advice.isPermitted(task, workerId, permit),
-            handleStart: (task, run, used) => {
+            handleStart: (task, run, used, order) => {
+                this.adviceUse.observeStart(order.permit);
+                this.stalled.addRun(task, run, workerId, this.findDemand(task));
                 if (used.cpuMillis > this.profile.capacity.cpuMillis) {
                     this.cell.faults.push(`${workerId} is over its capacity`);
                 }
                 this.handleStart(task, run, address);
             },
-            handleEnd: (task, run, end) => this.handleEnd(task, run, end),
+            handleEnd: (task, run, end) => {
+                this.stalled.removeRun(task, run);
+                this.handleEnd(task, run, end);
+            },
         });
     }
 
+    private findDemand(task: string): Resources {
+        const found = this.findJob(task);
+        return found?.job.spec.steps[found.step]?.demand ?? NO_RESOURCES;
+    }
+
     private describeRun(task: string, run: number): TaskBehavior {
         const found = this.findJob(task);
         const spec = found?.job.spec.steps[found.step];
