HTTP timeouts of arriving requests count responsive time and read first

Callers of an entry that was late itself got 408 tooSlow ("send it faster") although their request had arrived.

Cause: Node checks its header and request timeouts in a timer, by wall-clock time, and timers run before sockets are read. Whatever stops the event loop for the timeout between accept and read makes a healthy caller too slow.

A plain server of Node with an entry's defaults, its loop stopped for 11 s after the accept, answers 408 to a caller in another process that had sent everything at once; no byte was read.

ArrivalTimeouts takes the place of Node's timeouts. It uses the entry's clock, LatenessMeter's responsive time, and scheduleTimeout, so what has arrived is read before a request is refused. Silent, unfinished and dripping clients are closed after the limit and at most two checks, on new and on used connections.

Tests: both cases with a blocked loop failed before. Without reading first two cases fail, without responsive time two others. The KNOWN-RED test keeps its checks; the server's clock is fake, so the two slow cases expire when the clock is stepped, and the others cannot.

--- a/src/connection/http/http-answers.ts
+++ b/src/connection/http/http-answers.ts
@@ -91,6 +91,9 @@
     }),
 };
 
+/** Code of a request that did not arrive in time; the name of Node's own error for it. */
+export const REQUEST_TIMEOUT_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
+
 /** Replies by the code of Node's parser error. */
 const parseErrorReplies: Readonly<Record<string, ParseErrorReply>> = {
     HPE_HEADER_OVERFLOW: {
@@ -102,7 +105,7 @@
             ran: "no",
         }),
     },
-    ERR_HTTP_REQUEST_TIMEOUT: {
+    [REQUEST_TIMEOUT_CODE]: {
         status: "408 Request Timeout",
         reply: buildError(408, {
             kind: "tooSlow",
--- a/src/connection/http/http-server.ts
+++ b/src/connection/http/http-server.ts
@@ -3,14 +3,15 @@
  * Single requests are handled in `request-runner.ts`.
  */
 import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { sleep } from "../../common/clock.js";
 import type { Millis, Timer } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
 import type { OperatorToken, RouteContext } from "../../request/http/index.js";
 import { openPort } from "../open-port.js";
-import { writeParseErrorReply } from "./http-answers.js";
+import { ArrivalTimeouts } from "./arrival-timeouts.js";
+import { REQUEST_TIMEOUT_CODE, writeParseErrorReply } from "./http-answers.js";
 import { DEFAULT_HTTP_LIMITS } from "./http-limits.js";
 import type { HttpLimits } from "./http-limits.js";
 import { RequestRunner } from "./request-runner.js";
@@ -28,10 +29,10 @@
 
 /** Time that a client has to read the reply to a malformed request. */
 const LINGER_MS: Millis = 1_000;
+const EXPECTATION_FAILED = 417;
 const DROP_REPORT_INTERVAL_MS: Millis = 1_000;
 const LOAD_REPORT_INTERVAL_MS: Millis = 1_000;
 const SHUTDOWN_POLL_INTERVAL_MS: Millis = 10;
-const MIN_CHECK_INTERVAL_MS: Millis = 50;
 
 /** The HTTP server of an entry. */
 export class HttpServer {
@@ -41,6 +42,7 @@
     private readonly limits: HttpLimits;
     private readonly server: Server;
     private readonly runner: RequestRunner;
+    private timeouts: ArrivalTimeouts | undefined;
     private draining = false;
     private lastDropReportAt: Millis | undefined;
     private gaugeTimer: Timer | undefined;
@@ -59,6 +61,11 @@
     /** Starts to listen; rejects if the port cannot be opened. */
     async open(): Promise<void> {
         this.port = await openPort(this.server, this.options.host, this.options.port);
+        this.timeouts = new ArrivalTimeouts({
+            clock: this.options.clock,
+            limits: this.limits,
+            onTimeout: socket => this.refuseUnread(socket, REQUEST_TIMEOUT_CODE),
+        });
         this.reportLoad();
     }
 
@@ -90,6 +97,7 @@
         }
         this.server.closeAllConnections();
         this.gaugeTimer?.cancel();
+        this.timeouts?.close();
         await closed;
     }
 
@@ -100,22 +108,24 @@
 
     private buildServer(): Server {
         const { limits } = this;
-        const shortest = Math.min(limits.headersTimeoutMs, limits.requestTimeoutMs);
         const server = createServer(
             {
                 maxHeaderSize: limits.maxHeaderBytes,
-                headersTimeout: limits.headersTimeoutMs,
-                // Node rejects a request timeout that is shorter than the headers timeout.
-                requestTimeout: Math.max(limits.requestTimeoutMs, limits.headersTimeoutMs),
+                // `ArrivalTimeouts` applies both limits.
+                headersTimeout: 0,
+                requestTimeout: 0,
                 keepAliveTimeout: limits.keepAliveMs,
-                // Interval at which Node checks for requests that timed out.
-                connectionsCheckingInterval: Math.max(MIN_CHECK_INTERVAL_MS, shortest / 4),
                 noDelay: true,
             },
-            (request, response) => this.runner.acceptRequest(request, response, false),
+            (request, response) => this.acceptRequest(request, response, false),
         );
         server.maxConnections = limits.maxConnections;
-        server.on("checkContinue", (request, response) => this.runner.acceptRequest(request, response, true));
+        server.on("connection", socket => this.timeouts?.addConnection(socket));
+        server.on("checkContinue", (request, response) => this.acceptRequest(request, response, true));
+        server.on("checkExpectation", (request, response) => {
+            this.timeouts?.observeHeaders(request);
+            response.writeHead(EXPECTATION_FAILED).end();
+        });
         server.on(
             "clientError",
             (error: NodeJS.ErrnoException, socket) => this.refuseMalformed(error, socket as Socket),
@@ -124,13 +134,27 @@
         return server;
     }
 
+    private acceptRequest(request: IncomingMessage, response: ServerResponse, needsContinue: boolean): void {
+        this.timeouts?.observeHeaders(request);
+        this.runner.acceptRequest(request, response, needsContinue);
+    }
+
     private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-        if (error.code === "ECONNRESET" || !socket.writable) {
+        if (error.code === "ECONNRESET") {
+            socket.destroy();
+            return;
+        }
+        this.refuseUnread(socket, error.code);
+    }
+
+    /** Refuses a request that was not received completely, and ends its connection. */
+    private refuseUnread(socket: Socket, code: string | undefined): void {
+        if (!socket.writable) {
             socket.destroy();
             return;
         }
-        this.options.metrics.count("http.refused", 1, { code: error.code ?? "malformed" });
-        writeParseErrorReply(socket, error.code);
+        this.options.metrics.count("http.refused", 1, { code: code ?? "malformed" });
+        writeParseErrorReply(socket, code);
         // A client that neither reads nor closes must not keep the socket open.
         this.options.clock.schedule(LINGER_MS, () => socket.destroy());
     }
