A request that was refused as too slow does not run afterwards

A caller got 408 tooSlow with ran: "no", and the request ran all the same if the rest of its body arrived within the second in which a refused connection stays open. A caller that believed the answer and sent it again ran it twice.

Cause: the refusal ends the server's side of the connection, but the body is still read, and a whole body went to the handler.

A body that is complete on a connection whose writing side has ended is now treated as truncated: no handler runs.

--- a/src/connection/http/request-runner.ts
+++ b/src/connection/http/request-runner.ts
@@ -135,7 +135,8 @@
             return;
         }
         const body = await this.receiveBody(state);
-        if (body.kind === "truncated") {
+        // An ended socket: the request was refused while it arrived, and its caller was told that it did not run.
+        if (body.kind === "truncated" || request.socket.writableEnded) {
             this.options.context.metrics.count("http.clientGone", 1, { route: match.route.path });
             state.response.destroy();
             return;
--- a/src/test/connection/http/arrival-timeouts_test.ts
+++ b/src/test/connection/http/arrival-timeouts_test.ts
@@ -14,6 +14,8 @@
 const LIMITS = { headersTimeoutMs: HEADERS_TIMEOUT_MS, requestTimeoutMs: REQUEST_TIMEOUT_MS };
 /** Arrivals are checked four times within the shorter timeout. */
 const CHECK_INTERVAL_MS: Millis = 250;
+/** Time that a refused client has to read its reply. */
+const LINGER_MS: Millis = 1_000;
 const DRIP_INTERVAL_MS: Millis = 50;
 
 /** Stops this process, as a long turn of the event loop does. */
@@ -105,6 +107,35 @@
     }
 });
 
+describe("refused clients", () => {
+    const cases = [
+        { name: "head", first: "POST", rest: `${buildHead("POST", PATH, ["content-length: 2"]).slice(4)}ok` },
+        { name: "body", first: `${buildHead("POST", PATH, ["content-length: 2"])}o`, rest: "k" },
+    ];
+    for (const { name, first, rest } of cases) {
+        // Guards against work that runs although its caller was told that it did not.
+        it(`have no effect if the rest of their ${name} arrives after the refusal`, async () => {
+            const clock = new FakeClock();
+            const { server, gateway, metrics } = await openHttp(LIMITS, clock);
+            const client = openSocket(server.port, true);
+            await sendBytes(client, first);
+            await clock.step(REQUEST_TIMEOUT_MS + 2 * CHECK_INTERVAL_MS);
+            await receive(client, "tooSlow");
+            assert.match(client.state.received, /"ran":"no"/);
+            client.socket.write(rest);
+            await waitUntil(
+                () => client.isClosedByServer() || client.countRead() === first.length + rest.length,
+                "the server to read or close",
+            );
+            await clock.step(LINGER_MS);
+            await waitUntil(() => client.isClosedByServer(), "the end of the connection");
+            assert.equal(gateway.serviceRequests.length, 0);
+            assert.equal(server.countInFlight(), 0);
+            assert.equal(metrics.counters.get("http.refused"), 1);
+        });
+    }
+});
+
 describe("idle clients", () => {
     const cases = [
         { name: "a reply", bytes: HEALTH, status: 200 },
--- a/src/test/connection/http/http-harness.ts
+++ b/src/test/connection/http/http-harness.ts
@@ -79,9 +79,12 @@
     return { server, gateway, operators, log, metrics, send };
 }
 
-/** Opens a TCP connection and records what it receives. */
-export function openSocket(port: number) {
-    const socket = connect(port, HOST);
+/**
+ * Opens a TCP connection and records what it receives.
+ * @param allowHalfOpen - Whether the client can still send after the server has ended its side.
+ */
+export function openSocket(port: number, allowHalfOpen = false) {
+    const socket = connect({ port, host: HOST, allowHalfOpen });
     const state = { received: "", closed: false };
     socket.on("data", chunk => {
         state.received += chunk.toString();
@@ -91,9 +94,15 @@
     });
     socket.on("error", () => undefined);
     opened.push({ close: () => socket.destroy() });
+    let localPort: number | undefined;
+    socket.on("connect", () => {
+        localPort = socket.localPort;
+    });
     /** Returns the number of bytes that the server has read from this connection. */
-    const countRead = () => accepted.get(socket.localPort)?.bytesRead ?? 0;
-    return { socket, state, countRead };
+    const countRead = () => accepted.get(localPort)?.bytesRead ?? 0;
+    /** Returns whether the server has closed this connection. */
+    const isClosedByServer = () => accepted.get(localPort)?.destroyed === true;
+    return { socket, state, countRead, isClosedByServer };
 }
 
 /** Builds the head of a request with a team's token. */
