An idle connection is read before it is closed

A caller's request on a kept-alive connection met a reset, and the caller could not know that it had not run, if the process was late when the connection's idle time ended.

Node closes an idle connection in a timer, before it reads what has arrived.

Evidence: request sent on an idle connection, event loop stopped beyond the keep-alive timeout: reset before (the new test failed), served now.

The server reads once more when the idle timeout expires, and closes the connection if nothing arrived.

--- a/src/connection/http/http-server.ts
+++ b/src/connection/http/http-server.ts
@@ -130,6 +130,8 @@
             "clientError",
             (error: NodeJS.ErrnoException, socket) => this.refuseMalformed(error, socket as Socket),
         );
+        // Without this listener Node closes idle connections before it reads what has arrived on them.
+        server.on("timeout", socket => this.closeIdle(socket));
         server.on("drop", () => this.reportDrop());
         return server;
     }
@@ -139,6 +141,15 @@
         this.runner.acceptRequest(request, response, needsContinue);
     }
 
+    private closeIdle(socket: Socket): void {
+        const { bytesRead } = socket;
+        this.options.clock.schedule(0, () => {
+            if (socket.bytesRead === bytesRead) {
+                socket.destroy();
+            }
+        });
+    }
+
     private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
         if (error.code === "ECONNRESET") {
             socket.destroy();
--- a/src/test/connection/http/arrival-timeouts_test.ts
+++ b/src/test/connection/http/arrival-timeouts_test.ts
@@ -16,6 +16,9 @@
 const CHECK_INTERVAL_MS: Millis = 250;
 /** Time that a refused client has to read its reply. */
 const LINGER_MS: Millis = 1_000;
+const KEEP_ALIVE_MS: Millis = 1_000;
+/** Node keeps an idle connection this much longer than its timeout says. */
+const KEEP_ALIVE_BUFFER_MS: Millis = 1_000;
 const DRIP_INTERVAL_MS: Millis = 50;
 
 /** Stops this process, as a long turn of the event loop does. */
@@ -245,4 +248,24 @@
             assert.match(client.state.received, /^HTTP\/1\.1 408 /);
         });
     }
+
+    // Guards against a reset for a caller whose next request had arrived on an idle connection.
+    it("serves a request that arrived on an idle connection while the event loop was blocked", async () => {
+        const { server } = await openHttp({ keepAliveMs: KEEP_ALIVE_MS });
+        const client = openSocket(server.port);
+        await sendBytes(client, HEALTH);
+        await receive(client, '"ok"');
+        client.state.received = "";
+        client.socket.write(HEALTH);
+        pauseProcess(KEEP_ALIVE_MS + KEEP_ALIVE_BUFFER_MS + 500);
+        await receive(client, '"ok"');
+    });
+
+    it("closes an idle connection", async () => {
+        const { server } = await openHttp({ keepAliveMs: 50 });
+        const client = openSocket(server.port);
+        await sendBytes(client, HEALTH);
+        await receive(client, '"ok"');
+        await waitUntil(() => client.state.closed, "the end of the connection");
+    });
 });
