Tests of silent servers use a fake clock

The timeout now expires by a step of a fake clock once the server has received the request. The outcomes that are checked are the same.

--- a/src/test/process/platform/http-adapters_test.ts
+++ b/src/test/process/platform/http-adapters_test.ts
@@ -4,15 +4,14 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import { after, describe, it } from "node:test";
 import { systemClock } from "../../../common/clock.js";
+import type { Clock } from "../../../common/clock.js";
 import { HttpStorePort, HttpVmListPort, HttpWorkerPort } from "../../../process/platform/index.js";
 import { startVmListStandIn } from "../../../stand-ins/index.js";
+import { FakeClock } from "../../fakes/fake-clock.js";
+import { waitUntil } from "../../fakes/wait-until.js";
 
 const SWAP = { key: "k", value: "v", expectedRevision: 0 };
 
-/**
- * Long enough to connect and send on a busy machine, since the tests are about what happens after the
- * sending.
- */
 const CALL_TIMEOUT_MS = 2_000;
 
 /** Behaviour of a broken server, and the answer kind that the adapter must return. */
@@ -79,24 +78,36 @@
         return { url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, server };
     }
 
-    function createStorePort(url: string, connections?: number): HttpStorePort {
-        const port = new HttpStorePort({ url, clock: systemClock, connections });
+    function createStorePort(url: string, clock: Clock, connections?: number): HttpStorePort {
+        const port = new HttpStorePort({ url, clock, connections });
         closers.push(() => port.close());
         return port;
     }
 
     for (const { name, handle, expected } of brokenServers) {
         it(`a store that ${name}: ${expected}`, async () => {
-            const { url } = await startServer(handle);
-            assert.equal((await createStorePort(url).swap(SWAP, CALL_TIMEOUT_MS)).kind, expected);
+            const clock = new FakeClock();
+            let receivedBytes = 0;
+            const { url } = await startServer(socket => {
+                socket.on("data", chunk => {
+                    receivedBytes += chunk.length;
+                });
+                handle(socket);
+            });
+            const call = createStorePort(url, clock).swap(SWAP, CALL_TIMEOUT_MS);
+            if (name === "never answers") {
+                await waitUntil(() => receivedBytes > 0, "the request");
+                await clock.step(CALL_TIMEOUT_MS);
+            }
+            assert.equal((await call).kind, expected);
         });
     }
 
     it("a port without a listener: unavailable", async () => {
         const { url, server } = await startServer(() => undefined);
         await new Promise(resolve => server.close(resolve));
-        assert.equal((await createStorePort(url).swap(SWAP, 1_000)).kind, "unavailable");
-        const workers = new HttpWorkerPort({ clock: systemClock });
+        assert.equal((await createStorePort(url, new FakeClock()).swap(SWAP, 1_000)).kind, "unavailable");
+        const workers = new HttpWorkerPort({ clock: new FakeClock() });
         closers.push(() => workers.close());
         const order = { epoch: 1, notAfter: 1, attempt: "a" };
         assert.equal((await workers.stop({ workerId: "w", url }, order, 1_000)).kind, "unavailable");
@@ -107,10 +118,14 @@
         // the queue. It was never sent and must not be reported as unknown.
         let requests = 0;
         const { url } = await startServer(socket => socket.on("data", () => requests++));
-        const port = createStorePort(url, 1);
+        const clock = new FakeClock();
+        const port = createStorePort(url, clock, 1);
         const hanging = port.swap(SWAP, CALL_TIMEOUT_MS);
-        const queued = await port.swap(SWAP, CALL_TIMEOUT_MS / 4);
-        assert.equal(queued.kind, "unavailable");
+        const queued = port.swap(SWAP, CALL_TIMEOUT_MS / 4);
+        await waitUntil(() => requests === 1, "the first request");
+        await clock.step(CALL_TIMEOUT_MS / 4);
+        assert.equal((await queued).kind, "unavailable");
+        await clock.step(CALL_TIMEOUT_MS);
         assert.equal((await hanging).kind, "unknown");
         assert.equal(requests, 1);
     });
