Late work of a queue on probation may start beside late work that has proven harmless

What has probably crashed a worker still runs alone, and nothing starts beside it. A crash of the second step ends the runs of the first; since the worker answered the second order, the first run is known to have gone on for twice the time of an early loss, so nothing counts toward giving it up, and from two losses on it runs alone as before.

Test: probation_test, "starts late work beside late work that has proven harmless"; it failed before.

--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -7,6 +7,7 @@
  */
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
+import { EARLY_MS } from "../jobs/worker-losses.js";
 import type { QueueRisk } from "./crash-risk.js";
 import { computeProofMs } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
@@ -41,6 +42,8 @@
      * explains it.
      */
     readonly countCrashed: (pool: string, isExplained: boolean) => number;
+    /** Tells whether a worker was lost just after it had started a task. */
+    readonly hasEarlyLoss: (task: string) => boolean;
 }
 
 /** The waiting work of a risky queue. */
@@ -54,7 +57,11 @@
 }
 
 /** No queue is risky. */
-export const NO_PROBATION: ProbationInput = { risky: new Map(), countCrashed: () => 0 };
+export const NO_PROBATION: ProbationInput = {
+    risky: new Map(),
+    countCrashed: () => 0,
+    hasEarlyLoss: () => false,
+};
 
 /** Preference of workers for a risky queue; lower is better. */
 const SlotRank = {
@@ -68,6 +75,12 @@
 /** Share of the dedicated workers on which probes run while timely work of their queue waits. */
 const PROBE_SHARE = 1 / 4;
 
+/**
+ * How long a probe must have gone on before another one may start beside it. A crash under the second one then
+ * is no early loss of the first.
+ */
+const PROBE_PROOF_MS: Millis = 2 * EARLY_MS;
+
 /** Share of a pool that probes leave idle for other queues. */
 const IDLE_RESERVE_SHARE = 1 / 8;
 
@@ -117,8 +130,7 @@
      * Little is lost if it waits, while a crash would cost as much as any other.
      */
     isProbe({ step, queue, lateness }: Urgency): boolean {
-        return this.isRisky(queue.name) &&
-            (lateness === 2 || step.tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly)));
+        return this.isRisky(queue.name) && (lateness === 2 || hasEarlyLoss(step));
     }
 
     /** Collects the waiting work of each risky queue. */
@@ -173,7 +185,7 @@
         const { step, queue } = urgency;
         const budget = this.getBudget(pool);
         if (this.isProbe(urgency)) {
-            return candidates.filter(slot => slot.isIdleExceptFor(step));
+            return candidates.filter(slot => this.isOpenToProbe(slot, step));
         }
         const others = candidates.filter(slot => !this.dedicatedSlots.has(slot));
         if (!this.isRisky(queue.name)) {
@@ -195,6 +207,24 @@
         return !isOnProbation || this.isProbe(urgency) || this.isSafe(slot, urgency.step);
     }
 
+    /**
+     * Tells whether a probe may use a worker. One that has probably crashed a worker needs an idle one; others
+     * may also run beside probes that have proven harmless.
+     */
+    private isOpenToProbe(slot: Slot, step: Step): boolean {
+        return slot.isIdleExceptFor(step) ||
+            !hasEarlyLoss(step) && slot.isUntouchedExceptFor(step) && this.hasOnlyProvenProbes(slot);
+    }
+
+    private hasOnlyProvenProbes({ worker }: Slot): boolean {
+        return [...worker.runs.values()].every(run => this.isProvenProbe(run));
+    }
+
+    private isProvenProbe({ task, isProbe, phase, orderedAt }: RunRecord): boolean {
+        return isProbe && phase === RunPhase.running && this.now - orderedAt >= PROBE_PROOF_MS &&
+            !this.input.hasEarlyLoss(task);
+    }
+
     private getBudget(pool: PoolView): StepBudget {
         const known = this.budgets.get(pool);
         if (known !== undefined) {
@@ -215,9 +245,10 @@
      */
     private computeProbesLeft({ name, slots }: PoolView): number {
         const limit = Math.max(1, Math.floor((this.shares.get(name) ?? 0) * PROBE_SHARE));
-        const isProbing = ({ worker }: Slot): boolean => [...worker.runs.values()].some(run => run.isProbe);
+        const isProbing = ({ worker }: Slot): boolean =>
+            [...worker.runs.values()].some(run => run.isProbe && !this.isProvenProbe(run));
         const left = limit - this.input.countCrashed(name, true) - slots.filter(isProbing).length;
-        const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
+        const idle = slots.filter(slot => this.hasOnlyProvenProbes(slot)).length;
         const reserved = slots.length * (IDLE_RESERVE_SHARE + (this.hasTimely ? DEDICATED_SHARE : 0));
         return Math.max(left, (idle - Math.floor(reserved)) * STEPS_PER_WORKER);
     }
@@ -293,6 +324,10 @@
     }
 }
 
+function hasEarlyLoss({ tasks }: Step): boolean {
+    return tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
+}
+
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
     return free.cpuMillis >= capacity.cpuMillis * MIN_FREE_SHARE;
 }
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -121,7 +121,11 @@
         }
         this.riskyQueues = risky;
         metrics.gauge("queues.onProbation", risky.size);
-        return { risky, countCrashed: (pool, isExplained) => this.risk.countCrashed(pool, isExplained, now) };
+        return {
+            risky,
+            countCrashed: (pool, isExplained) => this.risk.countCrashed(pool, isExplained, now),
+            hasEarlyLoss: task => this.hasEarlyLoss(task),
+        };
     }
 
     /**
--- a/src/test/dispatch/probation_test.ts
+++ b/src/test/dispatch/probation_test.ts
@@ -16,7 +16,8 @@
 
 /**
  * Runs on a worker: `o` of another queue, `p` of a risky queue that has proven harmless, `u` of a risky queue
- * that has just started.
+ * that has just started; `l` and `s` of late work of a risky queue that has proven harmless, the latter after an
+ * early loss, and `n` of late work that has just started.
  */
 type Load = string;
 
@@ -79,6 +80,18 @@
         jobs: [{ isLate: true }, { isLate: true }, { isLate: true }],
         starts: ["0>w1", "1>w2", "2>w3"],
     },
+    {
+        name: "starts late work beside late work that has proven harmless, not beside any other",
+        workers: ["n", "s", "p", "lo", "l", "l", "l", "o", "o", "o", "o", "o"],
+        jobs: [{ isLate: true }, { isLate: true }],
+        starts: ["0>w5", "1>w6"],
+    },
+    {
+        name: "starts what has probably crashed a worker only where nothing else runs",
+        workers: ["l", "", "", "o", "o", "o", "o", "o"],
+        jobs: [{ wasLost: true }],
+        starts: ["0>w2"],
+    },
     {
         name: "starts a gang that the dedicated workers cannot hold on others too",
         workers: ["", "", ""],
@@ -96,9 +109,10 @@
 function makeWorker(load: Load, index: number): WorkerState {
     const worker = new WorkerState(makeWorkerRecord(`w${index + 1}`));
     [...load].forEach((kind, number) =>
-        worker.addRun(makeRunRecord(`other-${index}-${number}`, {
+        worker.addRun(makeRunRecord(`${kind === "s" ? "lost" : "other"}-${index}-${number}`, {
             queue: kind === "o" ? "well" : "risky",
-            orderedAt: kind === "u" ? NOW - 20 : NOW - 2_000,
+            isProbe: "lsn".includes(kind),
+            orderedAt: "un".includes(kind) ? NOW - 20 : NOW - 2_000,
         }))
     );
     return worker;
@@ -138,6 +152,7 @@
         probation: {
             risky: new Map([["risky", RISK]]),
             countCrashed: (_, isExplained) => isExplained ? 0 : crashed,
+            hasEarlyLoss: task => task.startsWith("lost"),
         },
         isPaused: () => false,
         now: NOW,
