Admission of a queue on probation by the rate at which its tasks start

Cause: a bound on a count where the time to work it off was meant. Eight waiting steps for each worker were accepted, timely work goes before late work, so the late steps stood at the bound from 18 s to the end of the traffic, and then about 100 steps had 14 s. A third of those jobs crash two workers each, which takes 3 to 4 s each time.

Change: a job is refused if the waiting timely tasks would take longer to start than two thirds of their mean objective, at the rate at which tasks of the queue started over the last four seconds, as long as there is a timely step for each worker; and while five late steps wait for each worker. A new leader knows no rate for four seconds and goes by the steps alone.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -53,6 +53,8 @@
     readonly rate: number;
     /** Crashes per start over the last few seconds. */
     readonly recentRate: number;
+    /** Starts per second over the last few seconds; undefined until that long was observed. */
+    readonly startsPerS: number | undefined;
 }
 
 interface Crash {
@@ -78,6 +80,9 @@
     /** Time of each queue's last confirmed crash. */
     private readonly confirmedAt = new Map<string, Millis>();
 
+    /** @param beganAt - Since when starts are counted. */
+    constructor(private readonly beganAt: Millis) {}
+
     /** Counts a run that has started. */
     observeStart(queue: string, now: Millis): void {
         const last = this.buckets.at(-1);
@@ -172,6 +177,7 @@
             crashes,
             rate: crashes / (starts + PRIOR_STARTS),
             recentRate: recent.crashes / (recent.starts + PRIOR_STARTS),
+            startsPerS: now - this.beganAt < RECENT_MS ? undefined : recent.starts / (RECENT_MS / 1_000),
         };
     }
 
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -12,6 +12,7 @@
 import { computeProofMs } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
 import type { PoolView, Slot } from "./pool-view.js";
+import { computeObjectiveMs } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { RunPhase } from "./worker-state.js";
 import type { RunRecord } from "./worker-state.js";
@@ -52,6 +53,12 @@
     readonly steps: number;
     /** How many of them are late or have probably crashed a worker. */
     readonly probes: number;
+    /** Tasks to start of the other steps. */
+    readonly timelyTasks: number;
+    /** Mean objective of the other steps' jobs; 0 if there are none. */
+    readonly objectiveMs: Millis;
+    /** Tasks of such steps that started per second lately; undefined if not known yet. */
+    readonly startsPerS: number | undefined;
     /** Number of workers on which they may start at a time. */
     readonly workers: number;
 }
@@ -136,13 +143,19 @@
     /** Collects the waiting work of each risky queue. */
     collectBacklogs(): ReadonlyMap<string, RiskyBacklog> {
         const backlogs = new Map<string, RiskyBacklog>();
-        for (const urgency of this.ordered) {
-            const { name, pool } = urgency.queue;
-            if (this.isRisky(name)) {
-                const { steps, probes } = backlogs.get(name) ?? { steps: 0, probes: 0 };
-                const workers = this.shares.get(pool) ?? 0;
-                const isProbe = this.isProbe(urgency);
-                backlogs.set(name, { steps: steps + 1, probes: probes + (isProbe ? 1 : 0), workers });
+        for (const [name, { startsPerS }] of this.input.risky) {
+            const waiting = this.ordered.filter(({ queue }) => queue.name === name);
+            const timely = waiting.filter(urgency => !this.isProbe(urgency));
+            const [first] = waiting;
+            if (first !== undefined) {
+                backlogs.set(name, {
+                    steps: waiting.length,
+                    probes: waiting.length - timely.length,
+                    timelyTasks: timely.reduce((sum, { step }) => sum + step.waiting, 0),
+                    objectiveMs: computeMean(timely.map(computeObjectiveMs)),
+                    startsPerS,
+                    workers: this.shares.get(first.queue.pool) ?? 0,
+                });
             }
         }
         return backlogs;
@@ -324,6 +337,10 @@
     }
 }
 
+function computeMean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
 function hasEarlyLoss({ tasks }: Step): boolean {
     return tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
 }
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -49,9 +49,8 @@
     wallNow: number,
     predictMs: (estimateMs: Millis) => Millis = estimate => estimate,
 ): Urgency {
-    const { job, repairRun } = step;
-    const isRepair = repairRun !== undefined;
-    const startAt = Math.max(job.acceptedAt, step.occurrence.dueAt);
+    const isRepair = step.repairRun !== undefined;
+    const startAt = computeStartAt(step);
     const specs = step.occurrence.steps.map(other => other.spec);
     const objectiveMs = estimateObjectiveMs(specs, queue, predictMs);
     const dueAt = startAt + objectiveMs;
@@ -64,6 +63,16 @@
     return { step, queue, isRepair, lateness, dueAt, slackMs };
 }
 
+/** Computes the objective from which a step was ranked. */
+export function computeObjectiveMs({ step, dueAt }: Urgency): Millis {
+    return dueAt - computeStartAt(step);
+}
+
+/** Computes the wall-clock time from which a step's job is timed. */
+function computeStartAt({ job, occurrence }: Step): number {
+    return Math.max(job.acceptedAt, occurrence.dueAt);
+}
+
 /**
  * Compares two steps: gangs with missing members first, then on time before late, then by the queue's
  * priority, then by due time.
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -51,12 +51,17 @@
     };
 }
 
+/** Timely steps per worker on probation that may wait; more would be late when their turn comes. */
+const TIMELY_PER_WORKER = 3;
+/** Timely steps per such worker that may wait however slowly tasks start, so that all workers stay in use. */
+const MIN_TIMELY_PER_WORKER = 1;
+/** Share of their objective that timely steps may have to wait. */
+const MAX_WAIT_SHARE = 2 / 3;
 /**
- * Steps per worker on probation that may wait and still be timely: more would be late when their turn comes.
+ * Late steps per such worker. Each takes a worker for a second, or for several if it crashes it, and all of
+ * them have to be done eventually.
  */
-const TIMELY_PER_WORKER = 3;
-/** Steps per such worker that may wait in total, as all of them have to be run eventually. */
-const WAITING_PER_WORKER = 8;
+const LATE_PER_WORKER = 5;
 const SHORTEST_RISKY_RETRY_MS: Millis = 1_000;
 const RISKY_RETRY_SPREAD_MS: Millis = 2_000;
 
@@ -64,14 +69,25 @@
  * Decides on a job of a queue whose tasks have been crashing workers.
  *
  * @remarks Such a queue starts on few workers, one step at a time, so its jobs may arrive much faster than
- * they can run. A job that could not run in time is refused at once.
+ * they can run. How many can run in time depends on how many of them crash their workers. A job that could
+ * not run in time is refused at once: once late, it would wait until timely work leaves workers idle.
  * @param backlog - The queue's waiting steps.
  * @param draw - Random number from 0 to 1.
  */
-export function decideRiskyAdmission({ steps, probes, workers }: RiskyBacklog, draw: number): Admission {
-    if (steps - probes < workers * TIMELY_PER_WORKER && steps < workers * WAITING_PER_WORKER) {
+export function decideRiskyAdmission(backlog: RiskyBacklog, draw: number): Admission {
+    if (canStartInTime(backlog) && backlog.probes < backlog.workers * LATE_PER_WORKER) {
         return { kind: "admitted" };
     }
     const retryAfterMs = SHORTEST_RISKY_RETRY_MS + Math.round(draw * RISKY_RETRY_SPREAD_MS);
     return { kind: "overloaded", share: 1, retryAfterMs };
 }
+
+function canStartInTime(backlog: RiskyBacklog): boolean {
+    const { steps, probes, workers, timelyTasks, startsPerS, objectiveMs } = backlog;
+    const timely = steps - probes;
+    const maxTasks = startsPerS === undefined ?
+        Infinity :
+        startsPerS * objectiveMs / 1_000 * MAX_WAIT_SHARE;
+    return timely < workers * MIN_TIMELY_PER_WORKER ||
+        timely < workers * TIMELY_PER_WORKER && timelyTasks < maxTasks;
+}
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -42,7 +42,7 @@
     /** When this leader last declared a run of a task lost. */
     private readonly lostAt = new WeakMap<Task, Millis>();
     private readonly startedAt: Millis;
-    private readonly risk = new CrashRisk();
+    private readonly risk: CrashRisk;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs: ReadonlyMap<string, RiskyBacklog> = new Map();
 
@@ -55,6 +55,7 @@
         private readonly closeIfFinished: (steps: Iterable<Step>) => void,
     ) {
         this.startedAt = context.clock.now();
+        this.risk = new CrashRisk(this.startedAt);
         this.restoreRisk();
     }
 
--- a/src/test/dispatch/crash-risk_test.ts
+++ b/src/test/dispatch/crash-risk_test.ts
@@ -103,7 +103,7 @@
 describe("CrashRisk", () => {
     for (const { name, starts, losses, probes = [], listedAt, risky } of CASES) {
         it(`lists ${name}`, () => {
-            const risk = new CrashRisk();
+            const risk = new CrashRisk(0);
             const first = losses[0]?.at ?? NOW;
             for (const [queue, count] of Object.entries(starts)) {
                 Array.from({ length: count }).forEach(() => risk.observeStart(queue, first - 500));
@@ -128,7 +128,7 @@
     }
 
     it("counts workers as down for some seconds after they crashed", () => {
-        const risk = new CrashRisk();
+        const risk = new CrashRisk(0);
         risk.observeLoss(
             { workerId: "w1", pool: "pool" },
             [{ queue: "a", provenMs: 0, isSuspect: true }],
@@ -139,9 +139,29 @@
         assert.equal(risk.countCrashed("pool", true, NOW + 5_000), 0);
     });
 
+    const rates = [
+        {
+            name: "no rate of starts before it was counted for long enough",
+            beganAt: NOW - 1_000,
+            perS: undefined,
+        },
+        { name: "the rate of starts over the last seconds", beganAt: 0, perS: 10 },
+    ];
+    for (const { name, beganAt, perS } of rates) {
+        it(`tells ${name}`, () => {
+            const risk = new CrashRisk(beganAt);
+            Array.from({ length: 40 }).forEach(() => risk.observeStart("a", NOW - 500));
+            buildLosses(4, [{ queue: "a" }]).forEach(({ at }, index) => {
+                const runs = [{ queue: "a", provenMs: 0, isSuspect: false }];
+                risk.observeLoss({ workerId: `w${index}`, pool: "pool" }, runs, at);
+            });
+            assert.equal(risk.listRisky(NOW, () => false).get("a")?.startsPerS, perS);
+        });
+    }
+
     it("requires a longer proof the more starts end in crashes", () => {
         const proofs = [0, 0.01, 0.03, 0.2].map(recentRate =>
-            computeProofMs({ starts: 0, crashes: 0, rate: 0, recentRate })
+            computeProofMs({ starts: 0, crashes: 0, rate: 0, recentRate, startsPerS: 0 })
         );
         assert.deepEqual(proofs, [...proofs].sort((left, right) => left - right));
         assert.ok((proofs[0] ?? 0) < (proofs[3] ?? 0));
--- a/src/test/leader/crashing-queue_test.ts
+++ b/src/test/leader/crashing-queue_test.ts
@@ -2,7 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { Millis } from "../../common/clock.js";
+import type { RiskyBacklog } from "../../process/dispatch/probation.js";
 import { decideRiskyAdmission } from "../../process/leader/admission.js";
+import type { Admission } from "../../process/leader/admission.js";
 import type { CallerReply } from "../../process/leader/requests.js";
 import { CrashCell } from "./crash-cell.js";
 import { CORE, HOST, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
@@ -116,19 +118,57 @@
         });
     }
 
-    const admissions = [
-        { name: "is admitted while nothing waits", steps: 0, workers: 4, kind: "admitted" },
+    const admissions: readonly {
+        readonly name: string;
+        readonly backlog: Partial<RiskyBacklog>;
+        readonly kind: Admission["kind"];
+    }[] = [
+        { name: "is admitted while nothing waits", backlog: { steps: 0, workers: 4 }, kind: "admitted" },
         {
             name: "is refused while more steps wait than can be started soon",
-            steps: 40,
-            workers: 4,
+            backlog: { steps: 40, workers: 4 },
             kind: "overloaded",
         },
-        { name: "is refused while no worker is available", steps: 1, workers: 0, kind: "overloaded" },
-    ] as const;
-    for (const { name, steps, workers, kind } of admissions) {
+        {
+            name: "is refused while no worker is available",
+            backlog: { steps: 1, workers: 0 },
+            kind: "overloaded",
+        },
+        {
+            name: "is admitted while the waiting tasks will have started in time",
+            backlog: { steps: 8, timelyTasks: 32, objectiveMs: 2_000, startsPerS: 40, workers: 4 },
+            kind: "admitted",
+        },
+        {
+            name: "is refused while tasks start too slowly for those that wait",
+            backlog: { steps: 8, timelyTasks: 32, objectiveMs: 2_000, startsPerS: 10, workers: 4 },
+            kind: "overloaded",
+        },
+        {
+            name: "is admitted while it is not known how fast tasks start",
+            backlog: { steps: 8, timelyTasks: 32, objectiveMs: 2_000, startsPerS: undefined, workers: 4 },
+            kind: "admitted",
+        },
+        {
+            name: "is admitted while as many tasks wait, but their jobs have time",
+            backlog: { steps: 8, timelyTasks: 32, objectiveMs: 20_000, startsPerS: 10, workers: 4 },
+            kind: "admitted",
+        },
+        {
+            name: "is admitted while fewer steps wait than there are workers, however slowly tasks start",
+            backlog: { steps: 3, timelyTasks: 32, objectiveMs: 2_000, startsPerS: 0, workers: 4 },
+            kind: "admitted",
+        },
+        {
+            name: "is refused while much late work waits",
+            backlog: { steps: 20, probes: 20, workers: 4 },
+            kind: "overloaded",
+        },
+    ];
+    for (const { name, backlog, kind } of admissions) {
         it(`receives another job, which ${name}`, () => {
-            assert.equal(decideRiskyAdmission({ steps, probes: 0, workers }, 0.5).kind, kind);
+            const usual = { steps: 0, probes: 0, timelyTasks: 0, objectiveMs: 0, startsPerS: 0, workers: 0 };
+            assert.equal(decideRiskyAdmission({ ...usual, ...backlog }, 0.5).kind, kind);
         });
     }
 });
--- a/src/test/leader/wait-cause_test.ts
+++ b/src/test/leader/wait-cause_test.ts
@@ -212,7 +212,16 @@
         },
         {
             name: "a queue whose tasks crash workers",
-            state: { backlog: { steps: 30, probes: 4, workers: 3 } },
+            state: {
+                backlog: {
+                    steps: 30,
+                    probes: 4,
+                    timelyTasks: 50,
+                    objectiveMs: 2_000,
+                    startsPerS: 10,
+                    workers: 3,
+                },
+            },
             expected: { reason: "probation", backlogSteps: 30, backlogProbes: 4, probationWorkers: 3 },
         },
         { name: "steps that are ranked ahead", state: {}, expected: { reason: "othersFirst" } },
