--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -7,10 +7,12 @@
  */
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
+import { EARLY_MS } from "../jobs/worker-losses.js";
 import type { QueueRisk } from "./crash-risk.js";
 import { computeProofMs } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
 import type { PoolView, Slot } from "./pool-view.js";
+import { computeObjectiveMs } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { RunPhase } from "./worker-state.js";
 import type { RunRecord } from "./worker-state.js";
@@ -41,6 +43,8 @@
      * explains it.
      */
     readonly countCrashed: (pool: string, isExplained: boolean) => number;
+    /** Tells whether a worker was lost just after it had started a task. */
+    readonly hasEarlyLoss: (task: string) => boolean;
 }
 
 /** The waiting work of a risky queue. */
@@ -49,12 +53,22 @@
     readonly steps: number;
     /** How many of them are late or have probably crashed a worker. */
     readonly probes: number;
+    /** Tasks to start of the other steps. */
+    readonly timelyTasks: number;
+    /** Mean objective of the other steps' jobs; 0 if there are none. */
+    readonly objectiveMs: Millis;
+    /** Tasks of such steps that started per second lately; undefined if not known yet. */
+    readonly startsPerS: number | undefined;
     /** Number of workers on which they may start at a time. */
     readonly workers: number;
 }
 
 /** No queue is risky. */
-export const NO_PROBATION: ProbationInput = { risky: new Map(), countCrashed: () => 0 };
+export const NO_PROBATION: ProbationInput = {
+    risky: new Map(),
+    countCrashed: () => 0,
+    hasEarlyLoss: () => false,
+};
 
 /** Preference of workers for a risky queue; lower is better. */
 const SlotRank = {
@@ -68,6 +82,12 @@
 /** Share of the dedicated workers on which probes run while timely work of their queue waits. */
 const PROBE_SHARE = 1 / 4;
 
+/**
+ * How long a probe must have gone on before another one may start beside it. A crash under the second one then
+ * is no early loss of the first.
+ */
+const PROBE_PROOF_MS: Millis = 2 * EARLY_MS;
+
 /** Share of a pool that probes leave idle for other queues. */
 const IDLE_RESERVE_SHARE = 1 / 8;
 
@@ -117,20 +137,25 @@
      * Little is lost if it waits, while a crash would cost as much as any other.
      */
     isProbe({ step, queue, lateness }: Urgency): boolean {
-        return this.isRisky(queue.name) &&
-            (lateness === 2 || step.tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly)));
+        return this.isRisky(queue.name) && (lateness === 2 || hasEarlyLoss(step));
     }
 
     /** Collects the waiting work of each risky queue. */
     collectBacklogs(): ReadonlyMap<string, RiskyBacklog> {
         const backlogs = new Map<string, RiskyBacklog>();
-        for (const urgency of this.ordered) {
-            const { name, pool } = urgency.queue;
-            if (this.isRisky(name)) {
-                const { steps, probes } = backlogs.get(name) ?? { steps: 0, probes: 0 };
-                const workers = this.shares.get(pool) ?? 0;
-                const isProbe = this.isProbe(urgency);
-                backlogs.set(name, { steps: steps + 1, probes: probes + (isProbe ? 1 : 0), workers });
+        for (const [name, { startsPerS }] of this.input.risky) {
+            const waiting = this.ordered.filter(({ queue }) => queue.name === name);
+            const timely = waiting.filter(urgency => !this.isProbe(urgency));
+            const [first] = waiting;
+            if (first !== undefined) {
+                backlogs.set(name, {
+                    steps: waiting.length,
+                    probes: waiting.length - timely.length,
+                    timelyTasks: timely.reduce((sum, { step }) => sum + step.waiting, 0),
+                    objectiveMs: computeMean(timely.map(computeObjectiveMs)),
+                    startsPerS,
+                    workers: this.shares.get(first.queue.pool) ?? 0,
+                });
             }
         }
         return backlogs;
@@ -173,7 +198,7 @@
         const { step, queue } = urgency;
         const budget = this.getBudget(pool);
         if (this.isProbe(urgency)) {
-            return candidates.filter(slot => slot.isIdleExceptFor(step));
+            return candidates.filter(slot => this.isOpenToProbe(slot, step));
         }
         const others = candidates.filter(slot => !this.dedicatedSlots.has(slot));
         if (!this.isRisky(queue.name)) {
@@ -195,6 +220,24 @@
         return !isOnProbation || this.isProbe(urgency) || this.isSafe(slot, urgency.step);
     }
 
+    /**
+     * Tells whether a probe may use a worker. One that has probably crashed a worker needs an idle one; others
+     * may also run beside probes that have proven harmless.
+     */
+    private isOpenToProbe(slot: Slot, step: Step): boolean {
+        return slot.isIdleExceptFor(step) ||
+            !hasEarlyLoss(step) && slot.isUntouchedExceptFor(step) && this.hasOnlyProvenProbes(slot);
+    }
+
+    private hasOnlyProvenProbes({ worker }: Slot): boolean {
+        return [...worker.runs.values()].every(run => this.isProvenProbe(run));
+    }
+
+    private isProvenProbe({ task, isProbe, phase, orderedAt }: RunRecord): boolean {
+        return isProbe && phase === RunPhase.running && this.now - orderedAt >= PROBE_PROOF_MS &&
+            !this.input.hasEarlyLoss(task);
+    }
+
     private getBudget(pool: PoolView): StepBudget {
         const known = this.budgets.get(pool);
         if (known !== undefined) {
@@ -215,9 +258,10 @@
      */
     private computeProbesLeft({ name, slots }: PoolView): number {
         const limit = Math.max(1, Math.floor((this.shares.get(name) ?? 0) * PROBE_SHARE));
-        const isProbing = ({ worker }: Slot): boolean => [...worker.runs.values()].some(run => run.isProbe);
+        const isProbing = ({ worker }: Slot): boolean =>
+            [...worker.runs.values()].some(run => run.isProbe && !this.isProvenProbe(run));
         const left = limit - this.input.countCrashed(name, true) - slots.filter(isProbing).length;
-        const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
+        const idle = slots.filter(slot => this.hasOnlyProvenProbes(slot)).length;
         const reserved = slots.length * (IDLE_RESERVE_SHARE + (this.hasTimely ? DEDICATED_SHARE : 0));
         return Math.max(left, (idle - Math.floor(reserved)) * STEPS_PER_WORKER);
     }
@@ -293,6 +337,14 @@
     }
 }
 
+function computeMean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function hasEarlyLoss({ tasks }: Step): boolean {
+    return tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
+}
+
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
     return free.cpuMillis >= capacity.cpuMillis * MIN_FREE_SHARE;
 }
