A leader has no more orders under way than its link carries

With the calls to workers patient on a full link, a rush still filled it: all starts of a planning pass were ordered at once. Of 240 on 125 KB/s most waited behind the others until they were sent again or given up, and each order that is given up keeps its task and its worker for two seconds.

--- a/src/test/leader/narrow-link_test.ts
+++ b/src/test/leader/narrow-link_test.ts
@@ -19,6 +19,9 @@
 const WATCHED_MS: Millis = 12_000;
 /** Every worker is asked once a second; the rest is for those that have to be asked again. */
 const MAX_REPORTS = WORKERS * (CALM_MS + WATCHED_MS) / 1_000 * 1.5;
+/** A few orders may be sent again before the leader has learned what its link carries. */
+const MAX_ORDERS = JOBS * TASKS_PER_JOB * 1.25;
+
 async function openCell(): Promise<{ cell: LeaderCell; leader: TestLeader; link: NarrowLink; }> {
     const cell = new LeaderCell(WORKERS);
     const link = new NarrowLink(cell.clock, BYTES_PER_MS);
@@ -51,6 +54,18 @@
         assert.deepEqual(cell.faults, []);
     });
 
+    it("sends no more orders at once than it can carry", async () => {
+        // With all orders sent at once, most wait behind the others until they time out, are sent again, and
+        // make every worker unreachable.
+        const { cell, leader } = await openCell();
+        submitRush(cell, leader);
+        await cell.clock.step(WATCHED_MS);
+        assert.equal(countLines(leader, "orderUnanswered"), 0);
+        assert.equal(countLines(leader, "workerUnreachable"), 0);
+        assert.ok(leader.workers.startOrders <= MAX_ORDERS, `${leader.workers.startOrders} orders`);
+        assert.equal(cell.starts.length, JOBS * TASKS_PER_JOB);
+    });
+
     it("does not ask workers more often while other connections take most of it", async () => {
         const { cell, leader, link } = await openCell();
         for (let second = 0; second < 5; second++) {
