--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -50,10 +50,11 @@
 export class Fleet {
     /** Locates the runs of assigned tasks. */
     readonly runs: RunFinder;
+    /** How the workers answer this leader. */
+    readonly lostAnswers: LostAnswers;
     private readonly members = new Map<string, FleetMember>();
     private readonly inherited: InheritedRuns;
     private readonly losses: LostRuns;
-    private readonly lostAnswers: LostAnswers;
     /** Incarnations that have ended but are still listed. */
     private readonly endedIncarnations = new Set<string>();
     private closed = false;
--- a/src/test/leader/narrow-link_test.ts
+++ b/src/test/leader/narrow-link_test.ts
@@ -73,6 +73,9 @@
             await cell.clock.step(1_000);
         }
         await cell.clock.step(WATCHED_MS - 5_000);
+        const states = leader.log.lines.filter(line => line.event === "leaderState");
+        assert.ok(states.some(({ fields }) => fields.linkFull === true), "no line tells of the full link");
+        assert.equal(states.at(-1)?.fields.linkFull, false);
         assert.ok(leader.workers.reports <= MAX_REPORTS, `${leader.workers.reports} reports`);
     });
 });
