Requests of steps without free capacity go by their queue's priority, as in planning

Callers would see: a gang of an earlier queue that is late, for which the planner keeps capacity, waits behind the requests of a later queue that could use that capacity and may not. Cause: the order within a share left out the priority; all steps without free capacity share one.

--- a/src/process/dispatch/request-shares.ts
+++ b/src/process/dispatch/request-shares.ts
@@ -161,6 +161,8 @@
     return hasCapacity ? priority : NO_CAPACITY;
 }
 
+/** Compares as planning does: a share may hold requests of several queues. */
 function compareDue(left: AdviceRequest, right: AdviceRequest): number {
-    return left.lateness - right.lateness || left.dueAt - right.dueAt || left.since - right.since;
+    return left.lateness - right.lateness || left.priority - right.priority || left.dueAt - right.dueAt ||
+        left.since - right.since;
 }
--- a/src/test/dispatch/request-shares_test.ts
+++ b/src/test/dispatch/request-shares_test.ts
@@ -58,6 +58,16 @@
             now: 5_000,
             chosen: ["sooner"],
         },
+        {
+            // Guards against a gang that waits behind the requests of a later queue, for which it keeps no capacity.
+            name: "are those of the earlier queue among steps without free capacity",
+            waiting: [
+                makeRequest({ step: "row", priority: 2, hasCapacity: false, dueAt: 8_000 }),
+                makeRequest({ step: "gang", priority: 1, hasCapacity: false, dueAt: 9_000 }),
+            ],
+            now: 5_000,
+            chosen: ["gang"],
+        },
         {
             name: "are one for each queue and one for steps without free capacity",
             waiting: [
