Revert the order window and the longer timeouts of a leader whose link is full

Cause: failed, refused and distant calls count as signs of a full link, and the window counts time that orders spend elsewhere.

--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -11,7 +11,6 @@
 import type { Millis } from "../../common/clock.js";
 import { isLate } from "../../common/lateness.js";
 import type { Lateness } from "../../common/lateness.js";
-import { LateCalls } from "./late-calls.js";
 
 /** Longest wait: leases are renewed at least this often. */
 const NORMAL_REPORT_WAIT_MS: Millis = 1_000;
@@ -38,72 +37,18 @@
 /** Longest delay that the process's own lateness adds: the hedge must still fit into the time of the call. */
 const MAX_LATENESS_MS: Millis = 200;
 
-/** Time for the answer to a report, on top of the time that the worker may hold it. */
-const NORMAL_ANSWER_MARGIN_MS: Millis = 500;
-/**
- * The same while the leader's link is full. A call that is given up and made again waits once more behind
- * all others.
- */
-const FULL_LINK_ANSWER_MARGIN_MS: Millis = 1_500;
-/** Delay before a call is hedged while the leader's link is full. */
-const FULL_LINK_HEDGE_DELAY_MS: Millis = 1_000;
-const NORMAL_ORDER_TIMEOUT_MS: Millis = 600;
-const FULL_LINK_ORDER_TIMEOUT_MS: Millis = 1_500;
-const NORMAL_RETRY_PAUSE_MS: Millis = 100;
-const FULL_LINK_RETRY_PAUSE_MS: Millis = 400;
-
 /** Answers that one leader's workers lost lately. */
 export class LostAnswers {
     private lastLossAt: Millis = -Infinity;
-    private readonly lateCalls = new LateCalls();
 
     /** @param lateness - Of this process: answers that it reads late are not lost. */
     constructor(private readonly lateness: Lateness) {}
 
-    /**
-     * Records that a worker left a call unanswered and answered a later one.
-     * @returns Whether answers begin to get lost; false if this one was late rather than lost.
-     */
-    observeLoss(now: Millis): boolean {
-        if (isLate(this.lateness) || this.isLinkFull()) {
-            return false;
+    /** Records that a worker left a call unanswered and answered a later one. */
+    observeLoss(now: Millis): void {
+        if (!isLate(this.lateness)) {
+            this.lastLossAt = now;
         }
-        const isFirst = !this.hasLost(now);
-        this.lastLossAt = now;
-        return isFirst;
-    }
-
-    /**
-     * Records a call to a worker that was reachable.
-     * @param isLate - Whether it took longer than {@link computeUsualMs}.
-     */
-    observeCall(isLate: boolean): void {
-        this.lateCalls.observe(isLate);
-    }
-
-    /** Returns whether most calls are late, because they wait in this process or on its link. */
-    isLinkFull(): boolean {
-        return this.lateCalls.isLinkFull();
-    }
-
-    /** Computes the time in which nearly all calls are answered. */
-    computeUsualMs(): Millis {
-        return NORMAL_HEDGE_DELAY_MS + this.computeReadingMs();
-    }
-
-    /** Computes the time for the answer to a report, on top of the time that the worker may hold it. */
-    computeAnswerMargin(): Millis {
-        return this.isLinkFull() ? FULL_LINK_ANSWER_MARGIN_MS : NORMAL_ANSWER_MARGIN_MS;
-    }
-
-    /** Computes the timeout of an order. */
-    computeOrderTimeout(): Millis {
-        return this.isLinkFull() ? FULL_LINK_ORDER_TIMEOUT_MS : NORMAL_ORDER_TIMEOUT_MS;
-    }
-
-    /** Computes the pause after a report that was not answered. */
-    computeRetryPause(): Millis {
-        return this.isLinkFull() ? FULL_LINK_RETRY_PAUSE_MS : NORMAL_RETRY_PAUSE_MS;
     }
 
     /**
@@ -124,18 +69,11 @@
      * @param now - On the leader's clock.
      */
     computeHedgeDelay(now: Millis): Millis {
-        if (this.isLinkFull()) {
-            return FULL_LINK_HEDGE_DELAY_MS;
-        }
         const delayMs = this.hasLost(now) ? LOSSY_HEDGE_DELAY_MS : NORMAL_HEDGE_DELAY_MS;
-        return delayMs + this.computeReadingMs();
-    }
-
-    private hasLost(now: Millis): boolean {
-        return now - this.lastLossAt <= LOSS_MEMORY_MS && !this.isLinkFull();
+        return delayMs + Math.min(MAX_LATENESS_MS, this.lateness.getMeanLatenessMs() * LATE_LOOP_ITERATIONS);
     }
 
-    private computeReadingMs(): Millis {
-        return Math.min(MAX_LATENESS_MS, this.lateness.getMeanLatenessMs() * LATE_LOOP_ITERATIONS);
+    hasLost(now: Millis): boolean {
+        return now - this.lastLossAt <= LOSS_MEMORY_MS;
     }
 }
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -20,7 +20,6 @@
 } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
 import { callHedged } from "./hedged-call.js";
-import type { LostAnswers } from "./lost-answers.js";
 
 /** Receives a session's events and supplies its parameters. */
 export interface SessionListener {
@@ -63,18 +62,23 @@
     readonly leaseMs: Millis;
     /** Until when, on the leader's clock, leases granted by earlier leaders may last. */
     readonly inheritedLeaseEnd: Millis;
-    /** Timeouts and pauses, which all sessions of a leader share. */
-    readonly patience: LostAnswers;
     readonly listener: SessionListener;
 }
 
 /** Longest time to wait until ended runs are durable before the lease is renewed regardless. */
 const DURABLE_WAIT_MS: Millis = 700;
+/**
+ * Time for the answer on top of the time that the worker may hold it: one way takes less than 4 ms, longer on
+ * a busy worker.
+ */
+const ANSWER_MARGIN_MS: Millis = 500;
 const RETRY_PAUSE_MS: Millis = 100;
 /** A call that fails within this time before its timeout may have timed out. */
 const TIMEOUT_SLACK_MS: Millis = 100;
 /** Consecutive failed report requests after which the worker gets no new work. */
 const UNREACHABLE_FAILURES = 1;
+/** Timeout of an order. The outcome of one that was not answered by then is known from the reports. */
+const ORDER_TIMEOUT_MS: Millis = 600;
 /** If a worker's clock gains more than this between two reports, this process was suspended. */
 const SUSPENSION_MS: Millis = 1_000;
 /**
@@ -181,11 +185,10 @@
         // renewed a lease runs the task until then, and must not count as free of it.
         const remainingMs = order.workerDeadline - (this.estimateWorkerNow() ?? order.workerDeadline);
         this.leaseEnd = Math.max(this.leaseEnd, clock.now() + computeLeaseBound(remainingMs));
-        const timeout = this.options.patience.computeOrderTimeout();
-        const send = (): Promise<WorkerAnswer<Millis>> => port.start(worker, { ...order, epoch }, timeout);
+        const send = (): Promise<WorkerAnswer<Millis>> =>
+            port.start(worker, { ...order, epoch }, ORDER_TIMEOUT_MS);
         return this.sendOrder(
             "start",
-            timeout,
             () => this.callWithHedge(send, send, this.options.listener.computeHedgeDelay()),
         );
     }
@@ -193,17 +196,16 @@
     /** Orders the worker to stop a run. */
     stop(order: Omit<RunOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
         const { port, worker, epoch } = this.options;
-        const timeout = this.options.patience.computeOrderTimeout();
-        return this.sendOrder("stop", timeout, () => port.stop(worker, { ...order, epoch }, timeout));
+        return this.sendOrder("stop", () => port.stop(worker, { ...order, epoch }, ORDER_TIMEOUT_MS));
     }
 
     private async pauseAfterReport(sentAt: Millis): Promise<void> {
-        const { clock, listener, patience } = this.options;
+        const { clock, listener } = this.options;
         if (this.closed) {
             return;
         }
         if (this.failures > 0) {
-            await sleep(clock, patience.computeRetryPause());
+            await sleep(clock, RETRY_PAUSE_MS);
         }
         else if (!this.areLeasesAllowed) {
             await Promise.race([this.leasesAllowed.wait(), sleep(clock, RETRY_PAUSE_MS)]);
@@ -249,20 +251,14 @@
 
     private async sendOrder(
         name: string,
-        timeout: Millis,
         send: () => Promise<WorkerAnswer<Millis>>,
     ): Promise<WorkerAnswer<Millis>> {
-        const { clock, metrics, patience } = this.options;
+        const { clock, metrics } = this.options;
         const sentAt = clock.now();
-        const wasReachable = this.isReachable;
         const answer = await send();
-        const tookMs = clock.now() - sentAt;
-        metrics.time(`worker.${name}`, tookMs);
-        if (wasReachable || answer.kind === "done") {
-            patience.observeCall(answer.kind === "unknown" || tookMs > patience.computeUsualMs());
-        }
+        metrics.time(`worker.${name}`, clock.now() - sentAt);
         if (answer.kind === "notSent") {
-            this.checkConnection(sentAt, timeout);
+            this.checkConnection(sentAt, ORDER_TIMEOUT_MS);
         }
         if (answer.kind === "done" || answer.kind === "refused") {
             this.lastAnsweredOrderAt = Math.max(this.lastAnsweredOrderAt, sentAt);
@@ -288,18 +284,13 @@
         if (workerDeadline !== undefined) {
             this.leaseEnd = Math.max(this.leaseEnd, sentAt + computeLeaseBound(leaseMs));
         }
-        const marginMs = this.options.patience.computeAnswerMargin();
-        const wasReachable = this.isReachable;
         const request = { epoch, seenEnd: this.durableEnd, workerDeadline, waitMs };
         const answer = await this.callWithHedge(
-            () => port.report(worker, request, waitMs + marginMs),
+            () => port.report(worker, request, waitMs + ANSWER_MARGIN_MS),
             // Both requests carry the same deadline, so the lease end computed above stays an upper bound.
-            () => port.report(worker, { ...request, waitMs: 0 }, marginMs - hedgeDelayMs),
+            () => port.report(worker, { ...request, waitMs: 0 }, ANSWER_MARGIN_MS - hedgeDelayMs),
             waitMs + hedgeDelayMs,
         );
-        if (wasReachable || answer.kind === "done") {
-            this.observeReportCall(answer, waitMs, sentAt);
-        }
         if (this.closed) {
             return;
         }
@@ -310,17 +301,7 @@
         }
         if (!this.handleFinalAnswer(answer)) {
             this.countFailure(answer);
-            this.checkConnection(sentAt, waitMs + marginMs);
-        }
-    }
-
-    /** Records whether a report was late, unless the worker may have held it back for a while. */
-    private observeReportCall(answer: WorkerAnswer<unknown>, waitMs: Millis, sentAt: Millis): void {
-        const { clock, patience } = this.options;
-        const tookMs = clock.now() - sentAt;
-        const usualMs = patience.computeUsualMs();
-        if (answer.kind !== "done" || tookMs <= usualMs || tookMs >= waitMs) {
-            patience.observeCall(answer.kind !== "done" || tookMs > waitMs + usualMs);
+            this.checkConnection(sentAt, waitMs + ANSWER_MARGIN_MS);
         }
     }
 
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -50,11 +50,10 @@
 export class Fleet {
     /** Locates the runs of assigned tasks. */
     readonly runs: RunFinder;
-    /** How the workers answer this leader. */
-    readonly lostAnswers: LostAnswers;
     private readonly members = new Map<string, FleetMember>();
     private readonly inherited: InheritedRuns;
     private readonly losses: LostRuns;
+    private readonly lostAnswers: LostAnswers;
     /** Incarnations that have ended but are still listed. */
     private readonly endedIncarnations = new Set<string>();
     private closed = false;
@@ -193,7 +192,6 @@
             epoch: context.epoch,
             leaseMs: context.leaseMs,
             inheritedLeaseEnd: this.inherited.computeLeaseEnd(record.workerId),
-            patience: this.lostAnswers,
             listener: {
                 handleReport: (report, ended, isFirst) => this.handleReport(member, report, ended, isFirst),
                 handleReachabilityChange: isReachable => this.handleReachable(state, isReachable),
@@ -235,9 +233,11 @@
 
     /** Counts each lost answer, and logs when answers begin to get lost. */
     private handleLostAnswer(workerId: string): void {
-        if (this.lostAnswers.observeLoss(this.context.clock.now())) {
+        const now = this.context.clock.now();
+        if (!this.lostAnswers.hasLost(now)) {
             this.context.log.info("answersGetLost", { workerId, workers: this.members.size });
         }
+        this.lostAnswers.observeLoss(now);
     }
 
     private handleSuspended(gap: Millis): void {
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -15,7 +15,6 @@
 import type { LeaderContext } from "./context.js";
 import type { Fleet } from "./fleet.js";
 import { OrderRefusals } from "./order-refusals.js";
-import { OrderWindow } from "./order-window.js";
 import type { RunEndHandler } from "./run-end-handler.js";
 
 /**
@@ -34,9 +33,6 @@
 export class Starter {
     /** The workers that planning must leave out for a step after refusals. */
     readonly refusals = new OrderRefusals();
-    private readonly window: OrderWindow;
-    /** Whether planned starts were left to a later pass. */
-    private hasPostponed = false;
 
     /**
      * @param ends - Handles the runs that never began.
@@ -47,22 +43,13 @@
         private readonly fleet: Fleet,
         private readonly ends: RunEndHandler,
         private readonly getPermits: (step: Step) => StepPermits,
-    ) {
-        this.window = new OrderWindow(context.clock, context.lateness);
-    }
+    ) {}
 
-    /**
-     * Assigns the planned tasks, as many as the order window admits, the most urgent first. All members of a
-     * gang are assigned at once and get the same run number.
-     */
+    /** Assigns the planned tasks. All members of a gang get the same run number. */
     startAll(starts: readonly PlannedStart[]): void {
         const gangRuns = new Map<Step, number>();
         for (const start of starts) {
             const { step, task } = start;
-            if (this.window.countFree() === 0 && !gangRuns.has(step)) {
-                this.hasPostponed = true;
-                continue;
-            }
             let run = task.run + 1;
             if (step.spec.isGang) {
                 run = gangRuns.get(step) ?? chooseGangRun(step);
@@ -92,25 +79,16 @@
             orderedAt: this.context.clock.now(),
         });
         worker.addRun(record);
-        this.window.open();
         const { jobs, epoch } = this.context;
         const { workerId, address } = worker.record;
         const isAddressKept = jobs.adoptions.get(workerId)?.address === address;
         const event = { type: "assigned", task: task.name, run, workerId, epoch } as const;
         this.context.record(
             isAddressKept ? event : { ...event, address },
-            () => void this.order(start, record).finally(() => this.closeOrder()),
+            () => void this.order(start, record),
         );
     }
 
-    private closeOrder(): void {
-        this.window.close();
-        if (this.hasPostponed) {
-            this.hasPostponed = false;
-            this.context.requestPass();
-        }
-    }
-
     /** Sends the order once the assignment is durable. */
     private async order(start: PlannedStart, record: RunRecord): Promise<void> {
         const { worker, step, permit } = start;
@@ -143,9 +121,6 @@
             checkpoint,
             permit,
         });
-        if (answer.kind === "done" || answer.kind === "unknown") {
-            this.window.observeOrder(record.orderedAt);
-        }
         this.logOrder(start, record, answer);
         this.settle(start, record, answer);
     }
--- a/src/process/leader/state-report.ts
+++ b/src/process/leader/state-report.ts
@@ -31,7 +31,7 @@
     /** Writes the log lines and sets the gauges. Must be called once a second. */
     report(): void {
         const { context, advice, fleet, isStalled, getLastPassAt } = this.options;
-        const { clock, log, metrics, epoch, jobs, authority, lateness } = context;
+        const { clock, log, metrics, epoch, jobs, authority } = context;
         const now = clock.now();
         const lastPassAt = getLastPassAt();
         this.missingQueues.check();
@@ -51,8 +51,6 @@
             sincePassMs: lastPassAt === undefined ? undefined : Math.round(now - lastPassAt),
             waitingSteps: waiting.count,
             longestWaitMs: Math.round(waiting.longestMs),
-            latenessMs: Math.round(lateness.getMeanLatenessMs()),
-            linkFull: fleet.lostAnswers.isLinkFull(),
         };
         log.info("leaderState", fields);
         metrics.gauge("jobs.open", fields.openJobs);
--- a/src/test/dispatch/lost-answers_test.ts
+++ b/src/test/dispatch/lost-answers_test.ts
@@ -49,35 +49,3 @@
         });
     }
 });
-
-describe("a leader whose calls are late", () => {
-    const cases = [
-        { name: "takes one late call in ten for lost answers", lateEvery: 10, isFull: false },
-        { name: "takes its link for full when every second call is late", lateEvery: 2, isFull: true },
-        { name: "takes its link for full when all calls are late", lateEvery: 1, isFull: true },
-    ];
-    for (const { name, lateEvery, isFull } of cases) {
-        it(name, () => {
-            const lost = new LostAnswers(ON_TIME);
-            for (let call = 1; call <= 200; call++) {
-                lost.observeCall(call % lateEvery === 0);
-            }
-            assert.equal(lost.observeLoss(NOW), !isFull);
-            assert.equal(lost.computeReportWait(NOW, 33), isFull ? 1_000 : 250);
-            // A call ends before it would be made again.
-            assert.equal(lost.computeHedgeDelay(NOW) > 600, isFull);
-            assert.equal(lost.computeAnswerMargin(), isFull ? 1_500 : 500);
-        });
-    }
-
-    it("takes its link for free once calls are answered in time", () => {
-        const lost = new LostAnswers(ON_TIME);
-        for (let call = 0; call < 100; call++) {
-            lost.observeCall(true);
-        }
-        for (let call = 0; call < 60; call++) {
-            lost.observeCall(false);
-        }
-        assert.equal(lost.isLinkFull(), false);
-    });
-});
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -1,8 +1,6 @@
 /** Tests a leader's session with one worker. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ON_TIME } from "../../common/lateness.js";
-import { LostAnswers } from "../../process/dispatch/lost-answers.js";
 import { WorkerSession } from "../../process/dispatch/worker-session.js";
 import type { TaskWorkerPort } from "../../process/ports/task-worker-port.js";
 import { FakeClock } from "../fakes/fake-clock.js";
@@ -33,7 +31,6 @@
             epoch: 2,
             leaseMs: 4_500,
             inheritedLeaseEnd: -Infinity,
-            patience: new LostAnswers(ON_TIME),
             listener: {
                 handleReport: () => undefined,
                 handleReachabilityChange: () => undefined,
