A queue's share of the advice service does not depend on its newest request

Cause: whether a share was late was judged by the request to be sent, which may be fresh, and requests that are too late aged only after ten seconds. Change: judged by the longest waiting one; aged after three seconds. Three cases of request-shares_test use waits below the new three seconds; what they check is unchanged.

--- a/src/process/dispatch/request-shares.ts
+++ b/src/process/dispatch/request-shares.ts
@@ -31,7 +31,7 @@
 /** Wait of a request after which its queue gets a share of the nodes' time. */
 const LATE_REQUEST_MS: Millis = 1_000;
 /** Wait of a request after which it may go before more urgent ones of its share. */
-const AGED_REQUEST_MS: Millis = 10_000;
+const AGED_REQUEST_MS: Millis = 3_000;
 /** One of this many requests of a share is the longest waiting one, if it has waited that long. */
 const AGED_TURN = 4;
 /** Key of the share of the nodes' time that requests of steps without free capacity get. */
@@ -112,8 +112,9 @@
         const backlogs = this.collectBacklogs(waiting);
         const fairLoad = nodes / Math.max(1, backlogs.length);
         return backlogs
+            .filter(({ longest }) => this.getWait(longest) >= LATE_REQUEST_MS)
             .map(backlog => ({ load: backlog.share.load.compute(), request: this.chooseNext(backlog) }))
-            .filter(({ load, request }) => load < fairLoad && this.getWait(request) >= LATE_REQUEST_MS)
+            .filter(({ load }) => load < fairLoad)
             .sort((left, right) => left.load - right.load)
             .map(({ request }) => request);
     }
