--- a/src/connection/http/arrival-timeouts.ts
+++ b/src/connection/http/arrival-timeouts.ts
@@ -34,9 +34,7 @@
 /**
  * Applies the timeouts of arriving requests to all connections of a server.
  *
- * @remarks Node's own timeouts count wall-clock time and expire before sockets are read, so a process that was
- * unresponsive refuses requests that have arrived. Here the timeouts count responsive time, and what has
- * arrived is read first.
+ * @remarks Unlike Node's own timeouts they count responsive time, and what has arrived is read before they expire.
  */
 export class ArrivalTimeouts {
     private readonly arrivals = new Map<Socket, Arrival>();
--- a/src/process/dispatch/node-reservation.ts
+++ b/src/process/dispatch/node-reservation.ts
@@ -49,14 +49,8 @@
     }
 
     /**
-     * Counts the nodes reserved against a long request, by how busy the short requests of queues that are at
-     * least as urgent keep them.
-     *
-     * @remarks A few short requests of a less urgent queue would otherwise keep a node idle beside gangs of a
-     * queue before theirs.
-     *
-     * Where short requests are rare, the load alone would reserve no node, and the next one would wait behind
-     * a long request. One node therefore stays reserved for a while.
+     * Counts the nodes reserved against a long request, by how busy short requests keep them. Those of less
+     * urgent queues do not count: a few would keep a node idle beside gangs.
      * @param priority - Priority of the long request's queue.
      * @param nodes - Number of nodes that can send requests.
      */
@@ -64,6 +58,7 @@
         const counted = [...this.requests].filter(([other]) => other <= priority);
         const load = counted.reduce((sum, [, short]) => sum + short.load.compute(), 0);
         const lastAt = Math.max(-Infinity, ...counted.map(([, short]) => short.lastAt));
+        // Rare short requests must not wait behind a long one either.
         const canSpareOne = nodes >= MIN_NODES_TO_RESERVE &&
             this.clock.now() - lastAt < SHORT_REQUEST_MEMORY_MS;
         if (nodes < 2 || load < MIN_SHORT_LOAD) {
--- a/src/process/dispatch/request-shares.ts
+++ b/src/process/dispatch/request-shares.ts
@@ -38,8 +38,8 @@
 const NO_CAPACITY = "noRoom";
 
 /**
- * Owner of a share of the nodes' time: a queue, by its priority, or the steps of all queues that have no free
- * capacity.
+ * Owner of a share of the nodes' time: a queue, by its priority, or all steps without free capacity, among them
+ * gangs that get theirs by preemption once it is known which workers may run them.
  */
 type ShareKey = number | typeof NO_CAPACITY;
 
@@ -62,11 +62,9 @@
 }
 
 /**
- * Compares two requests: steps that could start first, then by the queue's priority, then steps that have had no
- * answer, then short requests.
+ * Compares two requests: steps that could start first, then by priority, then first requests, then short ones.
  *
- * @remarks If short requests went first regardless of their queue, all jobs of the last queue would be in time with
- * slack to spare, and would fill the capacity that large gangs of the queue before it need.
+ * @remarks Short requests of the last queue must not take the capacity that gangs of the queue before it need.
  */
 export function compareRequests(left: AdviceRequest, right: AdviceRequest): number {
     return Number(right.hasCapacity) - Number(left.hasCapacity) ||
@@ -89,22 +87,8 @@
     }
 
     /**
-     * Chooses the request of each share that goes before all others, if requests of the share have waited too long
-     * and it has had less than its part of the nodes' time; the share with the least load first.
-     *
-     * @remarks A queue with a high priority may make requests as fast as the nodes send them. The queues behind it
-     * would wait for as long as that lasts although their tasks fit beside everything.
-     *
-     * A gang may get capacity only by preempting less urgent runs, and nothing is preempted before it is known
-     * which workers may run the gang. If requests without free capacity were sent only while no other waits, the
-     * gang would wait for as long as work arrives that has free capacity.
-     *
-     * A queue with more requests than the nodes can send always has a late one. If that went first regardless of
-     * what the queue has had, each request of the queues before it would wait until it is late itself.
-     *
-     * In a queue with more requests than its share, sending the longest waiting one first would make every job of
-     * the queue late. The most urgent one goes first, and the longest waiting ones only now and then, so that each
-     * accepted job is run eventually.
+     * Chooses one request of each share that has a late one and has had less than its part of the nodes' time,
+     * the share with the least load first. These go before all others, so that no queue starves another.
      * @param waiting - The requests that wait.
      * @param nodes - Number of nodes that can send requests.
      */
@@ -119,6 +103,7 @@
             .map(({ request }) => request);
     }
 
+    /** Chooses mostly the most urgent request: by waiting time, every job of an overloaded queue would be late. */
     private chooseNext({ share, longest, mostUrgent }: Backlog): AdviceRequest {
         const isAgedTurn = share.sentCount % AGED_TURN === 0 && this.getWait(longest) >= AGED_REQUEST_MS;
         return isAgedTurn ? longest : mostUrgent;
--- a/src/test/dispatch/reserved-nodes_test.ts
+++ b/src/test/dispatch/reserved-nodes_test.ts
@@ -82,7 +82,7 @@
             },
         ]
     ) {
-        // 40 requests of 510 ms are 20.4 s of the 28 s that two nodes have.
+        // The two nodes together have time for all of them.
         it(`does not keep long requests waiting: ${name}`, async () => {
             const nodes = new ServedNodes();
             nodes.enqueue("row-first", ROWS, ROW_WORKERS, 2);
--- a/src/test/leader/crashing-queue-backlog_test.ts
+++ b/src/test/leader/crashing-queue-backlog_test.ts
@@ -24,7 +24,7 @@
 const FIRST_RISKY = 1_000;
 const RUN_MS: Millis = 700;
 const MAX_RETRIES = 4;
-/** Time after the load from which no accepted job may wait for 3 s with nothing running. */
+/** Time after the load from which no accepted job may wait for long with nothing running. */
 const FINISH_MS: Millis = 14_000;
 const MAX_WAIT_MS: Millis = 3_000;
 /** Fewest jobs that complete, as a queue that is refused altogether leaves none waiting. */
--- a/src/test/load/few-callers_test.ts
+++ b/src/test/load/few-callers_test.ts
@@ -9,8 +9,7 @@
 import type { UsedRequest } from "./advice-use.js";
 import { FEW_CALLERS_LOAD, pickJobs } from "./load-profile.js";
 import { PlayedLoad } from "./played-load.js";
-
-const FINISH_MS: Millis = 14_000;
+import { FINISH_MS } from "./stalled-jobs.js";
 
 /** Estimates how long the service takes for one request of each step that still made one after the load. */
 function estimateNeedMs(requests: readonly UsedRequest[], seed: number): Millis {
--- a/src/test/load/stalled-jobs.ts
+++ b/src/test/load/stalled-jobs.ts
@@ -9,7 +9,7 @@
 import type { LoadProfile } from "./load-profile.js";
 
 /** Time after the end of the load at which jobs are observed. */
-const FINISH_MS: Millis = 14_000;
+export const FINISH_MS: Millis = 14_000;
 /** Duration of the observation; a job that stands still all the while has stalled. */
 const STALL_MS: Millis = 3_000;
 /** How many times a task, or a whole gang, must fit on workers that may run it. */
