Tests of the order of requests build them in one place

RequestQueue, request-shares_test and request-starvation_test each listed the defaults of a request. Assertions and inputs are unchanged; 136 tests of src/test/dispatch pass.

--- a/src/test/dispatch/request-queue.ts
+++ b/src/test/dispatch/request-queue.ts
@@ -10,6 +10,21 @@
     & Pick<AdviceRequest, "step" | "workerIds" | "policy" | "priority">
     & Partial<AdviceRequest>;
 
+/** Builds a request; fields that are left out are those of a timely first request with free capacity. */
+export function buildRequest(testRequest: TestRequest): AdviceRequest {
+    return {
+        hasCapacity: true,
+        isFirst: true,
+        lateness: 0,
+        dueAt: 0,
+        since: 0,
+        isWanted: () => true,
+        handleSent: () => undefined,
+        settle: () => undefined,
+        ...testRequest,
+    };
+}
+
 /** Keeps the waiting requests, as a leader does. */
 export class RequestQueue {
     private readonly waiting = new Set<AdviceRequest>();
@@ -19,13 +34,7 @@
     /** Adds a request behind those that wait. */
     enqueue(testRequest: TestRequest): void {
         const request: AdviceRequest = {
-            hasCapacity: true,
-            isFirst: true,
-            lateness: 0,
-            dueAt: 0,
-            since: 0,
-            isWanted: () => true,
-            ...testRequest,
+            ...buildRequest(testRequest),
             handleSent: nodeName => {
                 this.waiting.delete(request);
                 testRequest.handleSent?.(nodeName);
--- a/src/test/dispatch/request-shares_test.ts
+++ b/src/test/dispatch/request-shares_test.ts
@@ -5,27 +5,14 @@
 import { RequestShares } from "../../process/dispatch/request-shares.js";
 import type { AdviceRequest } from "../../process/dispatch/request-shares.js";
 import { FakeClock } from "../fakes/fake-clock.js";
+import { buildRequest } from "./request-queue.js";
 
 const NODES = 2;
 const REQUEST_MS: Millis = 500;
 const POLICY = { decideMs: REQUEST_MS, perWorkerMs: 0, validMs: 2_500 };
 
 function makeRequest(fields: Partial<AdviceRequest>): AdviceRequest {
-    return {
-        step: "step",
-        workerIds: ["w1"],
-        policy: POLICY,
-        priority: 1,
-        hasCapacity: true,
-        since: 0,
-        isFirst: true,
-        lateness: 0,
-        dueAt: 0,
-        isWanted: () => true,
-        handleSent: () => undefined,
-        settle: () => undefined,
-        ...fields,
-    };
+    return buildRequest({ step: "step", workerIds: ["w1"], policy: POLICY, priority: 1, ...fields });
 }
 
 describe("the requests that go before all others", () => {
--- a/src/test/dispatch/request-starvation_test.ts
+++ b/src/test/dispatch/request-starvation_test.ts
@@ -10,6 +10,7 @@
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import { FakeClock } from "../fakes/fake-clock.js";
 import { createFakeLog } from "../fakes/fake-telemetry.js";
+import { buildRequest } from "./request-queue.js";
 
 const POLICY: AdvicePolicy = { decideMs: 400, perWorkerMs: 0, validMs: 2_500 };
 const NODES = 2;
@@ -78,14 +79,12 @@
     }
 
     private build({ step, priority, since, lateAt }: Wanted): AdviceRequest {
-        return {
+        return buildRequest({
             step,
             workerIds: ["w1"],
             policy: POLICY,
             priority,
-            hasCapacity: true,
             since,
-            isFirst: true,
             lateness: this.clock.now() <= lateAt ? 0 : 1,
             dueAt: lateAt,
             isWanted: () => this.wanted.has(step),
@@ -93,8 +92,7 @@
                 this.wanted.delete(step);
                 this.sent.push({ step, at: this.clock.now() });
             },
-            settle: () => undefined,
-        };
+        });
     }
 }
 
