A refusal for a queue on probation says so; probationState once a second

Callers saw 503 with reason overloaded both from a late leader and from a queue whose tasks are believed to crash workers, and nothing told how old the evidence is. queueOnProbation now has sinceCrashMs, restoredWorkers (evidence of earlier leaders) and sinceBeginMs; probationState has the counts and the waiting work of up to five queues. No decision changes.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -55,6 +55,8 @@
     readonly recentRate: number;
     /** Starts per second over the last few seconds; undefined until that long was observed. */
     readonly startsPerS: number | undefined;
+    /** Time since the last counted crash that its tasks may have caused; Infinity without one. */
+    readonly sinceCrashMs: Millis;
 }
 
 interface Crash {
@@ -178,9 +180,14 @@
             rate: crashes / (starts + PRIOR_STARTS),
             recentRate: recent.crashes / (recent.starts + PRIOR_STARTS),
             startsPerS: now - this.beganAt < RECENT_MS ? undefined : recent.starts / (RECENT_MS / 1_000),
+            sinceCrashMs: now - Math.max(-Infinity, ...this.listCrashTimes(queue)),
         };
     }
 
+    private listCrashTimes(queue: string): readonly Millis[] {
+        return this.crashes.filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
+    }
+
     private count(queue: string, since: Millis): { readonly starts: number; readonly crashes: number; } {
         const buckets = this.buckets.filter(({ at }) => at >= since);
         const crashes = this.crashes.filter(({ at }) => at >= since);
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -10,6 +10,7 @@
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
 import { CLEARED_MS, computeLossBackoff, countCrashes, EARLY_MS, isCrasher } from "../jobs/worker-losses.js";
+import type { LogValue } from "../telemetry.js";
 import type { LeaderContext } from "./context.js";
 import { RunLoss } from "./run-loss.js";
 
@@ -30,6 +31,9 @@
     readonly isEarlyLoss: boolean;
 }
 
+/** Bounds the lines that are logged at a time. */
+const MAX_REPORTED_QUEUES = 5;
+
 const LOSS_KINDS: Readonly<Record<RunLoss, LossKind | undefined>> = {
     [RunLoss.replaced]: LossKind.crashed,
     [RunLoss.leaseOver]: LossKind.suspected,
@@ -45,6 +49,8 @@
     private readonly risk: CrashRisk;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs: ReadonlyMap<string, RiskyBacklog> = new Map();
+    /** Number of workers whose losses earlier leaders recorded and this one counts. */
+    private restoredWorkers = 0;
 
     /**
      * @param closeIfFinished - Called with the steps whose tasks' losses turned out to be crashes; closes
@@ -105,13 +111,13 @@
         const { clock, log, metrics } = this.context;
         const now = clock.now();
         const risky = this.risk.listRisky(now, queue => (this.backlogs.get(queue)?.probes ?? 0) > 0);
-        for (const [queue, { starts, crashes, rate }] of risky) {
+        for (const [queue, risk] of risky) {
             if (!this.riskyQueues.has(queue)) {
                 log.warn("CR1622", "queueOnProbation", {
                     queue,
-                    starts,
-                    crashes: formatShare(crashes, 10),
-                    rate: formatShare(rate, 1_000),
+                    ...describeRisk(risk),
+                    restoredWorkers: this.restoredWorkers,
+                    sinceBeginMs: Math.round(now - this.startedAt),
                 });
             }
         }
@@ -129,6 +135,18 @@
         };
     }
 
+    /** Logs the state of the queues on probation. */
+    reportProbation(): void {
+        for (const [queue, risk] of [...this.riskyQueues].slice(0, MAX_REPORTED_QUEUES)) {
+            this.context.log.info("probationState", {
+                queue,
+                ...describeRisk(risk),
+                startsPerS: risk.startsPerS,
+                ...this.backlogs.get(queue),
+            });
+        }
+    }
+
     /**
      * Decides whether the loss of a task's current run counts against the task. A run that was executing for
      * long clears its task instead.
@@ -225,7 +243,9 @@
                 const queue = jobs.findTask(name)?.step.job.queue;
                 return isEarly && queue !== undefined ? [{ queue, provenMs: 0, isSuspect: false }] : [];
             });
-            this.risk.observeLoss({ workerId, pool: "" }, runs, this.startedAt);
+            if (this.risk.observeLoss({ workerId, pool: "" }, runs, this.startedAt)) {
+                this.restoredWorkers += 1;
+            }
         }
     }
 
@@ -234,6 +254,17 @@
     }
 }
 
+function describeRisk(
+    { starts, crashes, rate, sinceCrashMs }: QueueRisk,
+): Readonly<Record<string, LogValue>> {
+    return {
+        starts,
+        crashes: formatShare(crashes, 10),
+        rate: formatShare(rate, 1_000),
+        sinceCrashMs: Number.isFinite(sinceCrashMs) ? Math.round(sinceCrashMs) : undefined,
+    };
+}
+
 function formatShare(value: number, parts: number): number {
     return Math.round(value * parts) / parts;
 }
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -162,14 +162,15 @@
         const { share, retryAfterMs } = admission;
         if (admission === risky) {
             this.logDecision(jobId, queue.name, "refused", "the queue's tasks crash workers", { ...backlog });
+            reply({ kind: "refused", reason: RefusalReason.queueOnProbation, retryAfterMs });
         }
         else {
             this.logDecision(jobId, queue.name, "refused", "the leader is late", {
                 latenessMs: Math.round(this.context.lateness.getMeanLatenessMs()),
                 refusedShare: share,
             });
+            reply({ kind: "refused", reason: RefusalReason.overloaded, retryAfterMs });
         }
-        reply({ kind: "refused", reason: RefusalReason.overloaded, retryAfterMs });
         return true;
     }
 
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -21,8 +21,10 @@
     storeAway: "storeAway",
     /** No node leads at the moment. */
     noLeader: "noLeader",
-    /** The leader has no processor time for more jobs, or the queue is on probation. */
+    /** The leader has no processor time for more jobs. */
     overloaded: "overloaded",
+    /** The queue's tasks have been crashing workers, and its waiting jobs use all that it may use. */
+    queueOnProbation: "queueOnProbation",
     /** No configuration has been received yet. */
     noConfig: "noConfig",
 } as const;
--- a/src/process/leader/state-report.ts
+++ b/src/process/leader/state-report.ts
@@ -30,7 +30,7 @@
 
     /** Writes the log lines and sets the gauges. Must be called once a second. */
     report(): void {
-        const { context, advice, fleet, isStalled, getLastPassAt } = this.options;
+        const { context, advice, crashes, fleet, isStalled, getLastPassAt } = this.options;
         const { clock, log, metrics, epoch, jobs, authority } = context;
         const now = clock.now();
         const lastPassAt = getLastPassAt();
@@ -53,6 +53,7 @@
             longestWaitMs: Math.round(waiting.longestMs),
         };
         log.info("leaderState", fields);
+        crashes.reportProbation();
         metrics.gauge("jobs.open", fields.openJobs);
         metrics.gauge("workers.usable", fields.usableWorkers);
         metrics.gauge("advice.waiting", fields.questions);
--- a/src/test/dispatch/crash-risk_test.ts
+++ b/src/test/dispatch/crash-risk_test.ts
@@ -161,7 +161,7 @@
 
     it("requires a longer proof the more starts end in crashes", () => {
         const proofs = [0, 0.01, 0.03, 0.2].map(recentRate =>
-            computeProofMs({ starts: 0, crashes: 0, rate: 0, recentRate, startsPerS: 0 })
+            computeProofMs({ starts: 0, crashes: 0, rate: 0, recentRate, startsPerS: 0, sinceCrashMs: 0 })
         );
         assert.deepEqual(proofs, [...proofs].sort((left, right) => left - right));
         assert.ok((proofs[0] ?? 0) < (proofs[3] ?? 0));
--- a/src/test/dispatch/probation_test.ts
+++ b/src/test/dispatch/probation_test.ts
@@ -12,7 +12,14 @@
 import { makeJobId, makeRunRecord, makeSpec, makeWorkerRecord, QUEUE } from "../leader/leader-cell.js";
 
 const NOW = 100_000;
-const RISK: QueueRisk = { starts: 50, crashes: 5, rate: 0.1, recentRate: 0.1, startsPerS: 5 };
+const RISK: QueueRisk = {
+    starts: 50,
+    crashes: 5,
+    rate: 0.1,
+    recentRate: 0.1,
+    startsPerS: 5,
+    sinceCrashMs: 0,
+};
 
 /**
  * Runs on a worker: `o` of another queue, `p` of a risky queue that has proven harmless, `u` of a risky queue
