Losses of workers that earlier leaders recorded count by their age

Cause: a new leader counted each loss recorded with an open task as a crash of the moment in which it began, 58 crashes against no starts, although the last worker had been lost 11 s before. Evidence that was stored without its age. Change: a loss is recorded with its wall-clock time; a leader restores those of the last ten seconds, at their age. Losses without a time (earlier versions) put no queue on probation. The pause of a task that was lost three times goes on under the next leader instead of beginning anew: the same cause.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -20,7 +20,7 @@
 }
 
 /** Window over which starts and crashes are counted. */
-const WINDOW_MS: Millis = 10_000;
+export const CRASH_WINDOW_MS: Millis = 10_000;
 /** Window of the recent rate, which decides how fast new tasks start. */
 const RECENT_MS: Millis = 4_000;
 const BUCKET_MS: Millis = 1_000;
@@ -172,7 +172,7 @@
     }
 
     private computeRisk(queue: string, now: Millis): QueueRisk {
-        const { starts, crashes } = this.count(queue, now - WINDOW_MS);
+        const { starts, crashes } = this.count(queue, now - CRASH_WINDOW_MS);
         const recent = this.count(queue, now - RECENT_MS);
         return {
             starts,
@@ -198,8 +198,8 @@
     }
 
     private forgetOld(now: Millis): void {
-        this.buckets = this.buckets.filter(({ at }) => now - at < WINDOW_MS);
-        this.crashes = this.crashes.filter(({ at }) => now - at < WINDOW_MS);
+        this.buckets = this.buckets.filter(({ at }) => now - at < CRASH_WINDOW_MS);
+        this.crashes = this.crashes.filter(({ at }) => now - at < CRASH_WINDOW_MS);
     }
 }
 
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -84,6 +84,11 @@
     readonly loss?: LossKind;
     /** Whether the run had only just started when its worker was lost. */
     readonly isEarlyLoss?: boolean;
+    /**
+     * Wall-clock time at which the run was declared lost, in milliseconds since 1970. Absent from events of
+     * earlier versions.
+     */
+    readonly lostAt?: number;
 }
 
 /** A job was cancelled by its caller. */
--- a/src/process/jobs/job-registry.ts
+++ b/src/process/jobs/job-registry.ts
@@ -273,7 +273,8 @@
         if (event.loss !== undefined && task.workerId !== undefined) {
             const isCrash = event.loss === LossKind.crashed;
             const isEarly = event.isEarlyLoss === true;
-            this.losses.add(task, { workerId: task.workerId, run: event.run, isCrash, isEarly });
+            const { run, lostAt: at } = event;
+            this.losses.add(task, { workerId: task.workerId, run, isCrash, isEarly, at });
         }
         task.state = TaskState.waiting;
         task.workerId = undefined;
--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -19,6 +19,11 @@
     isCrash: boolean;
     /** Whether the run had only just started, according to the worker's last report. */
     readonly isEarly: boolean;
+    /**
+     * Wall-clock time at which the run was declared lost, in milliseconds since 1970; undefined if an earlier
+     * version recorded the loss.
+     */
+    readonly at?: number | undefined;
 }
 
 /**
@@ -68,6 +73,15 @@
     return isLimitReached && countCrashes(task) >= MIN_CRASHES_TO_GIVE_UP;
 }
 
+/**
+ * Computes how long ago a run was declared lost.
+ * @param wallNow - Wall-clock time; the VM that recorded the loss may have had a different one.
+ * @returns Infinity if that is not known.
+ */
+export function computeLossAge({ at }: WorkerLoss, wallNow: number): Millis {
+    return at === undefined ? Infinity : Math.max(0, wallNow - at);
+}
+
 /** Counts the workers that certainly crashed with a run of a task. */
 export function countCrashes({ losses }: Task): number {
     return losses.filter(loss => loss.isCrash).length;
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -1,7 +1,7 @@
 /** Distinguishes tasks that crash their workers from tasks whose workers were lost for other reasons. */
 import type { Millis } from "../../common/clock.js";
 import { isLate } from "../../common/lateness.js";
-import { CrashRisk } from "../dispatch/crash-risk.js";
+import { CRASH_WINDOW_MS, CrashRisk } from "../dispatch/crash-risk.js";
 import type { QueueRisk, RunAtLoss } from "../dispatch/crash-risk.js";
 import type { ProbationInput, RiskyBacklog } from "../dispatch/probation.js";
 import { RunPhase } from "../dispatch/worker-state.js";
@@ -9,7 +9,14 @@
 import { LossKind } from "../jobs/job-events.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
-import { CLEARED_MS, computeLossBackoff, countCrashes, EARLY_MS, isCrasher } from "../jobs/worker-losses.js";
+import {
+    CLEARED_MS,
+    computeLossAge,
+    computeLossBackoff,
+    countCrashes,
+    EARLY_MS,
+    isCrasher,
+} from "../jobs/worker-losses.js";
 import type { LogValue } from "../telemetry.js";
 import type { LeaderContext } from "./context.js";
 import { RunLoss } from "./run-loss.js";
@@ -29,6 +36,16 @@
 export interface CountedLoss {
     readonly loss: LossKind;
     readonly isEarlyLoss: boolean;
+    /** Wall-clock time, in milliseconds since 1970. */
+    readonly lostAt: number;
+}
+
+/** The loss of a worker that an earlier leader recorded. */
+interface RestoredLoss {
+    readonly workerId: string;
+    readonly ageMs: Millis;
+    /** Runs that had just started there. */
+    readonly runs: readonly RunAtLoss[];
 }
 
 /** Bounds the lines that are logged at a time. */
@@ -46,6 +63,8 @@
     /** When this leader last declared a run of a task lost. */
     private readonly lostAt = new WeakMap<Task, Millis>();
     private readonly startedAt: Millis;
+    /** Wall-clock time at {@link startedAt}. */
+    private readonly startedAtWall: number;
     private readonly risk: CrashRisk;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs: ReadonlyMap<string, RiskyBacklog> = new Map();
@@ -61,6 +80,7 @@
         private readonly closeIfFinished: (steps: Iterable<Step>) => void,
     ) {
         this.startedAt = context.clock.now();
+        this.startedAtWall = context.clock.wallNow();
         this.risk = new CrashRisk(this.startedAt);
         this.restoreRisk();
     }
@@ -162,8 +182,9 @@
             this.clearTask(task);
             return undefined;
         }
-        this.lostAt.set(task, this.context.clock.now());
-        return { loss, isEarlyLoss };
+        const { clock } = this.context;
+        this.lostAt.set(task, clock.now());
+        return { loss, isEarlyLoss, lostAt: clock.wallNow() };
     }
 
     /** Clears a task's losses: it has run for so long that it need not run alone on its worker any more. */
@@ -177,7 +198,19 @@
     /** Whether a task must wait until more is known about its losses. */
     isPaused(task: Task): boolean {
         const pause = computeLossBackoff(task);
-        return pause > 0 && this.context.clock.now() < (this.lostAt.get(task) ?? this.startedAt) + pause;
+        return pause > 0 && this.context.clock.now() < this.findLostAt(task) + pause;
+    }
+
+    /** Finds when a task was last lost, on this leader's clock; an earlier leader may have recorded it. */
+    private findLostAt(task: Task): Millis {
+        const known = this.lostAt.get(task);
+        if (known !== undefined) {
+            return known;
+        }
+        const ages = task.losses.map(loss => computeLossAge(loss, this.startedAtWall));
+        const lostAt = this.startedAt - Math.min(...ages);
+        this.lostAt.set(task, lostAt);
+        return lostAt;
     }
 
     /**
@@ -234,21 +267,37 @@
         });
         metrics.count("tasks.givenUp");
     }
-    /** Restores the queues' crash risk from the losses that earlier leaders recorded. */
+
+    /** Restores the queues' crash risk from the recent losses that earlier leaders recorded. */
     private restoreRisk(): void {
         const { jobs } = this.context;
-        for (const workerId of jobs.losses.listWorkers()) {
-            const runs = jobs.losses.listTasks(workerId).flatMap(({ name, losses }): readonly RunAtLoss[] => {
-                const isEarly = losses.some(loss => loss.workerId === workerId && loss.isEarly);
-                const queue = jobs.findTask(name)?.step.job.queue;
-                return isEarly && queue !== undefined ? [{ queue, provenMs: 0, isSuspect: false }] : [];
-            });
-            if (this.risk.observeLoss({ workerId, pool: "" }, runs, this.startedAt)) {
+        const restored = [...jobs.losses.listWorkers()]
+            .map(workerId => this.restoreLoss(workerId))
+            .filter(({ ageMs }) => ageMs < CRASH_WINDOW_MS)
+            .sort((left, right) => right.ageMs - left.ageMs);
+        for (const { workerId, ageMs, runs } of restored) {
+            if (this.risk.observeLoss({ workerId, pool: "" }, runs, this.startedAt - ageMs)) {
                 this.restoredWorkers += 1;
             }
         }
     }
 
+    private restoreLoss(workerId: string): RestoredLoss {
+        const { jobs } = this.context;
+        const runs: RunAtLoss[] = [];
+        let ageMs: Millis = Infinity;
+        for (const { name, losses } of jobs.losses.listTasks(workerId)) {
+            const queue = jobs.findTask(name)?.step.job.queue;
+            for (const loss of losses.filter(other => other.workerId === workerId)) {
+                ageMs = Math.min(ageMs, computeLossAge(loss, this.startedAtWall));
+                if (loss.isEarly && queue !== undefined) {
+                    runs.push({ queue, provenMs: 0, isSuspect: false });
+                }
+            }
+        }
+        return { workerId, ageMs, runs };
+    }
+
     private hasEarlyLoss(task: string): boolean {
         return this.context.jobs.findTask(task)?.task.losses.some(({ isEarly }) => isEarly) === true;
     }
