Workers that are lost together are not blamed on what had just started there

Cause: each lost worker was judged for itself. Of sixteen lost in one instant two or three have always just started something. Change: LossCauses groups losses that may have happened at the same time; if a third of the group, and two at least, had nothing just started, the cause is outside and no queue is charged. Tasks are charged only with what had just started, marked so that later leaders do not charge their queues. Line workersLostTogether.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -6,6 +6,8 @@
  * behavior of its further tasks before they have run.
  */
 import type { Millis } from "../../common/clock.js";
+import { LossCauses } from "./loss-causes.js";
+import type { WorkerLossSpan } from "./loss-causes.js";
 
 /** A run that was on a worker when the worker was lost. */
 export interface RunAtLoss {
@@ -19,6 +21,17 @@
     readonly isSuspect: boolean;
 }
 
+/** A worker that was lost, with what ran there. */
+export interface LostWorker {
+    readonly workerId: string;
+    readonly pool: string;
+    readonly runs: readonly RunAtLoss[];
+    /** When the worker was last known to be alive. */
+    readonly aliveAt: Millis;
+    /** When the loss became known. */
+    readonly lostAt: Millis;
+}
+
 /** Window over which starts and crashes are counted. */
 export const CRASH_WINDOW_MS: Millis = 10_000;
 /** Window of the recent rate, which decides how fast new tasks start. */
@@ -78,7 +91,10 @@
 export class CrashRisk {
     private buckets: Bucket[] = [];
     private crashes: Crash[] = [];
+    /** The crashes that tasks may have caused. */
+    private counted: readonly Crash[] = [];
     private risky: ReadonlyMap<string, QueueRisk> = new Map();
+    private readonly causes = new LossCauses();
     /** Time of each queue's last confirmed crash. */
     private readonly confirmedAt = new Map<string, Millis>();
 
@@ -97,18 +113,20 @@
         bucket.starts.set(queue, (bucket.starts.get(queue) ?? 0) + 1);
     }
 
+    /** Records that a worker does not answer, which says nothing of its tasks but of other losses. */
+    observeSilence(worker: LostWorker): void {
+        const { workerId, runs, aliveAt, lostAt } = worker;
+        const hasSuspect = runs.some(run => computeWeight(run) >= LIKELY_WEIGHT);
+        this.causes.observe({ workerId, aliveAt, lostAt, hasSuspect });
+    }
+
     /**
-     * Records that a worker was lost.
-     * @param worker - The worker and its pool.
-     * @param runs - The runs on it.
-     * @param now - When the loss became known.
-     * @returns Whether the loss is attributed to runs that had just started.
+     * Records that a worker's process has ended.
+     * @returns Whether runs that had just started may have caused it.
      */
-    observeLoss(
-        { workerId, pool }: { readonly workerId: string; readonly pool: string; },
-        runs: readonly RunAtLoss[],
-        now: Millis,
-    ): boolean {
+    observeLoss(worker: LostWorker): boolean {
+        const { workerId, pool, runs, lostAt } = worker;
+        this.observeSilence(worker);
         if (this.crashes.some(crash => crash.workerId === workerId)) {
             return false;
         }
@@ -119,10 +137,15 @@
         }
         const blame = started.some(({ isSuspect }) => isSuspect) ? new Map() : computeBlame(runs, weights);
         const queues = new Set(started.map(({ queue }) => queue));
-        this.crashes.push({ workerId, pool, at: now, blame, queues });
+        this.crashes.push({ workerId, pool, at: lostAt, blame, queues });
         return true;
     }
 
+    /** Lists the workers that were lost together with a worker for a reason other than their tasks. */
+    listCommonLosses(workerId: string): readonly WorkerLossSpan[] {
+        return this.causes.listCommonLosses(workerId);
+    }
+
     /** Records that a worker certainly crashed. */
     confirm(workerId: string): void {
         for (const crash of this.crashes.filter(other => other.workerId === workerId)) {
@@ -132,6 +155,7 @@
 
     /** Withdraws the loss of a worker that turned out to be running. */
     withdraw(workerId: string): void {
+        this.causes.withdraw(workerId);
         this.crashes = this.crashes.filter(crash => crash.workerId !== workerId);
     }
 
@@ -156,8 +180,9 @@
      */
     listRisky(now: Millis, hasProbes: (queue: string) => boolean): ReadonlyMap<string, QueueRisk> {
         this.forgetOld(now);
+        this.counted = this.crashes.filter(({ workerId }) => this.listCommonLosses(workerId).length === 0);
         const risky = new Map<string, QueueRisk>();
-        const implicated = new Set(this.crashes.flatMap(({ queues }) => [...queues]));
+        const implicated = new Set(this.counted.flatMap(({ queues }) => [...queues]));
         for (const queue of new Set([...implicated, ...this.risky.keys()])) {
             const risk = this.computeRisk(queue, now);
             const isNew = risk.crashes >= MIN_CRASHES && risk.rate >= MIN_RATE;
@@ -185,12 +210,12 @@
     }
 
     private listCrashTimes(queue: string): readonly Millis[] {
-        return this.crashes.filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
+        return this.counted.filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
     }
 
     private count(queue: string, since: Millis): { readonly starts: number; readonly crashes: number; } {
         const buckets = this.buckets.filter(({ at }) => at >= since);
-        const crashes = this.crashes.filter(({ at }) => at >= since);
+        const crashes = this.counted.filter(({ at }) => at >= since);
         return {
             starts: buckets.reduce((sum, bucket) => sum + (bucket.starts.get(queue) ?? 0), 0),
             crashes: crashes.reduce((sum, { blame }) => sum + (blame.get(queue) ?? 0), 0),
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -89,6 +89,11 @@
      * earlier versions.
      */
     readonly lostAt?: number;
+    /**
+     * Whether the worker was lost together with others for a reason other than their tasks. Absent from
+     * events of earlier versions.
+     */
+    readonly isCommonLoss?: boolean;
 }
 
 /** A job was cancelled by its caller. */
--- a/src/process/jobs/job-registry.ts
+++ b/src/process/jobs/job-registry.ts
@@ -273,8 +273,9 @@
         if (event.loss !== undefined && task.workerId !== undefined) {
             const isCrash = event.loss === LossKind.crashed;
             const isEarly = event.isEarlyLoss === true;
+            const isCommon = event.isCommonLoss === true;
             const { run, lostAt: at } = event;
-            this.losses.add(task, { workerId: task.workerId, run, isCrash, isEarly, at });
+            this.losses.add(task, { workerId: task.workerId, run, isCrash, isEarly, at, isCommon });
         }
         task.state = TaskState.waiting;
         task.workerId = undefined;
--- a/src/process/jobs/worker-losses.ts
+++ b/src/process/jobs/worker-losses.ts
@@ -24,6 +24,8 @@
      * version recorded the loss.
      */
     readonly at?: number | undefined;
+    /** Whether the worker was lost together with others for a reason other than their tasks. */
+    readonly isCommon?: boolean | undefined;
 }
 
 /**
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -2,7 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import { isLate } from "../../common/lateness.js";
 import { CRASH_WINDOW_MS, CrashRisk } from "../dispatch/crash-risk.js";
-import type { QueueRisk, RunAtLoss } from "../dispatch/crash-risk.js";
+import type { LostWorker, QueueRisk, RunAtLoss } from "../dispatch/crash-risk.js";
 import type { ProbationInput, RiskyBacklog } from "../dispatch/probation.js";
 import { RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
@@ -38,6 +38,7 @@
     readonly isEarlyLoss: boolean;
     /** Wall-clock time, in milliseconds since 1970. */
     readonly lostAt: number;
+    readonly isCommonLoss?: true;
 }
 
 /** The loss of a worker that an earlier leader recorded. */
@@ -48,6 +49,9 @@
     readonly runs: readonly RunAtLoss[];
 }
 
+/** Time over which the losses of workers that were lost together are recorded, at most. */
+const RECORD_DELAY_MS: Millis = 1_000;
+
 /** Bounds the lines that are logged at a time. */
 const MAX_REPORTED_QUEUES = 5;
 
@@ -68,6 +72,8 @@
     private readonly risk: CrashRisk;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs: ReadonlyMap<string, RiskyBacklog> = new Map();
+    /** Workers of the last group that was reported as lost together. */
+    private readonly reportedLosses = new Set<string>();
     /** Number of workers whose losses earlier leaders recorded and this one counts. */
     private restoredWorkers = 0;
 
@@ -92,17 +98,45 @@
         }
     }
 
+    /**
+     * Records that a worker does not answer. Missing contact alone is no evidence against its tasks, as the
+     * worker may be partitioned.
+     * @param aliveAt - When the worker was last known to be alive.
+     */
+    observeSilence(state: WorkerState, aliveAt: Millis): void {
+        if (this.mayJudge(state, aliveAt)) {
+            this.risk.observeSilence(this.describeLoss(state, aliveAt));
+            this.reportCommonLosses(state.id);
+        }
+    }
+
     /**
      * Records that a worker's process has probably ended: its connection broke, or another incarnation
-     * answers at its address. Missing contact alone is no evidence, as the worker may be partitioned.
+     * answers at its address.
      * @param aliveAt - When the worker was last known to be alive.
      */
     observeWorkerEnd(state: WorkerState, aliveAt: Millis): void {
-        const { clock, lateness, authority, metrics } = this.context;
-        // A leader that is overloaded, or may not send orders, loses contact with healthy workers.
-        if (isLate(lateness) || !authority.mayOrder()) {
+        if (!this.mayJudge(state, aliveAt)) {
             return;
         }
+        if (this.risk.observeLoss(this.describeLoss(state, aliveAt))) {
+            this.context.metrics.count("workers.lostAfterStart");
+            this.context.requestPass();
+        }
+        this.reportCommonLosses(state.id);
+    }
+
+    /**
+     * Tells whether the loss of a worker is evidence at all. A leader that is overloaded, or may not send
+     * orders, loses contact with healthy workers; a draining worker was to leave; and one that this leader has
+     * never heard was lost at an unknown time.
+     */
+    private mayJudge({ record }: WorkerState, aliveAt: Millis): boolean {
+        const { lateness, authority } = this.context;
+        return Number.isFinite(aliveAt) && !record.isDraining && !isLate(lateness) && authority.mayOrder();
+    }
+
+    private describeLoss(state: WorkerState, aliveAt: Millis): LostWorker {
         const runs = [...state.runs.values()]
             .filter(({ phase }) => phase === RunPhase.running)
             .map(({ queue, task, orderedAt, isProbe }): RunAtLoss => ({
@@ -110,10 +144,24 @@
                 provenMs: Math.max(0, aliveAt - orderedAt),
                 isSuspect: isProbe || this.hasEarlyLoss(task),
             }));
-        if (this.risk.observeLoss({ workerId: state.id, pool: state.record.pool }, runs, clock.now())) {
-            metrics.count("workers.lostAfterStart");
-            this.context.requestPass();
+        const { id: workerId, record: { pool } } = state;
+        return { workerId, pool, runs, aliveAt, lostAt: this.context.clock.now() };
+    }
+
+    /** Logs that workers were lost for a common reason, once for each group of them. */
+    private reportCommonLosses(workerId: string): void {
+        const together = this.risk.listCommonLosses(workerId);
+        const isNew = together.length > 0 && !together.some(loss => this.reportedLosses.has(loss.workerId));
+        if (!isNew) {
+            return;
         }
+        this.reportedLosses.clear();
+        together.forEach(loss => this.reportedLosses.add(loss.workerId));
+        this.context.log.info("workersLostTogether", {
+            workerId,
+            workers: together.length,
+            withoutSuspect: together.filter(({ hasSuspect }) => !hasSuspect).length,
+        });
     }
 
     /** Sets the steps of risky queues that the last pass left waiting. */
@@ -178,13 +226,18 @@
         if (loss === undefined || isDraining && !isEarlyLoss) {
             return undefined;
         }
+        const isCommonLoss = this.risk.listCommonLosses(task.workerId ?? "").length > 0;
+        if (isCommonLoss && !isInherited && !isEarlyLoss) {
+            return undefined;
+        }
         if (provenMs >= CLEARED_MS) {
             this.clearTask(task);
             return undefined;
         }
         const { clock } = this.context;
         this.lostAt.set(task, clock.now());
-        return { loss, isEarlyLoss, lostAt: clock.wallNow() };
+        const counted = { loss, isEarlyLoss, lostAt: clock.wallNow() };
+        return isCommonLoss ? { ...counted, isCommonLoss } : counted;
     }
 
     /** Clears a task's losses: it has run for so long that it need not run alone on its worker any more. */
@@ -276,7 +329,10 @@
             .filter(({ ageMs }) => ageMs < CRASH_WINDOW_MS)
             .sort((left, right) => right.ageMs - left.ageMs);
         for (const { workerId, ageMs, runs } of restored) {
-            if (this.risk.observeLoss({ workerId, pool: "" }, runs, this.startedAt - ageMs)) {
+            const lostAt = this.startedAt - ageMs;
+            if (
+                this.risk.observeLoss({ workerId, pool: "", runs, lostAt, aliveAt: lostAt - RECORD_DELAY_MS })
+            ) {
                 this.restoredWorkers += 1;
             }
         }
@@ -290,7 +346,7 @@
             const queue = jobs.findTask(name)?.step.job.queue;
             for (const loss of losses.filter(other => other.workerId === workerId)) {
                 ageMs = Math.min(ageMs, computeLossAge(loss, this.startedAtWall));
-                if (loss.isEarly && queue !== undefined) {
+                if (loss.isEarly && loss.isCommon !== true && queue !== undefined) {
                     runs.push({ queue, provenMs: 0, isSuspect: false });
                 }
             }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -194,7 +194,7 @@
             inheritedLeaseEnd: this.inherited.computeLeaseEnd(record.workerId),
             listener: {
                 handleReport: (report, ended, isFirst) => this.handleReport(member, report, ended, isFirst),
-                handleReachabilityChange: isReachable => this.handleReachable(state, isReachable),
+                handleReachabilityChange: isReachable => this.handleReachable(member, isReachable),
                 handleConnectionFailure: () =>
                     this.ends.crashes.observeWorkerEnd(state, session.getLastContactAt()),
                 handleReplaced: () => this.removeMember(member, RemovalReason.replaced),
@@ -223,12 +223,14 @@
         void session.run();
     }
 
-    private handleReachable(state: WorkerState, isReachable: boolean): void {
+    private handleReachable({ state, session }: FleetMember, isReachable: boolean): void {
         state.isReachable = isReachable;
-        if (isReachable) {
-            this.ends.crashes.handleContact(state.id, state.record.address);
-            this.context.requestPass();
+        if (!isReachable) {
+            this.ends.crashes.observeSilence(state, session.getLastContactAt());
+            return;
         }
+        this.ends.crashes.handleContact(state.id, state.record.address);
+        this.context.requestPass();
     }
 
     /** Counts each lost answer, and logs when answers begin to get lost. */
--- a/src/test/dispatch/crash-risk_test.ts
+++ b/src/test/dispatch/crash-risk_test.ts
@@ -75,6 +75,15 @@
         losses: buildLosses(8, [{ queue: "a" }]).map(loss => ({ ...loss, isWithdrawn: true })),
         risky: [],
     },
+    {
+        name: "no queue for workers lost together with others on which nothing had just started",
+        starts: { a: 20 },
+        losses: [
+            ...Array.from({ length: 5 }, () => ({ at: NOW - 500, runs: [{ queue: "a" }] })),
+            ...Array.from({ length: 8 }, () => ({ at: NOW - 500, runs: [{ queue: "a", provenMs: 1_000 }] })),
+        ],
+        risky: [],
+    },
     {
         name: "no queue for crashes of long ago",
         starts: { a: 20 },
@@ -111,7 +120,7 @@
             losses.forEach(({ at, runs, isConfirmed = false, isWithdrawn = false }, index) => {
                 const workerId = `w${index}`;
                 const lost = runs.map(run => ({ provenMs: 0, isSuspect: false, ...run }));
-                risk.observeLoss({ workerId, pool: "pool" }, lost, at);
+                risk.observeLoss({ workerId, pool: "pool", runs: lost, aliveAt: at, lostAt: at });
                 if (isConfirmed) {
                     risk.confirm(workerId);
                 }
@@ -129,11 +138,8 @@
 
     it("counts workers as down for some seconds after they crashed", () => {
         const risk = new CrashRisk(0);
-        risk.observeLoss(
-            { workerId: "w1", pool: "pool" },
-            [{ queue: "a", provenMs: 0, isSuspect: true }],
-            NOW,
-        );
+        const runs = [{ queue: "a", provenMs: 0, isSuspect: true }];
+        risk.observeLoss({ workerId: "w1", pool: "pool", runs, aliveAt: NOW, lostAt: NOW });
         assert.equal(risk.countCrashed("pool", true, NOW + 1_000), 1);
         assert.equal(risk.countCrashed("pool", false, NOW + 1_000), 0);
         assert.equal(risk.countCrashed("pool", true, NOW + 5_000), 0);
@@ -153,7 +159,7 @@
             Array.from({ length: 40 }).forEach(() => risk.observeStart("a", NOW - 500));
             buildLosses(4, [{ queue: "a" }]).forEach(({ at }, index) => {
                 const runs = [{ queue: "a", provenMs: 0, isSuspect: false }];
-                risk.observeLoss({ workerId: `w${index}`, pool: "pool" }, runs, at);
+                risk.observeLoss({ workerId: `w${index}`, pool: "pool", runs, aliveAt: at, lostAt: at });
             });
             assert.equal(risk.listRisky(NOW, () => false).get("a")?.startsPerS, perS);
         });
--- a/src/test/leader/restored-losses_test.ts
+++ b/src/test/leader/restored-losses_test.ts
@@ -51,6 +51,25 @@
         });
     }
 
+    it("does not blame a queue for workers that were lost together", async () => {
+        const crashCell = new CrashCell({ workers: 16, downMs: DOWN_MS, isCrashing: () => false });
+        const { cell } = crashCell;
+        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
+        const first = await crashCell.startLeader();
+        const wide = { ...CORE, cpuMillis: 2_000 };
+        await cell.submit(first, 1, makeSpec({ taskCount: 16, maxPerWorker: 1, demand: wide }));
+        await cell.clock.step(2_000);
+        await cell.submit(first, 2, makeSpec({ taskCount: 5, maxPerWorker: 1, demand: wide }));
+        await cell.clock.step(50);
+        assert.equal(cell.countStarts(2), 5);
+        [...cell.records.keys()].forEach(workerId => crashCell.killWorker(workerId));
+        await cell.clock.step(RECORDED_MS);
+        const second = await crashCell.startLeader();
+        await cell.clock.step(1_000);
+        const lines = [...first.log.lines, ...second.log.lines];
+        assert.deepEqual(lines.filter(({ event }) => event === "queueOnProbation"), []);
+    });
+
     it("does not begin the pause of a task that was lost repeatedly anew", async () => {
         const crashCell = new CrashCell({ workers: WORKERS, downMs: DOWN_MS, isCrashing: () => false });
         const { cell } = crashCell;
