Late work of a queue on probation is no reason to refuse its jobs

Callers: while 50 late steps of a queue on probation waited, each of its jobs was refused, for 12 s after the last worker was lost, with half of the pool free. Cause: refusals that sustain themselves. Late steps needed a worker that runs nothing at all, so they waited; while they waited, jobs were refused and the probation went on. Change: late steps start on the dedicated workers that timely ones leave, under the same proof. Only what has probably crashed a worker (suspects) still needs an idle worker, and a quarter of the dedicated workers is kept for them, so they end however much arrives. Jobs are refused by what can start in time, and while three suspects wait for each worker. Where no other queue has work, the whole pool is dedicated; else all workers without their runs but a third. The rate of starts is known one second after a take-over instead of four, and half a step for each worker is accepted whatever the rate (one before): what is accepted beyond the rate only turns late.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -36,6 +36,8 @@
 export const CRASH_WINDOW_MS: Millis = 10_000;
 /** Window of the recent rate, which decides how fast new tasks start. */
 const RECENT_MS: Millis = 4_000;
+/** Least time over which a rate is measured. */
+const MIN_RATE_MS: Millis = 1_000;
 const BUCKET_MS: Millis = 1_000;
 /** Time that a crashed worker takes to come back, approximately. */
 const RESTART_TIME_MS: Millis = 4_000;
@@ -66,7 +68,7 @@
     readonly rate: number;
     /** Crashes per start over the last few seconds. */
     readonly recentRate: number;
-    /** Starts per second over the last few seconds; undefined until that long was observed. */
+    /** Starts per second over the last few seconds; undefined until observed for long enough. */
     readonly startsPerS: number | undefined;
     /** Time since the last counted crash that its tasks may have caused; Infinity without one. */
     readonly sinceCrashMs: Millis;
@@ -204,11 +206,16 @@
             crashes,
             rate: crashes / (starts + PRIOR_STARTS),
             recentRate: recent.crashes / (recent.starts + PRIOR_STARTS),
-            startsPerS: now - this.beganAt < RECENT_MS ? undefined : recent.starts / (RECENT_MS / 1_000),
+            startsPerS: this.computeStartsPerS(recent.starts, now),
             sinceCrashMs: now - Math.max(-Infinity, ...this.listCrashTimes(queue)),
         };
     }
 
+    private computeStartsPerS(recentStarts: number, now: Millis): number | undefined {
+        const observedMs = Math.min(RECENT_MS, now - this.beganAt);
+        return observedMs < MIN_RATE_MS ? undefined : recentStarts / (observedMs / 1_000);
+    }
+
     private listCrashTimes(queue: string): readonly Millis[] {
         return this.counted.filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
     }
--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -45,8 +45,8 @@
     readonly task: Task;
     readonly worker: WorkerState;
     readonly permit: string | undefined;
-    /** Whether it belongs to a step that may crash its worker and is not urgent. */
-    readonly isProbe: boolean;
+    /** Whether a worker was lost just after it had started a task of the step, in a queue on probation. */
+    readonly hasEarlyLoss: boolean;
 }
 
 /** A request to make to the advice service. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -221,10 +221,10 @@
 
     private startOrRequest(current: WaitingStep, placements: readonly Placement[]): void {
         const { step, permits } = current;
-        const isProbe = this.probation.isProbe(current.urgency);
+        const hasEarlyLoss = this.probation.isSuspect(current.urgency);
         const planned = placements.map(({ task, slot }): PlannedStart => {
             const permit = permits?.getUsable(slot.id, this.input.now);
-            return { step, task, worker: slot.worker, permit, isProbe };
+            return { step, task, worker: slot.worker, permit, hasEarlyLoss };
         });
         if (permits === undefined) {
             this.starts.push(...planned);
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -7,7 +7,6 @@
  */
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
-import { EARLY_MS } from "../jobs/worker-losses.js";
 import type { QueueRisk } from "./crash-risk.js";
 import { computeProofMs } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
@@ -15,7 +14,7 @@
 import { computeObjectiveMs } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { RunPhase } from "./worker-state.js";
-import type { RunRecord } from "./worker-state.js";
+import type { RunRecord, WorkerState } from "./worker-state.js";
 
 /** Share of a pool that may be dedicated to risky queues, including workers that are down after a crash. */
 const DEDICATED_SHARE = 1 / 3;
@@ -39,20 +38,19 @@
 export interface ProbationInput {
     readonly risky: ReadonlyMap<string, QueueRisk>;
     /**
-     * Counts the workers of a pool that are down after a crash, by whether a probe or another suspect
-     * explains it.
+     * Counts the workers of a pool that are down after a crash, by whether a suspect explains it.
      */
     readonly countCrashed: (pool: string, isExplained: boolean) => number;
-    /** Tells whether a worker was lost just after it had started a task. */
-    readonly hasEarlyLoss: (task: string) => boolean;
 }
 
 /** The waiting work of a risky queue. */
 export interface RiskyBacklog {
     /** Steps with a task to start. */
     readonly steps: number;
-    /** How many of them are late or have probably crashed a worker. */
+    /** How many of them are too late for their callers or have probably crashed a worker. */
     readonly probes: number;
+    /** How many of them have probably crashed a worker. */
+    readonly suspects: number;
     /** Tasks to start of the other steps. */
     readonly timelyTasks: number;
     /** Mean objective of the other steps' jobs; 0 if there are none. */
@@ -67,7 +65,6 @@
 export const NO_PROBATION: ProbationInput = {
     risky: new Map(),
     countCrashed: () => 0,
-    hasEarlyLoss: () => false,
 };
 
 /** Preference of workers for a risky queue; lower is better. */
@@ -79,36 +76,34 @@
 } as const;
 type SlotRank = (typeof SlotRank)[keyof typeof SlotRank];
 
-/** Share of the dedicated workers on which probes run while timely work of their queue waits. */
-const PROBE_SHARE = 1 / 4;
+/** Share of the dedicated workers on which suspects run while timely work of their queue waits. */
+const SUSPECT_SHARE = 1 / 4;
 
-/**
- * How long a probe must have gone on before another one may start beside it. A crash under the second one then
- * is no early loss of the first.
- */
-const PROBE_PROOF_MS: Millis = 2 * EARLY_MS;
-
-/** Share of a pool that probes leave idle for other queues. */
+/** Share of a pool that suspects leave idle for other queues. */
 const IDLE_RESERVE_SHARE = 1 / 8;
 
 /** What risky queues may still start in one pool in this pass. */
 interface StepBudget {
     /** Workers that may still be dedicated for steps that may run on none of the dedicated ones. */
     extraWorkers: number;
-    /** Timely steps that may still start, or request permits, in this pass. */
+    /** Steps other than suspects that may still start, or request permits, in this pass. */
     stepsLeft: number;
-    /** The same for probes. */
-    probesLeft: number;
+    /** The same for suspects. */
+    suspectsLeft: number;
 }
 
 /** Placement of risky queues in one pass. */
 export class Probation {
     private readonly budgets = new Map<PoolView, StepBudget>();
     private readonly dedicatedSlots = new Set<Slot>();
+    /** Those of them that are kept for suspects. */
+    private readonly suspectSlots = new Set<Slot>();
     /** Number of workers in each pool that risky queues may use, including those that are down. */
     private readonly shares = new Map<string, number>();
     private ordered: readonly Urgency[] = [];
     private hasTimely = false;
+    /** Whether work of other queues waits. */
+    private hasOthers = false;
 
     /**
      * @param input - What is known about risky queues.
@@ -120,24 +115,32 @@
         return this.input.risky.has(queue);
     }
 
-    /** Sorts probes behind all other steps, so that they get what these leave idle. */
+    /** Sorts late work and suspects of risky queues behind all other steps. */
     order(ordered: readonly Urgency[]): readonly Urgency[] {
         if (this.input.risky.size === 0) {
             return ordered;
         }
         this.ordered = ordered;
-        const probes = ordered.filter(urgency => this.isProbe(urgency));
-        const others = ordered.filter(urgency => !this.isProbe(urgency));
-        this.hasTimely = others.some(({ queue }) => this.isRisky(queue.name));
-        return [...others, ...probes];
+        const ranks = new Map(ordered.map(urgency => [urgency, this.rankUrgency(urgency)]));
+        this.hasTimely = ordered.some(urgency =>
+            ranks.get(urgency) === 0 && this.isRisky(urgency.queue.name)
+        );
+        this.hasOthers = ordered.some(({ queue }) => !this.isRisky(queue.name));
+        // The sort is stable, so steps of the same rank keep their order.
+        return [...ordered].sort((left, right) => (ranks.get(left) ?? 0) - (ranks.get(right) ?? 0));
     }
 
-    /**
-     * Tells whether a step of a risky queue is too late for its caller or has probably crashed a worker.
-     * Little is lost if it waits, while a crash would cost as much as any other.
-     */
-    isProbe({ step, queue, lateness }: Urgency): boolean {
-        return this.isRisky(queue.name) && (lateness === 2 || hasEarlyLoss(step));
+    /** Tells whether a step of a risky queue has probably crashed a worker. */
+    isSuspect({ step, queue }: Urgency): boolean {
+        return this.isRisky(queue.name) && hasEarlyLoss(step);
+    }
+
+    /** Returns 0 for work that goes first, 1 for late work of a risky queue, 2 for its suspects. */
+    private rankUrgency(urgency: Urgency): number {
+        if (this.isSuspect(urgency)) {
+            return 2;
+        }
+        return this.isRisky(urgency.queue.name) && urgency.lateness === 2 ? 1 : 0;
     }
 
     /** Collects the waiting work of each risky queue. */
@@ -145,12 +148,13 @@
         const backlogs = new Map<string, RiskyBacklog>();
         for (const [name, { startsPerS }] of this.input.risky) {
             const waiting = this.ordered.filter(({ queue }) => queue.name === name);
-            const timely = waiting.filter(urgency => !this.isProbe(urgency));
+            const timely = waiting.filter(urgency => this.rankUrgency(urgency) === 0);
             const [first] = waiting;
             if (first !== undefined) {
                 backlogs.set(name, {
                     steps: waiting.length,
                     probes: waiting.length - timely.length,
+                    suspects: waiting.filter(urgency => this.isSuspect(urgency)).length,
                     timelyTasks: timely.reduce((sum, { step }) => sum + step.waiting, 0),
                     objectiveMs: computeMean(timely.map(computeObjectiveMs)),
                     startsPerS,
@@ -169,8 +173,8 @@
         if (!this.isRisky(urgency.queue.name)) {
             return true;
         }
-        const { stepsLeft, probesLeft } = this.getBudget(pool);
-        return (this.isProbe(urgency) ? probesLeft : stepsLeft) > 0;
+        const { stepsLeft, suspectsLeft } = this.getBudget(pool);
+        return (this.isSuspect(urgency) ? suspectsLeft : stepsLeft) > 0;
     }
 
     /** Counts a step that has started, or requested permits, in this pass. */
@@ -179,8 +183,8 @@
             return;
         }
         const budget = this.getBudget(pool);
-        if (this.isProbe(urgency)) {
-            budget.probesLeft -= 1;
+        if (this.isSuspect(urgency)) {
+            budget.suspectsLeft -= 1;
         }
         else {
             budget.stepsLeft -= 1;
@@ -197,14 +201,16 @@
         }
         const { step, queue } = urgency;
         const budget = this.getBudget(pool);
-        if (this.isProbe(urgency)) {
-            return candidates.filter(slot => this.isOpenToProbe(slot, step));
+        if (this.isSuspect(urgency)) {
+            return candidates.filter(slot => slot.isIdleExceptFor(step));
         }
         const others = candidates.filter(slot => !this.dedicatedSlots.has(slot));
         if (!this.isRisky(queue.name)) {
             return others;
         }
-        const dedicated = candidates.filter(slot => this.dedicatedSlots.has(slot));
+        const dedicated = candidates.filter(slot =>
+            this.dedicatedSlots.has(slot) && !this.suspectSlots.has(slot)
+        );
         if (isAllOrNothing(step) && !canEverHold(step, dedicated)) {
             return candidates;
         }
@@ -217,25 +223,7 @@
     /** Tells whether a step may start now on a worker selected for it. */
     isReady(slot: Slot, urgency: Urgency): boolean {
         const isOnProbation = this.isRisky(urgency.queue.name) && this.dedicatedSlots.has(slot);
-        return !isOnProbation || this.isProbe(urgency) || this.isSafe(slot, urgency.step);
-    }
-
-    /**
-     * Tells whether a probe may use a worker. One that has probably crashed a worker needs an idle one; others
-     * may also run beside probes that have proven harmless.
-     */
-    private isOpenToProbe(slot: Slot, step: Step): boolean {
-        return slot.isIdleExceptFor(step) ||
-            !hasEarlyLoss(step) && slot.isUntouchedExceptFor(step) && this.hasOnlyProvenProbes(slot);
-    }
-
-    private hasOnlyProvenProbes({ worker }: Slot): boolean {
-        return [...worker.runs.values()].every(run => this.isProvenProbe(run));
-    }
-
-    private isProvenProbe({ task, isProbe, phase, orderedAt }: RunRecord): boolean {
-        return isProbe && phase === RunPhase.running && this.now - orderedAt >= PROBE_PROOF_MS &&
-            !this.input.hasEarlyLoss(task);
+        return !isOnProbation || this.isSuspect(urgency) || this.isSafe(slot, urgency.step);
     }
 
     private getBudget(pool: PoolView): StepBudget {
@@ -245,34 +233,50 @@
         }
         const slots = this.chooseDedicated(pool);
         slots.forEach(slot => this.dedicatedSlots.add(slot));
+        this.reserveForSuspects(pool, slots);
         const extraWorkers = slots.size === 0 ? 0 : MAX_EXTRA_WORKERS;
         const stepsLeft = (slots.size + extraWorkers) * STEPS_PER_WORKER;
-        const created = { extraWorkers, stepsLeft, probesLeft: this.computeProbesLeft(pool) };
+        const created = { extraWorkers, stepsLeft, suspectsLeft: this.computeSuspectsLeft(pool) };
         this.budgets.set(pool, created);
         return created;
     }
 
     /**
-     * Running probes, and workers that probes have crashed, count against the limit. Beyond it, probes may
-     * use workers that are idle and not needed by timely work, as late work has to be done in the end.
+     * Running suspects, and workers that suspects have crashed, count against the limit. Beyond it, suspects may
+     * use workers that are idle and not needed by timely work, as all accepted work has to be done in the end.
      */
-    private computeProbesLeft({ name, slots }: PoolView): number {
-        const limit = Math.max(1, Math.floor((this.shares.get(name) ?? 0) * PROBE_SHARE));
-        const isProbing = ({ worker }: Slot): boolean =>
-            [...worker.runs.values()].some(run => run.isProbe && !this.isProvenProbe(run));
-        const left = limit - this.input.countCrashed(name, true) - slots.filter(isProbing).length;
-        const idle = slots.filter(slot => this.hasOnlyProvenProbes(slot)).length;
+    private computeSuspectsLeft({ name, slots }: PoolView): number {
+        const limit = Math.max(1, Math.floor((this.shares.get(name) ?? 0) * SUSPECT_SHARE));
+        const running = slots.filter(({ worker }) => hasSuspectRun(worker));
+        const left = limit - this.input.countCrashed(name, true) - running.length;
+        const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
         const reserved = slots.length * (IDLE_RESERVE_SHARE + (this.hasTimely ? DEDICATED_SHARE : 0));
         return Math.max(left, (idle - Math.floor(reserved)) * STEPS_PER_WORKER);
     }
 
+    /**
+     * Keeps some of the dedicated workers for suspects that wait, so that they come to their end however much
+     * timely work arrives.
+     */
+    private reserveForSuspects({ name }: PoolView, dedicated: ReadonlySet<Slot>): void {
+        const waiting = this.ordered.filter(urgency =>
+            urgency.queue.pool === name && this.isSuspect(urgency)
+        );
+        const limit = Math.floor(dedicated.size * SUSPECT_SHARE);
+        const inUse = [...dedicated].filter(({ worker }) => hasSuspectRun(worker)).length;
+        [...dedicated]
+            .filter(({ worker }) => !hasSuspectRun(worker))
+            .sort((left, right) => left.worker.runs.size - right.worker.runs.size)
+            .slice(0, Math.max(0, Math.min(waiting.length, limit - inUse)))
+            .forEach(slot => this.suspectSlots.add(slot));
+    }
+
     private chooseDedicated(pool: PoolView): Set<Slot> {
         const { name, slots } = pool;
         const crashed = this.input.countCrashed(name, false);
-        const share = Math.max(1, Math.floor((slots.length + crashed) * DEDICATED_SHARE));
-        const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
-        this.shares.set(name, Math.max(share, idle - share));
-        const limit = Math.max(share, idle - share) - crashed;
+        const share = this.computeShare(pool, crashed);
+        this.shares.set(name, share);
+        const limit = share - crashed;
         const maxDraining = Math.max(1, Math.floor(slots.length * DRAINING_SHARE));
         const ranked = this.rankSlots(slots);
         const dedicated = new Set<Slot>();
@@ -287,6 +291,17 @@
         return dedicated;
     }
 
+    /**
+     * Computes how many workers risky queues may use: a bounded share of the pool, or more if other queues leave
+     * more without work of theirs.
+     */
+    private computeShare({ slots }: PoolView, crashed: number): number {
+        const share = Math.max(1, Math.floor((slots.length + crashed) * DEDICATED_SHARE));
+        const unused = slots.filter(slot => this.countOtherRuns(slot) === 0).length;
+        const hasOthers = this.hasOthers || unused < slots.length;
+        return Math.max(share, unused - (hasOthers ? share : 0));
+    }
+
     private rankSlots(slots: readonly Slot[]): readonly { readonly slot: Slot; readonly rank: SlotRank; }[] {
         return slots
             .map(slot => ({ slot, rank: this.rankSlot(slot), others: this.countOtherRuns(slot) }))
@@ -345,6 +360,10 @@
     return tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
 }
 
+function hasSuspectRun({ runs }: WorkerState): boolean {
+    return [...runs.values()].some(({ hasEarlyLoss: isOfSuspect }) => isOfSuspect);
+}
+
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
     return free.cpuMillis >= capacity.cpuMillis * MIN_FREE_SHARE;
 }
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -49,8 +49,8 @@
     readonly isOpenEnded: boolean;
     /** Whether it must run exclusively, as its task may crash the worker. */
     readonly isExclusive: boolean;
-    /** Whether it was started to find out if its task crashes the worker. */
-    readonly isProbe: boolean;
+    /** Whether a worker was lost just after it had started a task of the step. */
+    readonly hasEarlyLoss: boolean;
     /** Expected run time; infinite if unknown. */
     readonly expectedMs: Millis;
     checkpoint: string;
@@ -73,7 +73,7 @@
         isInherited: false,
         isOpenEnded: false,
         isExclusive: false,
-        isProbe: false,
+        hasEarlyLoss: false,
         preemptibleBelow: undefined,
         expectedMs: Infinity,
         checkpoint: "",
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -53,15 +53,15 @@
 
 /** Timely steps per worker on probation that may wait; more would be late when their turn comes. */
 const TIMELY_PER_WORKER = 3;
-/** Timely steps per such worker that may wait however slowly tasks start, so that all workers stay in use. */
-const MIN_TIMELY_PER_WORKER = 1;
+/** Timely steps per such worker that may wait however slowly tasks start, so that some always can. */
+const MIN_TIMELY_PER_WORKER = 1 / 2;
 /** Share of their objective that timely steps may have to wait. */
 const MAX_WAIT_SHARE = 2 / 3;
 /**
- * Late steps per such worker. Each takes a worker for a second, or for several if it crashes it, and all of
- * them have to be done eventually.
+ * Suspects per such worker that may wait. Each crashes a worker once more, and as many workers as are kept for
+ * suspects do so in turn.
  */
-const LATE_PER_WORKER = 5;
+const MAX_SUSPECTS_PER_WORKER = 3;
 const SHORTEST_RISKY_RETRY_MS: Millis = 1_000;
 const RISKY_RETRY_SPREAD_MS: Millis = 2_000;
 
@@ -70,12 +70,13 @@
  *
  * @remarks Such a queue starts on few workers, one step at a time, so its jobs may arrive much faster than
  * they can run. How many can run in time depends on how many of them crash their workers. A job that could
- * not run in time is refused at once: once late, it would wait until timely work leaves workers idle.
+ * not run in time is refused at once: once late, it would wait until timely work leaves workers free. Late work
+ * is no reason to refuse a job, as it starts after timely work: refusals would outlast what made it late.
  * @param backlog - The queue's waiting steps.
  * @param draw - Random number from 0 to 1.
  */
 export function decideRiskyAdmission(backlog: RiskyBacklog, draw: number): Admission {
-    if (canStartInTime(backlog) && backlog.probes < backlog.workers * LATE_PER_WORKER) {
+    if (canStartInTime(backlog) && backlog.suspects < backlog.workers * MAX_SUSPECTS_PER_WORKER) {
         return { kind: "admitted" };
     }
     const retryAfterMs = SHORTEST_RISKY_RETRY_MS + Math.round(draw * RISKY_RETRY_SPREAD_MS);
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -92,8 +92,8 @@
     }
 
     /** Counts a run that a worker has started. */
-    observeStart({ queue, isProbe }: RunRecord): void {
-        if (!isProbe) {
+    observeStart({ queue, hasEarlyLoss }: RunRecord): void {
+        if (!hasEarlyLoss) {
             this.risk.observeStart(queue, this.context.clock.now());
         }
     }
@@ -139,10 +139,10 @@
     private describeLoss(state: WorkerState, aliveAt: Millis): LostWorker {
         const runs = [...state.runs.values()]
             .filter(({ phase }) => phase === RunPhase.running)
-            .map(({ queue, task, orderedAt, isProbe }): RunAtLoss => ({
+            .map(({ queue, task, orderedAt, hasEarlyLoss }): RunAtLoss => ({
                 queue,
                 provenMs: Math.max(0, aliveAt - orderedAt),
-                isSuspect: isProbe || this.hasEarlyLoss(task),
+                isSuspect: hasEarlyLoss || this.hasEarlyLoss(task),
             }));
         const { id: workerId, record: { pool } } = state;
         return { workerId, pool, runs, aliveAt, lostAt: this.context.clock.now() };
@@ -199,7 +199,6 @@
         return {
             risky,
             countCrashed: (pool, isExplained) => this.risk.countCrashed(pool, isExplained, now),
-            hasEarlyLoss: task => this.hasEarlyLoss(task),
         };
     }
 
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -61,7 +61,7 @@
     }
 
     private assign(start: PlannedStart, run: number): void {
-        const { step, task, worker, isProbe } = start;
+        const { step, task, worker, hasEarlyLoss } = start;
         const record = buildRunRecord({
             task: task.name,
             run,
@@ -73,7 +73,7 @@
             preemptibleBelow: this.context.findPreemptibleBelow(step),
             isOpenEnded: step.spec.isLongRunning,
             isExclusive: isSuspect(task),
-            isProbe,
+            hasEarlyLoss,
             expectedMs: this.context.predictRunMs(step),
             checkpoint: task.checkpoint,
             orderedAt: this.context.clock.now(),
--- a/src/test/leader/wait-cause_test.ts
+++ b/src/test/leader/wait-cause_test.ts
@@ -216,6 +216,7 @@
                 backlog: {
                     steps: 30,
                     probes: 4,
+                    suspects: 1,
                     timelyTasks: 50,
                     objectiveMs: 2_000,
                     startsPerS: 10,
