Losses are also grouped by the moment at which they became known

Workers whose losses become known within 250 ms are now also judged by one moment, that at which the last of them was heard. The group is logged once for each worker.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -7,13 +7,15 @@
  */
 import type { Millis } from "../../common/clock.js";
 import { LossCauses } from "./loss-causes.js";
-import type { WorkerLossSpan } from "./loss-causes.js";
+import type { CommonLoss } from "./loss-causes.js";
 
 /** A run that was on a worker when the worker was lost. */
 export interface RunAtLoss {
     readonly queue: string;
     /** How long it had certainly been running. */
     readonly provenMs: Millis;
+    /** How long ago it was ordered when the loss became known. */
+    readonly ageMs: Millis;
     /**
      * Whether its task was already suspected of crashing workers, so that this loss says little about other
      * tasks.
@@ -118,8 +120,12 @@
     /** Records that a worker does not answer, which says nothing of its tasks but of other losses. */
     observeSilence(worker: LostWorker): void {
         const { workerId, runs, aliveAt, lostAt } = worker;
-        const hasSuspect = runs.some(run => computeWeight(run) >= LIKELY_WEIGHT);
-        this.causes.observe({ workerId, aliveAt, lostAt, hasSuspect });
+        this.causes.observe({
+            workerId,
+            aliveAt,
+            lostAt,
+            orderedAt: runs.map(({ ageMs }) => lostAt - ageMs),
+        });
     }
 
     /**
@@ -143,9 +149,9 @@
         return true;
     }
 
-    /** Lists the workers that were lost together with a worker for a reason other than their tasks. */
-    listCommonLosses(workerId: string): readonly WorkerLossSpan[] {
-        return this.causes.listCommonLosses(workerId);
+    /** Finds the workers with which a worker was lost for a reason other than their tasks. */
+    findCommonLoss(workerId: string): CommonLoss | undefined {
+        return this.causes.findCommonLoss(workerId);
     }
 
     /** Records that a worker certainly crashed. */
@@ -182,7 +188,7 @@
      */
     listRisky(now: Millis, hasProbes: (queue: string) => boolean): ReadonlyMap<string, QueueRisk> {
         this.forgetOld(now);
-        this.counted = this.crashes.filter(({ workerId }) => this.listCommonLosses(workerId).length === 0);
+        this.counted = this.crashes.filter(({ workerId }) => this.findCommonLoss(workerId) === undefined);
         const risky = new Map<string, QueueRisk>();
         const implicated = new Set(this.counted.flatMap(({ queues }) => [...queues]));
         for (const queue of new Set([...implicated, ...this.risky.keys()])) {
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -77,7 +77,7 @@
 type SlotRank = (typeof SlotRank)[keyof typeof SlotRank];
 
 /** Share of the dedicated workers on which suspects run while timely work of their queue waits. */
-const SUSPECT_SHARE = 1 / 4;
+const SUSPECT_SHARE = 1 / 3;
 
 /** Share of a pool that suspects leave idle for other queues. */
 const IDLE_RESERVE_SHARE = 1 / 8;
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -7,6 +7,7 @@
 import { RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
 import { LossKind } from "../jobs/job-events.js";
+import type { JobSpec } from "../jobs/job-spec.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
 import {
@@ -52,8 +53,19 @@
 /** Time over which the losses of workers that were lost together are recorded, at most. */
 const RECORD_DELAY_MS: Millis = 1_000;
 
+const EMPTY_BACKLOG: RiskyBacklog = {
+    steps: 0,
+    probes: 0,
+    suspects: 0,
+    timelyTasks: 0,
+    objectiveMs: 0,
+    startsPerS: undefined,
+    workers: 0,
+};
+
 /** Bounds the lines that are logged at a time. */
 const MAX_REPORTED_QUEUES = 5;
+const MAX_REPORTED_LOSSES = 1_000;
 
 const LOSS_KINDS: Readonly<Record<RunLoss, LossKind | undefined>> = {
     [RunLoss.replaced]: LossKind.crashed,
@@ -71,9 +83,9 @@
     private readonly startedAtWall: number;
     private readonly risk: CrashRisk;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
-    private backlogs: ReadonlyMap<string, RiskyBacklog> = new Map();
-    /** Workers of the last group that was reported as lost together. */
-    private readonly reportedLosses = new Set<string>();
+    private backlogs = new Map<string, RiskyBacklog>();
+    /** Workers that were reported as lost together, the latest last. */
+    private reportedLosses: ReadonlySet<string> = new Set();
     /** Number of workers whose losses earlier leaders recorded and this one counts. */
     private restoredWorkers = 0;
 
@@ -89,6 +101,10 @@
         this.startedAtWall = context.clock.wallNow();
         this.risk = new CrashRisk(this.startedAt);
         this.restoreRisk();
+        // Until the first pass it is not known what these queues may use, so their jobs are refused.
+        for (const queue of this.risk.listRisky(this.startedAt, () => false).keys()) {
+            this.backlogs.set(queue, EMPTY_BACKLOG);
+        }
     }
 
     /** Counts a run that a worker has started. */
@@ -137,36 +153,47 @@
     }
 
     private describeLoss(state: WorkerState, aliveAt: Millis): LostWorker {
+        const lostAt = this.context.clock.now();
         const runs = [...state.runs.values()]
             .filter(({ phase }) => phase === RunPhase.running)
             .map(({ queue, task, orderedAt, hasEarlyLoss }): RunAtLoss => ({
                 queue,
                 provenMs: Math.max(0, aliveAt - orderedAt),
+                ageMs: lostAt - orderedAt,
                 isSuspect: hasEarlyLoss || this.hasEarlyLoss(task),
             }));
         const { id: workerId, record: { pool } } = state;
-        return { workerId, pool, runs, aliveAt, lostAt: this.context.clock.now() };
+        return { workerId, pool, runs, aliveAt, lostAt };
     }
 
     /** Logs that workers were lost for a common reason, once for each group of them. */
     private reportCommonLosses(workerId: string): void {
-        const together = this.risk.listCommonLosses(workerId);
-        const isNew = together.length > 0 && !together.some(loss => this.reportedLosses.has(loss.workerId));
-        if (!isNew) {
+        const common = this.risk.findCommonLoss(workerId);
+        if (common === undefined || this.reportedLosses.has(workerId)) {
             return;
         }
-        this.reportedLosses.clear();
-        together.forEach(loss => this.reportedLosses.add(loss.workerId));
-        this.context.log.info("workersLostTogether", {
-            workerId,
-            workers: together.length,
-            withoutSuspect: together.filter(({ hasSuspect }) => !hasSuspect).length,
-        });
+        const { workerIds, withoutSuspect } = common;
+        this.reportedLosses = new Set([...this.reportedLosses, ...workerIds].slice(-MAX_REPORTED_LOSSES));
+        this.context.log.info("workersLostTogether", { workerId, workers: workerIds.length, withoutSuspect });
     }
 
     /** Sets the steps of risky queues that the last pass left waiting. */
     setBacklogs(backlogs: ReadonlyMap<string, RiskyBacklog>): void {
-        this.backlogs = backlogs;
+        this.backlogs = new Map(backlogs);
+    }
+
+    /** Counts a job that was accepted since the last pass. */
+    observeAccepted(queue: string, { steps }: JobSpec): void {
+        const backlog = this.backlogs.get(queue);
+        if (backlog !== undefined) {
+            const tasks = steps.filter(({ after }) => after.length === 0)
+                .reduce((sum, { taskCount }) => sum + taskCount, 0);
+            this.backlogs.set(queue, {
+                ...backlog,
+                steps: backlog.steps + 1,
+                timelyTasks: backlog.timelyTasks + tasks,
+            });
+        }
     }
 
     /** Finds the waiting steps of a queue whose tasks crash workers; undefined for a healthy queue. */
@@ -225,7 +252,7 @@
         if (loss === undefined || isDraining && !isEarlyLoss) {
             return undefined;
         }
-        const isCommonLoss = this.risk.listCommonLosses(task.workerId ?? "").length > 0;
+        const isCommonLoss = this.risk.findCommonLoss(task.workerId ?? "") !== undefined;
         if (isCommonLoss && !isInherited && !isEarlyLoss) {
             return undefined;
         }
@@ -346,7 +373,7 @@
             for (const loss of losses.filter(other => other.workerId === workerId)) {
                 ageMs = Math.min(ageMs, computeLossAge(loss, this.startedAtWall));
                 if (loss.isEarly && loss.isCommon !== true && queue !== undefined) {
-                    runs.push({ queue, provenMs: 0, isSuspect: false });
+                    runs.push({ queue, provenMs: 0, ageMs: 0, isSuspect: false });
                 }
             }
         }
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -140,6 +140,7 @@
         this.waiting.set(jobId, [reply]);
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
+        this.ends.crashes.observeAccepted(queue.name, spec);
         this.context.record({ type: "accepted", jobId, queue: queue.name, spec, at }, () => {
             this.logDecision(jobId, queue.name, "accepted", "durable");
             this.finishWaiting(jobId, { kind: "accepted" });
