--- a/src/process/dispatch/loss-causes.ts
+++ b/src/process/dispatch/loss-causes.ts
@@ -69,7 +69,7 @@
     /** Judges all workers that may have been lost together by what had just started when each was last heard. */
     private findByContact(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
         const together = losses.filter(other => other.aliveAt <= loss.lostAt && loss.aliveAt <= other.lostAt);
-        return judge(together, ({ aliveAt }) => aliveAt);
+        return findCommon(together, ({ aliveAt }) => aliveAt);
     }
 
     /**
@@ -79,7 +79,7 @@
     private findByMoment(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
         const near = losses.filter(({ lostAt }) => Math.abs(lostAt - loss.lostAt) <= MAX_SPREAD_MS);
         for (const { aliveAt: moment } of near.filter(({ aliveAt }) => isLostAt(loss, aliveAt))) {
-            const found = judge(near.filter(other => isLostAt(other, moment)), () => moment);
+            const found = findCommon(near.filter(other => isLostAt(other, moment)), () => moment);
             if (found !== undefined) {
                 return found;
             }
@@ -102,7 +102,7 @@
 }
 
 /** @param getMoment - Returns when a worker was lost. */
-function judge(
+function findCommon(
     together: readonly WorkerLossSpan[],
     getMoment: (loss: WorkerLossSpan) => Millis,
 ): CommonLoss | undefined {
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -18,8 +18,8 @@
     EARLY_MS,
     isCrasher,
 } from "../jobs/worker-losses.js";
-import type { LogValue } from "../telemetry.js";
 import type { LeaderContext } from "./context.js";
+import { CrashReport } from "./crash-report.js";
 import { RunLoss } from "./run-loss.js";
 
 /** What is known about a run and its worker when the run is declared lost. */
@@ -63,10 +63,6 @@
     workers: 0,
 };
 
-/** Bounds the lines that are logged at a time. */
-const MAX_REPORTED_QUEUES = 5;
-const MAX_REPORTED_LOSSES = 1_000;
-
 const LOSS_KINDS: Readonly<Record<RunLoss, LossKind | undefined>> = {
     [RunLoss.replaced]: LossKind.crashed,
     [RunLoss.leaseOver]: LossKind.suspected,
@@ -82,10 +78,9 @@
     /** Wall-clock time at {@link startedAt}. */
     private readonly startedAtWall: number;
     private readonly risk: CrashRisk;
+    private readonly report: CrashReport;
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs = new Map<string, RiskyBacklog>();
-    /** Workers that were reported as lost together, the latest last. */
-    private reportedLosses: ReadonlySet<string> = new Set();
     /** Number of workers whose losses earlier leaders recorded and this one counts. */
     private restoredWorkers = 0;
 
@@ -100,6 +95,7 @@
         this.startedAt = context.clock.now();
         this.startedAtWall = context.clock.wallNow();
         this.risk = new CrashRisk(this.startedAt);
+        this.report = new CrashReport(context.log, context.metrics);
         this.restoreRisk();
         // Until the first pass it is not known what these queues may use, so their jobs are refused.
         for (const queue of this.risk.listRisky(this.startedAt, () => false).keys()) {
@@ -122,7 +118,7 @@
     observeSilence(state: WorkerState, aliveAt: Millis): void {
         if (this.mayJudge(state, aliveAt)) {
             this.risk.observeSilence(this.describeLoss(state, aliveAt));
-            this.reportCommonLosses(state.id);
+            this.report.reportCommonLoss(state.id, this.risk.findCommonLoss(state.id));
         }
     }
 
@@ -139,7 +135,7 @@
             this.context.metrics.count("workers.lostAfterStart");
             this.context.requestPass();
         }
-        this.reportCommonLosses(state.id);
+        this.report.reportCommonLoss(state.id, this.risk.findCommonLoss(state.id));
     }
 
     /**
@@ -166,17 +162,6 @@
         return { workerId, pool, runs, aliveAt, lostAt };
     }
 
-    /** Logs that workers were lost for a common reason, once for each group of them. */
-    private reportCommonLosses(workerId: string): void {
-        const common = this.risk.findCommonLoss(workerId);
-        if (common === undefined || this.reportedLosses.has(workerId)) {
-            return;
-        }
-        const { workerIds, withoutSuspect } = common;
-        this.reportedLosses = new Set([...this.reportedLosses, ...workerIds].slice(-MAX_REPORTED_LOSSES));
-        this.context.log.info("workersLostTogether", { workerId, workers: workerIds.length, withoutSuspect });
-    }
-
     /** Sets the steps of risky queues that the last pass left waiting. */
     setBacklogs(backlogs: ReadonlyMap<string, RiskyBacklog>): void {
         this.backlogs = new Map(backlogs);
@@ -203,26 +188,13 @@
 
     /** Returns the queues whose tasks crash workers, and logs each queue that goes on or off probation. */
     getProbation(): ProbationInput {
-        const { clock, log, metrics } = this.context;
-        const now = clock.now();
+        const now = this.context.clock.now();
         const risky = this.risk.listRisky(now, queue => (this.backlogs.get(queue)?.probes ?? 0) > 0);
-        for (const [queue, risk] of risky) {
-            if (!this.riskyQueues.has(queue)) {
-                log.warn("CR1622", "queueOnProbation", {
-                    queue,
-                    ...describeRisk(risk),
-                    restoredWorkers: this.restoredWorkers,
-                    sinceBeginMs: Math.round(now - this.startedAt),
-                });
-            }
-        }
-        for (const queue of this.riskyQueues.keys()) {
-            if (!risky.has(queue)) {
-                log.info("queueOffProbation", { queue });
-            }
-        }
+        this.report.reportChanges(this.riskyQueues, risky, {
+            restoredWorkers: this.restoredWorkers,
+            sinceBeginMs: Math.round(now - this.startedAt),
+        });
         this.riskyQueues = risky;
-        metrics.gauge("queues.onProbation", risky.size);
         return {
             risky,
             countCrashed: (pool, isExplained) => this.risk.countCrashed(pool, isExplained, now),
@@ -231,14 +203,7 @@
 
     /** Logs the state of the queues on probation. */
     reportProbation(): void {
-        for (const [queue, risk] of [...this.riskyQueues].slice(0, MAX_REPORTED_QUEUES)) {
-            this.context.log.info("probationState", {
-                queue,
-                ...describeRisk(risk),
-                startsPerS: risk.startsPerS,
-                ...this.backlogs.get(queue),
-            });
-        }
+        this.report.reportQueues(this.riskyQueues, this.backlogs);
     }
 
     /**
@@ -384,18 +349,3 @@
         return this.context.jobs.findTask(task)?.task.losses.some(({ isEarly }) => isEarly) === true;
     }
 }
-
-function describeRisk(
-    { starts, crashes, rate, sinceCrashMs }: QueueRisk,
-): Readonly<Record<string, LogValue>> {
-    return {
-        starts,
-        crashes: formatShare(crashes, 10),
-        rate: formatShare(rate, 1_000),
-        sinceCrashMs: Number.isFinite(sinceCrashMs) ? Math.round(sinceCrashMs) : undefined,
-    };
-}
-
-function formatShare(value: number, parts: number): number {
-    return Math.round(value * parts) / parts;
-}
