Findings on common losses are kept until the losses change

Each pass compared every crash with all losses, and each moment with all of them: with hundreds of workers lost at once that is millions of comparisons in a pass. A worker's loss is now judged once per change, at one moment, and by its last order alone. Workers that were lost together no longer count against the share of the pool that a queue on probation may use.

--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -95,8 +95,6 @@
 export class CrashRisk {
     private buckets: Bucket[] = [];
     private crashes: Crash[] = [];
-    /** The crashes that tasks may have caused. */
-    private counted: readonly Crash[] = [];
     private risky: ReadonlyMap<string, QueueRisk> = new Map();
     private readonly causes = new LossCauses();
     /** Time of each queue's last confirmed crash. */
@@ -120,12 +118,8 @@
     /** Records that a worker does not answer, which says nothing of its tasks but of other losses. */
     observeSilence(worker: LostWorker): void {
         const { workerId, runs, aliveAt, lostAt } = worker;
-        this.causes.observe({
-            workerId,
-            aliveAt,
-            lostAt,
-            orderedAt: runs.map(({ ageMs }) => lostAt - ageMs),
-        });
+        const lastOrderedAt = lostAt - Math.min(...runs.map(({ ageMs }) => ageMs));
+        this.causes.observe({ workerId, aliveAt, lostAt, lastOrderedAt });
     }
 
     /**
@@ -173,7 +167,7 @@
      * @param now - On the leader's clock.
      */
     countCrashed(pool: string, isExplained: boolean, now: Millis): number {
-        return this.crashes.filter(crash =>
+        return this.listCounted().filter(crash =>
             crash.pool === pool && now - crash.at < RESTART_TIME_MS &&
             (crash.blame.size === 0) === isExplained
         ).length;
@@ -188,9 +182,8 @@
      */
     listRisky(now: Millis, hasProbes: (queue: string) => boolean): ReadonlyMap<string, QueueRisk> {
         this.forgetOld(now);
-        this.counted = this.crashes.filter(({ workerId }) => this.findCommonLoss(workerId) === undefined);
         const risky = new Map<string, QueueRisk>();
-        const implicated = new Set(this.counted.flatMap(({ queues }) => [...queues]));
+        const implicated = new Set(this.listCounted().flatMap(({ queues }) => [...queues]));
         for (const queue of new Set([...implicated, ...this.risky.keys()])) {
             const risk = this.computeRisk(queue, now);
             const isNew = risk.crashes >= MIN_CRASHES && risk.rate >= MIN_RATE;
@@ -204,6 +197,11 @@
         return risky;
     }
 
+    /** Lists the crashes that tasks may have caused. */
+    private listCounted(): readonly Crash[] {
+        return this.crashes.filter(({ workerId }) => this.findCommonLoss(workerId) === undefined);
+    }
+
     private computeRisk(queue: string, now: Millis): QueueRisk {
         const { starts, crashes } = this.count(queue, now - CRASH_WINDOW_MS);
         const recent = this.count(queue, now - RECENT_MS);
@@ -223,12 +221,12 @@
     }
 
     private listCrashTimes(queue: string): readonly Millis[] {
-        return this.counted.filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
+        return this.listCounted().filter(({ queues }) => queues.has(queue)).map(({ at }) => at);
     }
 
     private count(queue: string, since: Millis): { readonly starts: number; readonly crashes: number; } {
         const buckets = this.buckets.filter(({ at }) => at >= since);
-        const crashes = this.counted.filter(({ at }) => at >= since);
+        const crashes = this.listCounted().filter(({ at }) => at >= since);
         return {
             starts: buckets.reduce((sum, bucket) => sum + (bucket.starts.get(queue) ?? 0), 0),
             crashes: crashes.reduce((sum, { blame }) => sum + (blame.get(queue) ?? 0), 0),
--- a/src/process/dispatch/loss-causes.ts
+++ b/src/process/dispatch/loss-causes.ts
@@ -14,8 +14,8 @@
     readonly aliveAt: Millis;
     /** When the loss became known. */
     readonly lostAt: Millis;
-    /** When the runs were ordered that it had. */
-    readonly orderedAt: readonly Millis[];
+    /** When the last of its runs was ordered; -Infinity if it had none. */
+    readonly lastOrderedAt: Millis;
 }
 
 /** How long losses are remembered; runs on a silent worker are declared lost some seconds after its loss. */
@@ -39,18 +39,23 @@
 /** Recent losses of workers. */
 export class LossCauses {
     private losses = new Map<string, WorkerLossSpan>();
+    /** Findings about workers since the last change of the losses. */
+    private readonly findings = new Map<string, CommonLoss | undefined>();
 
     /** Records a loss; of several losses of one worker the first counts. */
     observe(loss: WorkerLossSpan): void {
         this.forgetOld(loss.lostAt);
         if (!this.losses.has(loss.workerId)) {
             this.losses.set(loss.workerId, loss);
+            this.findings.clear();
         }
     }
 
     /** Withdraws the loss of a worker that answers again. */
     withdraw(workerId: string): void {
-        this.losses.delete(workerId);
+        if (this.losses.delete(workerId)) {
+            this.findings.clear();
+        }
     }
 
     /**
@@ -59,46 +64,40 @@
      */
     findCommonLoss(workerId: string): CommonLoss | undefined {
         const loss = this.losses.get(workerId);
-        if (loss === undefined) {
-            return undefined;
+        if (loss === undefined || this.findings.has(workerId)) {
+            return this.findings.get(workerId);
         }
         const losses = [...this.losses.values()];
-        return this.findByContact(loss, losses) ?? this.findByMoment(loss, losses);
-    }
-
-    /** Judges all workers that may have been lost together by what had just started when each was last heard. */
-    private findByContact(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
-        const together = losses.filter(other => other.aliveAt <= loss.lostAt && loss.aliveAt <= other.lostAt);
-        return findCommon(together, ({ aliveAt }) => aliveAt);
-    }
-
-    /**
-     * Judges workers whose losses became known together by what had just started at one moment. If they were lost
-     * at once, it was when the last one of them was heard, or soon after.
-     */
-    private findByMoment(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
-        const near = losses.filter(({ lostAt }) => Math.abs(lostAt - loss.lostAt) <= MAX_SPREAD_MS);
-        for (const { aliveAt: moment } of near.filter(({ aliveAt }) => isLostAt(loss, aliveAt))) {
-            const found = findCommon(near.filter(other => isLostAt(other, moment)), () => moment);
-            if (found !== undefined) {
-                return found;
-            }
-        }
-        return undefined;
+        const found = findByContact(loss, losses) ?? findByMoment(loss, losses);
+        this.findings.set(workerId, found);
+        return found;
     }
 
     private forgetOld(now: Millis): void {
         for (const { workerId, lostAt } of this.losses.values()) {
             if (now - lostAt >= MEMORY_MS) {
-                this.losses.delete(workerId);
+                this.withdraw(workerId);
             }
         }
     }
 }
 
-/** Tells whether a worker may have been lost at a moment. */
-function isLostAt({ aliveAt, lostAt }: WorkerLossSpan, moment: Millis): boolean {
-    return aliveAt <= moment && moment <= lostAt;
+/** Judges all workers that may have been lost together by what had just started when each was last heard. */
+function findByContact(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
+    const together = losses.filter(other => other.aliveAt <= loss.lostAt && loss.aliveAt <= other.lostAt);
+    return findCommon(together, ({ aliveAt }) => aliveAt);
+}
+
+/**
+ * Judges workers whose losses became known together by what had just started at one moment. If they were lost at
+ * once, it was when the last one of them was heard, or soon after.
+ */
+function findByMoment(loss: WorkerLossSpan, losses: readonly WorkerLossSpan[]): CommonLoss | undefined {
+    const near = losses.filter(({ lostAt, aliveAt }) =>
+        Math.abs(lostAt - loss.lostAt) <= MAX_SPREAD_MS && aliveAt <= loss.lostAt
+    );
+    const moment = Math.max(...near.map(({ aliveAt }) => aliveAt));
+    return findCommon(near.filter(({ lostAt }) => lostAt >= moment), () => moment);
 }
 
 /** @param getMoment - Returns when a worker was lost. */
@@ -107,7 +106,7 @@
     getMoment: (loss: WorkerLossSpan) => Millis,
 ): CommonLoss | undefined {
     const withoutSuspect =
-        together.filter(loss => loss.orderedAt.every(at => at < getMoment(loss) - MAX_CRASH_DELAY_MS)).length;
+        together.filter(loss => loss.lastOrderedAt < getMoment(loss) - MAX_CRASH_DELAY_MS).length;
     const isCommon = withoutSuspect >= MIN_WITHOUT_SUSPECT &&
         withoutSuspect >= together.length * MIN_SHARE_WITHOUT_SUSPECT;
     return isCommon ? { workerIds: together.map(({ workerId }) => workerId), withoutSuspect } : undefined;
--- a/src/test/dispatch/loss-causes_test.ts
+++ b/src/test/dispatch/loss-causes_test.ts
@@ -50,7 +50,7 @@
                     workerId,
                     aliveAt: lostAt - 150,
                     lostAt,
-                    orderedAt: [lostAt - 2_000, ...hasSuspect ? [lostAt - 50] : []],
+                    lastOrderedAt: lostAt - (hasSuspect ? 50 : 2_000),
                 });
             for (let index = 0; index < withoutSuspect; index++) {
                 add(`other-${index}`, othersLostAt, false);
@@ -68,9 +68,9 @@
     it("forgets losses of long ago", () => {
         const causes = new LossCauses();
         for (let index = 0; index < 4; index++) {
-            causes.observe({ workerId: `w${index}`, aliveAt: NOW, lostAt: NOW, orderedAt: [] });
+            causes.observe({ workerId: `w${index}`, aliveAt: NOW, lostAt: NOW, lastOrderedAt: -Infinity });
         }
-        causes.observe({ workerId: "later", aliveAt: NOW, lostAt: NOW + 60_000, orderedAt: [NOW] });
+        causes.observe({ workerId: "later", aliveAt: NOW, lostAt: NOW + 60_000, lastOrderedAt: NOW });
         assert.equal(causes.findCommonLoss("w0"), undefined);
         assert.equal(causes.findCommonLoss("later"), undefined);
     });
