--- a/src/process/dispatch/loss-causes.ts
+++ b/src/process/dispatch/loss-causes.ts
@@ -1,9 +1,8 @@
 /**
  * Recognizes workers that were lost together for a reason other than their tasks, such as a power failure.
  *
- * @remarks A task crashes its worker within milliseconds of its start. If several workers may have been lost at
- * one moment and nothing had just started on most of them then, they have a common cause, and what had just
- * started on the others was lost by coincidence.
+ * @remarks A task crashes its worker within milliseconds of its start. If nothing had just started on most of the
+ * workers that were lost at one moment, what had just started on the others was lost by coincidence.
  */
 import type { Millis } from "../../common/clock.js";
 
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -361,7 +361,7 @@
 }
 
 function hasSuspectRun({ runs }: WorkerState): boolean {
-    return [...runs.values()].some(({ hasEarlyLoss: isOfSuspect }) => isOfSuspect);
+    return [...runs.values()].some(run => run.hasEarlyLoss);
 }
 
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
--- a/src/test/leader/crashing-queue-backlog_test.ts
+++ b/src/test/leader/crashing-queue-backlog_test.ts
@@ -8,7 +8,7 @@
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import type { CallerReply } from "../../process/leader/requests.js";
 import { CrashCell } from "./crash-cell.js";
-import { CORE, HOST, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+import { CORE, HOST, makeJobId, makeSpec, QUEUE, readJobNumber } from "./leader-cell.js";
 
 const WORKERS = 30;
 /** Workers that run a service, on which nothing that may crash them is started. */
@@ -59,14 +59,14 @@
         this.crashCell = new CrashCell({
             workers: WORKERS,
             downMs: DOWN_MS,
-            isCrashing: task => task.endsWith(".0") && this.crashing.has(readJob(task)),
+            isCrashing: task => task.endsWith(".0") && this.crashing.has(readJobNumber(task)),
         });
         const { cell } = this.crashCell;
         const risky = { ...QUEUE, name: "risky", pathPrefix: RISKY_PREFIX, stretch: 1.5, targetMs: 250 };
         cell.config = { ...cell.config, queues: [QUEUE, risky] };
         cell.getBehavior = task => ({
             demand: CORE,
-            runMs: readJob(task) === SERVICE ? 3_600_000 : RUN_MS,
+            runMs: readJobNumber(task) === SERVICE ? 3_600_000 : RUN_MS,
             end: "done",
         });
     }
@@ -132,10 +132,6 @@
     }
 }
 
-function readJob(task: string): number {
-    return Number.parseInt(task.split(".")[0] ?? "", 16);
-}
-
 const CASES: readonly Case[] = [
     { name: "a third of the jobs crash workers", crashingEvery: 3 },
     { name: "a sixth of the jobs crash workers", crashingEvery: 6 },
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -100,6 +100,11 @@
     return number.toString(16).padStart(16, "0");
 }
 
+/** Returns the number of the job that a task belongs to. */
+export function readJobNumber(task: string): number {
+    return Number.parseInt(task.split(".")[0] ?? "", 16);
+}
+
 /** A leader under test and its paths to the store and the workers. */
 export interface TestLeader {
     readonly leader: Leader;
--- a/src/test/leader/recovery-after-losses_test.ts
+++ b/src/test/leader/recovery-after-losses_test.ts
@@ -6,7 +6,7 @@
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
 import { CrashCell } from "./crash-cell.js";
-import { CORE, HOST, makeJobId, makeSpec, QUEUE } from "./leader-cell.js";
+import { CORE, HOST, makeJobId, makeSpec, QUEUE, readJobNumber } from "./leader-cell.js";
 
 const WORKERS = 32;
 const DOWN_MS: Millis = 3_600;
@@ -125,10 +125,6 @@
 
 const NO_CRASHES = { every: 1, from: Infinity, until: Infinity };
 
-function readJob(task: string): number {
-    return Number.parseInt(task.split(".")[0] ?? "", 16);
-}
-
 /** Plays a steady load and returns what became of those that arrive after the recovery time. */
 class Play {
     private readonly crashCell: CrashCell;
@@ -140,12 +136,12 @@
         this.crashCell = new CrashCell({
             workers: WORKERS,
             downMs: DOWN_MS,
-            isCrashing: task => this.crashing.has(readJob(task)),
+            isCrashing: task => this.crashing.has(readJobNumber(task)),
         });
         const { cell } = this.crashCell;
         cell.config = { ...cell.config, queues: TRAFFIC.map(({ queue }) => queue) };
         cell.getBehavior = task => {
-            const { step, runMs } = this.traffic.get(readJob(task)) ?? SHORT;
+            const { step, runMs } = this.traffic.get(readJobNumber(task)) ?? SHORT;
             return { demand: step.demand ?? CORE, runMs, end: "done" };
         };
     }
