No node stays reserved for short requests that have stopped coming

Cause: a node is reserved for short requests while their mean load is above 0.02 nodes, or with three nodes and more for ten seconds after the last one. A protection that goes on once its trigger is gone.

Change: while the nodes cannot send all requests, none is reserved once no short request has been sent for a second.

Test: four cases of reserved-nodes_test on a fake clock (2, 3, 3 and 8 nodes); three failed before (17 of 22, 28 of 33, 28 of 33 long requests answered in the seven seconds after the last short one).

--- a/src/process/dispatch/advice-dispatcher.ts
+++ b/src/process/dispatch/advice-dispatcher.ts
@@ -128,7 +128,7 @@
         return {
             all: this.callers.size,
             idle: idle.length,
-            reserved: this.reservation.count(Infinity, this.callers.size),
+            reserved: this.reservation.count(Infinity, this.callers.size, this.isOverloaded()),
         };
     }
 
@@ -178,7 +178,7 @@
      */
     private chooseCaller(request: AdviceRequest, isLate: boolean): CallerState | undefined {
         const states = [...this.callers.values()];
-        const reserved = this.reservation.count(request.priority, states.length);
+        const reserved = this.reservation.count(request.priority, states.length, this.isOverloaded());
         const isShort = estimateRequestMs(request) <= SHORT_REQUEST_MS;
         // A quick job's slack allows for a brief request in front of its own.
         const isLateAndBrief = isLate && estimateRequestMs(request) <= BRIEF_REQUEST_MS;
--- a/src/process/dispatch/node-reservation.ts
+++ b/src/process/dispatch/node-reservation.ts
@@ -19,6 +19,11 @@
  */
 const MIN_NODES_TO_RESERVE = 3;
 const SHORT_REQUEST_MEMORY_MS: Millis = 10_000;
+/**
+ * The same while long requests wait for nodes. A steady load of short requests has no pauses as long as this, and a long
+ * request takes about as long.
+ */
+const OVERLOADED_MEMORY_MS: Millis = 1_000;
 /** Least load of short requests, in busy nodes, for which a node is reserved where none can be spared. */
 const MIN_SHORT_LOAD = 0.02;
 
@@ -53,14 +58,19 @@
      * urgent queues do not count: a few would keep a node idle beside gangs.
      * @param priority - Priority of the long request's queue.
      * @param nodes - Number of nodes that can send requests.
+     * @param isOverloaded - Whether the nodes cannot send all requests: none is reserved once short ones stop coming.
      */
-    count(priority: number, nodes: number): number {
+    count(priority: number, nodes: number, isOverloaded: boolean): number {
         const counted = [...this.requests].filter(([other]) => other <= priority);
         const load = counted.reduce((sum, [, short]) => sum + short.load.compute(), 0);
         const lastAt = Math.max(-Infinity, ...counted.map(([, short]) => short.lastAt));
+        const silenceMs = this.clock.now() - lastAt;
+        // The mean load falls slowly, and would keep nodes idle for seconds after the last short request.
+        if (isOverloaded && silenceMs >= OVERLOADED_MEMORY_MS) {
+            return 0;
+        }
         // Rare short requests must not wait behind a long one either.
-        const canSpareOne = nodes >= MIN_NODES_TO_RESERVE &&
-            this.clock.now() - lastAt < SHORT_REQUEST_MEMORY_MS;
+        const canSpareOne = nodes >= MIN_NODES_TO_RESERVE && silenceMs < SHORT_REQUEST_MEMORY_MS;
         if (nodes < 2 || load < MIN_SHORT_LOAD) {
             return canSpareOne ? 1 : 0;
         }
--- a/src/test/dispatch/request-queue.ts
+++ b/src/test/dispatch/request-queue.ts
@@ -45,6 +45,11 @@
             },
         };
         this.waiting.add(request);
+        this.refresh();
+    }
+
+    /** Passes the waiting requests on once more, as each pass does. */
+    refresh(): void {
         this.dispatcher.replaceWaiting([...this.waiting]);
     }
 }
--- a/src/test/dispatch/reserved-nodes_test.ts
+++ b/src/test/dispatch/reserved-nodes_test.ts
@@ -24,8 +24,10 @@
 const GANG_COUNT = 40;
 const FINISH_MS: Millis = 14_000;
 const TICK_MS: Millis = 50;
+/** Time for which a node may stand idle beside long requests once no short ones come: two of the long requests. */
+const RELEASE_MS: Millis = 1_100;
 
-/** Two nodes for which the service answers one request at a time, and the requests that they sent. */
+/** Nodes for which the service answers one request at a time, and the requests that they sent. */
 class ServedNodes {
     readonly clock = new FakeClock();
     private readonly dispatcher = new AdviceDispatcher(this.clock, createFakeLog());
@@ -33,9 +35,10 @@
     private readonly tookMs = new Map<string, Millis>();
     private readonly waits = new Map<string, Millis>();
 
-    constructor() {
-        this.addNode("node-1");
-        this.addNode("node-2");
+    constructor(count = 2) {
+        for (let number = 1; number <= count; number++) {
+            this.addNode(`node-${number}`);
+        }
     }
 
     enqueue(step: string, policy: AdvicePolicy, workerIds: readonly string[], priority: number): void {
@@ -45,6 +48,14 @@
         this.queue.enqueue({ step, policy, workerIds, priority, since, settle });
     }
 
+    /** Passes time, with a pass of the leader at each tick. */
+    async step(ms: Millis): Promise<void> {
+        for (let at: Millis = 0; at < ms; at += TICK_MS) {
+            this.queue.refresh();
+            await this.clock.step(TICK_MS);
+        }
+    }
+
     /** Lists the times from a request to its answer, of steps whose name begins with the prefix. */
     listWaits(prefix: string): readonly Millis[] {
         return [...this.waits].filter(([step]) => step.startsWith(prefix)).map(([, waitMs]) => waitMs);
@@ -99,6 +110,35 @@
         });
     }
 
+    for (
+        const { nodeCount, checksEveryMs } of [
+            { nodeCount: 2, checksEveryMs: 50 },
+            { nodeCount: 3, checksEveryMs: 50 },
+            { nodeCount: 3, checksEveryMs: 1_500 },
+            { nodeCount: 8, checksEveryMs: 50 },
+        ]
+    ) {
+        // Guards against a reservation that outlasts the load: nodes stood idle for seconds beside jobs that waited.
+        it(`sends long requests once short ones end: ${nodeCount} nodes, every ${checksEveryMs} ms`, async () => {
+            const nodes = new ServedNodes(nodeCount);
+            for (let number = 0; number < GANG_COUNT * nodeCount; number++) {
+                nodes.enqueue(`gang-${number}`, GANGS, GANG_WORKERS, GANG_PRIORITY);
+            }
+            for (let at: Millis = 0; at < FINISH_MS / 2; at += TICK_MS) {
+                if (at % checksEveryMs === 0) {
+                    nodes.enqueue(`check-${at}`, CHECKS, ROW_WORKERS, 0);
+                }
+                await nodes.step(TICK_MS);
+            }
+            const before = nodes.listWaits("gang").length;
+            await nodes.step(FINISH_MS / 2);
+            const requestMs = GANGS.decideMs + GANGS.perWorkerMs * GANG_WORKERS.length;
+            const possible = Math.floor((FINISH_MS / 2 - RELEASE_MS) / requestMs) * nodeCount;
+            const sent = nodes.listWaits("gang").length - before;
+            assert.ok(sent >= possible, `${sent} of ${possible} long requests were answered`);
+        });
+    }
+
     it("keeps requests of quick jobs from waiting behind long ones", async () => {
         const nodes = new ServedNodes();
         for (let at: Millis = 0; at < FINISH_MS; at += TICK_MS) {
