Jobs are refused while the accepted ones owe more requests than the nodes can send soon

Cause: requests for 2.8 nodes' time arrive at the advice service for the two nodes that are left, and nothing bounds what is accepted.

Change: while requests wait, a job is refused at once (503, Retry-After) if the nodes that reach the service would need over twelve seconds for all accepted jobs with it, and its queue owes its fair part or more. The cost of a step is learned from answers, with renewals and second attempts. The bound comes from the time in which callers expect accepted jobs to start, 14 s after the end of a load.

--- a/src/process/dispatch/advice-dispatcher.ts
+++ b/src/process/dispatch/advice-dispatcher.ts
@@ -57,6 +57,8 @@
     backoffUntil: Millis;
     /** Requests that failed since the last answer. */
     failures: number;
+    /** When its last request was answered. */
+    lastAnswerAt: Millis;
 }
 
 /** Returns when a node can be chosen, by the policy's figures and its failures. */
@@ -94,6 +96,7 @@
             busyUntil: 0,
             backoffUntil: 0,
             failures: 0,
+            lastAnswerAt: -Infinity,
         });
         this.dispatch();
     }
@@ -114,6 +117,11 @@
         return this.clock.now() - this.lastOverloadAt < OVERLOAD_MEMORY_MS;
     }
 
+    /** Counts the nodes whose last request was answered, or that have sent none. */
+    countReachable(): number {
+        return [...this.callers.values()].filter(({ failures }) => failures === 0).length;
+    }
+
     /** Counts requests that no node has been given yet. */
     countWaiting(): number {
         return this.waiting.length;
@@ -156,7 +164,7 @@
         if (unsent.some(({ since }) => now - since >= OVERLOAD_WAIT_MS)) {
             this.lastOverloadAt = now;
         }
-        unwanted.forEach(request => request.settle(undefined, 0));
+        unwanted.forEach(request => request.settle(undefined, 0, 0));
     }
 
     private observeSent(request: AdviceRequest, expectedMs: Millis): void {
@@ -226,8 +234,12 @@
         const answer = await this.requestAnswer(state.caller, request, timeout);
         state.inFlightCount -= 1;
         state.inFlightMs -= expectedMs;
+        const now = this.clock.now();
+        // The service answers a node's requests one after the other.
+        const busyMs = now - Math.max(askedAt, state.lastAnswerAt);
+        state.lastAnswerAt = now;
         this.observeAnswer(state, answer);
-        request.settle(answer, askedAt);
+        request.settle(answer, askedAt, busyMs);
         this.dispatch();
     }
 
--- a/src/process/dispatch/request-shares.ts
+++ b/src/process/dispatch/request-shares.ts
@@ -24,8 +24,11 @@
     readonly isWanted: () => boolean;
     /** Called when a node sends it. */
     readonly handleSent: (nodeName: string) => void;
-    /** Called once; `askedAt` is when it was sent. The answer is undefined if it was never sent. */
-    readonly settle: (answer: AdviceAnswer | undefined, askedAt: Millis) => void;
+    /**
+     * Called once; `askedAt` is when it was sent, `busyMs` for how long it kept its node busy. The answer is undefined if
+     * it was never sent.
+     */
+    readonly settle: (answer: AdviceAnswer | undefined, askedAt: Millis, busyMs: Millis) => void;
 }
 
 /** Wait of a request after which its queue gets a share of the nodes' time. */
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -51,6 +51,47 @@
     };
 }
 
+/**
+ * Longest time in which the nodes may have to send the requests of all accepted jobs to the advice service: a job stands
+ * still for about as long, although workers may be free.
+ */
+const MAX_BACKLOG_MS: Millis = 12_000;
+const SHORTEST_BACKLOG_RETRY_MS: Millis = 1_000;
+const BACKLOG_RETRY_SPREAD_MS: Millis = 2_000;
+
+/** What the accepted jobs owe at the advice service, in time of nodes. */
+export interface BacklogInputs {
+    /** Number of nodes that reach the service. */
+    readonly callers: number;
+    /** Number of queues whose jobs have requests to make. */
+    readonly queues: number;
+    readonly owedMs: Millis;
+    /** Part of the job's queue. */
+    readonly queueOwedMs: Millis;
+    /** What the job adds. */
+    readonly jobMs: Millis;
+}
+
+/**
+ * Decides on a job while more requests to the advice service wait than the nodes can send.
+ *
+ * @remarks No order of the requests helps against a backlog that grows. The queues that owe more than their fair part are
+ * bounded, so that a queue of short requests is not refused for the long ones of another.
+ * @param draw - Random number from 0 to 1.
+ */
+export function decideBacklogAdmission(backlog: BacklogInputs, draw: number): Admission {
+    const { callers, queues, owedMs, queueOwedMs, jobMs } = backlog;
+    const excessMs = (owedMs + jobMs) / callers - MAX_BACKLOG_MS;
+    const isFair = queueOwedMs < owedMs / Math.max(1, queues);
+    if (excessMs <= 0 || isFair) {
+        return { kind: "admitted" };
+    }
+    const retryAfterMs = Math.round(
+        Math.max(SHORTEST_BACKLOG_RETRY_MS, excessMs) + draw * BACKLOG_RETRY_SPREAD_MS,
+    );
+    return { kind: "overloaded", share: 1, retryAfterMs };
+}
+
 /** Timely steps per worker on probation that may wait; more would be late when their turn comes. */
 const TIMELY_PER_WORKER = 3;
 /** Timely steps per such worker that may wait however slowly tasks start, so that some always can. */
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -9,8 +9,9 @@
 import type { Job } from "../jobs/job.js";
 import type { Journal } from "../journal/journal.js";
 import type { LogValue } from "../telemetry.js";
-import { decideAdmission, decideRiskyAdmission } from "./admission.js";
+import { decideAdmission, decideBacklogAdmission, decideRiskyAdmission } from "./admission.js";
 import type { Admission } from "./admission.js";
+import type { AdviceBacklog } from "./advice-backlog.js";
 import type { LeaderContext } from "./context.js";
 import type { QueueSettings } from "./queue-settings.js";
 import { RefusalReason } from "./requests.js";
@@ -37,6 +38,7 @@
      * @param ends - Stops the runs of cancelled jobs.
      * @param queues - Records the settings of accepted jobs' queues.
      * @param random - Decides which jobs are refused under overload, and spreads the retry times.
+     * @param adviceBacklog - Measures what the accepted jobs owe at the advice service.
      */
     constructor(
         private readonly context: LeaderContext,
@@ -44,6 +46,7 @@
         private readonly ends: RunEndHandler,
         private readonly queues: QueueSettings,
         private readonly random: Random,
+        private readonly adviceBacklog: AdviceBacklog,
     ) {}
 
     /** Answers a request; the promise resolves once the answer is durable. */
@@ -134,7 +137,9 @@
             reply(buildStoreUnavailable());
             return;
         }
-        if (this.refuseIfOverloaded(jobId, queue, reply)) {
+        if (
+            this.refuseIfOverloaded(jobId, queue, reply) || this.refuseIfBacklogged(jobId, queue, spec, reply)
+        ) {
             return;
         }
         this.waiting.set(jobId, [reply]);
@@ -175,6 +180,24 @@
         return true;
     }
 
+    /**
+     * Refuses a job whose requests to the advice service the nodes could not send soon; returns whether it did.
+     */
+    private refuseIfBacklogged(jobId: string, queue: QueueConfig, spec: JobSpec, reply: Reply): boolean {
+        const backlog = this.adviceBacklog.measure(queue, spec);
+        const admission = backlog && decideBacklogAdmission(backlog, this.random.pickFraction());
+        if (admission?.kind !== "overloaded") {
+            return false;
+        }
+        const { retryAfterMs } = admission;
+        this.logDecision(jobId, queue.name, "refused", "too many requests to the advice service are owed", {
+            ...backlog,
+            retryAfterMs,
+        });
+        reply({ kind: "refused", reason: RefusalReason.adviceBacklog, retryAfterMs });
+        return true;
+    }
+
     private decideAdmission({ priority }: QueueConfig): Admission {
         return decideAdmission({
             latenessMs: this.context.lateness.getMeanLatenessMs(),
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -22,6 +22,7 @@
 import type { InheritedLeases } from "../leadership/inherited-leases.js";
 import type { TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
+import { AdviceBacklog } from "./advice-backlog.js";
 import { Authority } from "./authority.js";
 import type { LeaderContext } from "./context.js";
 import { Fleet } from "./fleet.js";
@@ -109,6 +110,7 @@
             this.ends,
             this.queues,
             options.random,
+            new AdviceBacklog(this.context, this.advice, this.permits),
         );
         this.starter = new Starter(
             this.context,
--- a/src/process/leader/permit-coordinator.ts
+++ b/src/process/leader/permit-coordinator.ts
@@ -4,6 +4,7 @@
 import { CapacityClaims } from "../dispatch/capacity-claims.js";
 import { REQUEST_REFRESH_MS, StepPermits } from "../dispatch/permits.js";
 import type { PermitRequest } from "../dispatch/plan.js";
+import { RequestCosts } from "../dispatch/request-costs.js";
 import type { AdviceRequest } from "../dispatch/request-shares.js";
 import { AllowedShares } from "../dispatch/request-size.js";
 import type { Step } from "../jobs/job.js";
@@ -42,6 +43,8 @@
     readonly claims = new CapacityClaims();
     /** Share of the workers in a request that the advice service allows, by queue. */
     readonly allowedShares = new AllowedShares();
+    /** Time that the advice service takes for a step, by queue. */
+    readonly costs = new RequestCosts();
     private readonly permits = new WeakMap<Step, StepPermits>();
     /** Requests that were not sent to a node yet. */
     private readonly waiting = new Map<Step, AdviceRequest>();
@@ -145,7 +148,7 @@
             since: permits.getWantedSince() ?? now,
             isWanted: () => !this.closed && step.job.spec !== undefined && step.waiting > 0,
             handleSent: nodeName => this.handleSent(pending, nodeName),
-            settle: (answer, askedAt) => this.settle(pending, answer, askedAt),
+            settle: (answer, askedAt, busyMs) => this.settle(pending, answer, askedAt, busyMs),
         });
     }
 
@@ -155,7 +158,12 @@
         permits.observeSent(nodeName, this.context.clock.now());
     }
 
-    private settle(pending: PendingRequest, answer: AdviceAnswer | undefined, askedAt: Millis): void {
+    private settle(
+        pending: PendingRequest,
+        answer: AdviceAnswer | undefined,
+        askedAt: Millis,
+        busyMs: Millis,
+    ): void {
         const nodeName = pending.permits.getRequest()?.nodeName;
         pending.permits.endRequest();
         this.waiting.delete(pending.step);
@@ -164,6 +172,9 @@
             return;
         }
         const wantedSince = pending.permits.getWantedSince();
+        if (answer.kind === "done") {
+            this.costs.observe(pending.step.job.queue, busyMs, !pending.permits.hasAnswer());
+        }
         this.acceptAnswer(pending, answer);
         this.logAnswer(pending, answer, { askedAt, wantedSince: wantedSince ?? askedAt, nodeName });
         this.context.requestPass();
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -25,6 +25,8 @@
     overloaded: "overloaded",
     /** The queue's tasks have been crashing workers, and its waiting jobs use all that it may use. */
     queueOnProbation: "queueOnProbation",
+    /** The accepted jobs need all the time that the nodes have for requests to the advice service. */
+    adviceBacklog: "adviceBacklog",
     /** No configuration has been received yet. */
     noConfig: "noConfig",
 } as const;
--- a/src/test/dispatch/request-queue.ts
+++ b/src/test/dispatch/request-queue.ts
@@ -39,9 +39,9 @@
                 this.waiting.delete(request);
                 testRequest.handleSent?.(nodeName);
             },
-            settle: (answer, askedAt) => {
+            settle: (answer, askedAt, busyMs) => {
                 this.waiting.delete(request);
-                testRequest.settle?.(answer, askedAt);
+                testRequest.settle?.(answer, askedAt, busyMs);
             },
         };
         this.waiting.add(request);
--- a/src/test/load/few-callers_test.ts
+++ b/src/test/load/few-callers_test.ts
@@ -50,6 +50,24 @@
         });
     }
 
+    for (const seed of [2, 3, 4]) {
+        // Guards against more accepted work than the nodes can send requests for: large jobs stood still for half a minute.
+        it(`leaves no job standing if it is more than the nodes can send requests for: seed ${seed}`, async context => {
+            const profile = {
+                ...FEW_CALLERS_LOAD,
+                adviceSlowness: 1.6,
+                nodeLoss: { at: 12_000, remaining: 2 },
+            };
+            const { standing, classes, faults } = await new PlayedLoad(profile, seed).play();
+            classes.forEach(({ name, jobs, inTime, late, refused }) =>
+                context.diagnostic(`${name}: ${inTime} in time, ${late} late, ${refused} refused of ${jobs}`)
+            );
+            assert.deepEqual(faults, []);
+            assert.deepEqual(standing, []);
+            assert.equal(classes.find(({ name }) => name === "checks")?.refused, 0);
+        });
+    }
+
     // Guards against an order by waiting time, with which every job of an overloaded queue is late. Checks are the most
     // urgent queue and need a quarter of the time that two nodes have.
     it("keeps four fifths of the quick jobs in time while the nodes cannot send all requests", async () => {
--- a/src/test/load/played-load.ts
+++ b/src/test/load/played-load.ts
@@ -33,6 +33,7 @@
     jobs: number;
     inTime: number;
     late: number;
+    refused: number;
     offeredWorth: number;
     earnedWorth: number;
     /** Number of runs that were stopped to free capacity. */
@@ -52,6 +53,8 @@
     readonly faults: readonly string[];
     /** Jobs that stood still for seconds beside free capacity, long after the load. */
     readonly stalled: readonly StalledJob[];
+    /** The same, however many processors were in use. */
+    readonly standing: readonly StalledJob[];
     /** Use of the advice service. */
     readonly advice: AdviceUse;
 }
@@ -75,6 +78,7 @@
     private usedCpuMs = 0;
     private readonly adviceUse = new AdviceUse(this.cell.clock);
     private readonly stalled: StalledJobs;
+    private readonly standing: StalledJobs;
     private leader: TestLeader | undefined;
 
     /** @param seed - Seed from which the jobs are generated. */
@@ -87,6 +91,7 @@
                 jobs: 0,
                 inTime: 0,
                 late: 0,
+                refused: 0,
                 offeredWorth: 0,
                 earnedWorth: 0,
                 preemptions: 0,
@@ -95,7 +100,9 @@
         }
         this.cell.config = { ...this.cell.config, queues: profile.classes.map(({ queue }) => queue) };
         this.advice = new DayAdvice(this.cell.clock, step => this.findAdvice(step), () => true);
-        this.stalled = new StalledJobs(profile, (step, workerId) => this.advice.isAllowed(step, workerId));
+        const isAllowed = (step: string, workerId: string): boolean => this.advice.isAllowed(step, workerId);
+        this.stalled = new StalledJobs(profile, isAllowed);
+        this.standing = new StalledJobs(profile, isAllowed, Infinity);
         for (let number = 1; number <= profile.workers; number++) {
             this.addWorker(`w${number}`, `10.0.0.${number}:80`);
         }
@@ -122,6 +129,7 @@
             this.observeEnds(startTime);
             if (this.leader !== undefined) {
                 this.stalled.observe(clock.now() - startTime, this.leader.jobs);
+                this.standing.observe(clock.now() - startTime, this.leader.jobs);
             }
             if (clock.now() - startTime >= durationMs && this.open.size === 0) {
                 break;
@@ -175,6 +183,7 @@
         const reply = await leader.leader.serve({ kind: "submit", host: HOST, path, spec: job.spec });
         if (reply.kind !== "accepted") {
             this.open.delete(job);
+            this.getResult(job).refused += 1;
         }
     }
 
@@ -212,6 +221,7 @@
             utilization: this.usedCpuMs / availableCpuMs,
             faults: this.cell.faults,
             stalled: this.stalled.list(),
+            standing: this.standing.list(),
             advice: this.adviceUse,
         };
     }
@@ -252,6 +262,7 @@
             handleStart: (task, run, used, order) => {
                 this.adviceUse.observeStart(order.permit);
                 this.stalled.addRun(task, run, workerId, this.findDemand(task));
+                this.standing.addRun(task, run, workerId, this.findDemand(task));
                 if (used.cpuMillis > this.profile.capacity.cpuMillis) {
                     this.cell.faults.push(`${workerId} is over its capacity`);
                 }
@@ -259,6 +270,7 @@
             },
             handleEnd: (task, run, end) => {
                 this.stalled.removeRun(task, run);
+                this.standing.removeRun(task, run);
                 this.handleEnd(task, run, end);
             },
         });
--- a/src/test/load/stalled-jobs.ts
+++ b/src/test/load/stalled-jobs.ts
@@ -38,10 +38,14 @@
     private readonly standing = new Map<string, StalledJob>();
     private readonly stalled = new Map<string, StalledJob>();
 
-    /** @param isAllowed - Whether a queue's policy allows a worker for a step. */
+    /**
+     * @param isAllowed - Whether a queue's policy allows a worker for a step.
+     * @param busyShare - Share of all processors in use from which work may stand still.
+     */
     constructor(
         private readonly profile: LoadProfile,
         private readonly isAllowed: (step: string, workerId: string) => boolean,
+        private readonly busyShare: number = BUSY_SHARE,
     ) {}
 
     addRun(task: string, run: number, workerId: string, demand: Resources): void {
@@ -88,7 +92,7 @@
     ): Iterable<{ readonly job: Job; readonly steps: readonly Step[]; }> {
         const used = this.computeUsed();
         const usedCpu = [...used.values()].reduce((sum, { cpuMillis }) => sum + cpuMillis, 0);
-        if (usedCpu >= BUSY_SHARE * this.profile.workers * this.profile.capacity.cpuMillis) {
+        if (usedCpu >= this.busyShare * this.profile.workers * this.profile.capacity.cpuMillis) {
             return;
         }
         const running = new Set([...this.runs.keys()].map(key => key.split(".")[0]));
