At most a tenth of a leader's calls to workers is repeated

Cause: a leader hedges each call that is not answered within 150 ms, and after one lost answer of any worker all workers are hedged after 60 ms and asked four times as often, for four seconds. On a link of 2 Mbit/s that a burst has filled, answers are late because of the link; each repetition adds to it, calls time out, and each next call needs a new connection. Retries without a budget sustain the overload (metastable).

Change: every call adds a tenth of a token to a budget of 20 for the whole leader, a hedge or an early request for a report takes one. Lost answers count for their own worker only. RetryBudget of the service router moves to common, its sizes are parameters.

--- a/src/process/dispatch/hedged-call.ts
+++ b/src/process/dispatch/hedged-call.ts
@@ -19,7 +19,7 @@
     readonly sendAgain: Send<Value>;
     /** Time without an answer after which the second call is made. */
     readonly hedgeDelayMs: Millis;
-    /** Asked at that time: whether an answer is still wanted. */
+    /** Asked at that time: whether the second call is still wanted and may be made. */
     readonly isWanted: () => boolean;
     /** The second call is made. */
     readonly handleHedged: () => void;
--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -46,6 +46,10 @@
     computeReportWait(): Millis;
     /** Time without an answer after which a call is hedged: see `hedged-call.ts`. */
     computeHedgeDelay(): Millis;
+    /** A call is made that is not the repetition of another. */
+    handleCall(): void;
+    /** Whether a call without an answer may be repeated now. */
+    mayHedge(): boolean;
     /** The worker left a call unanswered and answered a later one. */
     handleLostAnswer(): void;
 }
@@ -238,12 +242,13 @@
         hedgeDelayMs: Millis,
     ): Promise<WorkerAnswer<Value>> {
         const { clock, listener, metrics } = this.options;
+        listener.handleCall();
         return callHedged({
             clock,
             sendFirst,
             sendAgain,
             hedgeDelayMs,
-            isWanted: () => !this.closed,
+            isWanted: () => !this.closed && listener.mayHedge(),
             handleHedged: () => metrics.count("worker.callsRepeated"),
             handleLostAnswer: () => listener.handleLostAnswer(),
         });
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,12 +1,12 @@
 /** The workers of a leader: their registrations, sessions and runs, and the processing of their reports. */
 import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
-import { LostAnswers } from "../dispatch/lost-answers.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
 import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
 import type { EndedRun, RunningRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
+import { CallRepeats } from "./call-repeats.js";
 import type { LeaderContext } from "./context.js";
 import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
@@ -53,14 +53,14 @@
     private readonly members = new Map<string, FleetMember>();
     private readonly inherited: InheritedRuns;
     private readonly losses: LostRuns;
-    private readonly lostAnswers: LostAnswers;
+    private readonly repeats: CallRepeats;
     /** Incarnations that have ended but are still listed. */
     private readonly endedIncarnations = new Set<string>();
     private closed = false;
 
     /** @param ends - Handles the ends of runs. */
     constructor(private readonly context: LeaderContext, private readonly ends: RunEndHandler) {
-        this.lostAnswers = new LostAnswers(context.lateness);
+        this.repeats = new CallRepeats(context, () => this.members.size);
         this.inherited = new InheritedRuns(context, ends);
         this.losses = new LostRuns(context, ends);
         this.runs = new RunFinder(context, this.members, this.inherited);
@@ -202,10 +202,7 @@
                 handleSuspended: gap => this.handleSuspended(gap),
                 mayExtendLeases: () => context.authority.mayOrder(),
                 computeReportGap: () => REPORT_GAP_MS + computeExtraReportGap(context.lateness),
-                computeReportWait: () =>
-                    this.lostAnswers.computeReportWait(context.clock.now(), this.members.size),
-                computeHedgeDelay: () => this.lostAnswers.computeHedgeDelay(context.clock.now()),
-                handleLostAnswer: () => this.handleLostAnswer(record.workerId),
+                ...this.repeats.buildListener(record.workerId),
             },
         });
         const member: FleetMember = { state, session, unlistedSince: undefined };
@@ -233,15 +230,6 @@
         this.context.requestPass();
     }
 
-    /** Counts each lost answer, and logs when answers begin to get lost. */
-    private handleLostAnswer(workerId: string): void {
-        const now = this.context.clock.now();
-        if (!this.lostAnswers.hasLost(now)) {
-            this.context.log.info("answersGetLost", { workerId, workers: this.members.size });
-        }
-        this.lostAnswers.observeLoss(now);
-    }
-
     private handleSuspended(gap: Millis): void {
         this.context.log.warn("CR1612", "processWasSuspended", { gapMs: Math.round(gap) });
         this.context.authority.observeSuspension();
--- a/src/process/router/service-router.ts
+++ b/src/process/router/service-router.ts
@@ -1,13 +1,13 @@
 /** Routes repeatable service requests from this gateway to placers and retries them. */
 import { type Millis, sleep } from "../../common/clock.js";
 import { buildNotRun, NotRunReason, type Outcome } from "../../common/outcome.js";
+import { RetryBudget } from "../../common/retry-budget.js";
 import type { ServeAnswer } from "../../connection/messages.js";
 import type { ServiceRequest } from "../../request/work.js";
 import type { BranchSettings, SettingsVersion } from "../../version/settings.js";
 import { ORDER_WINDOW_MS } from "../placer/index.js";
 import type { CallResult, RoleContext, ServiceResult } from "../roles.js";
 import { PlacerSelector } from "./placer-selector.js";
-import { RetryBudget } from "./retry-budget.js";
 
 /** How long to wait for a placer that has workers. */
 const NO_PLACER_TIMEOUT_MS: Millis = 500;
@@ -18,6 +18,9 @@
 /** Time that a call may take beyond the request's deadline, so that the placer's own answer arrives first. */
 const ANSWER_GRACE_MS: Millis = 250;
 
+/** No other layer retries service requests, so the limit is not multiplied by retries elsewhere. */
+const RETRY_BUDGET = { maxTokens: 100, initialTokens: 10 };
+
 /** Result of one attempt to run a request. */
 interface AttemptResult {
     readonly outcome: Outcome;
@@ -90,7 +93,7 @@
     }
 
     private getBudget(path: string): RetryBudget {
-        const budget = this.budgets.get(path) ?? new RetryBudget();
+        const budget = this.budgets.get(path) ?? new RetryBudget(RETRY_BUDGET);
         this.budgets.set(path, budget);
         return budget;
     }
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -42,6 +42,8 @@
                 computeReportGap: () => 150,
                 computeReportWait: () => 1_000,
                 computeHedgeDelay: () => 150,
+                handleCall: () => undefined,
+                mayHedge: () => true,
                 handleLostAnswer: () => undefined,
             },
         });
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -27,6 +27,7 @@
 import { FakeTaskWorkers } from "../fakes/fake-task-workers.js";
 import { createFakeLog, createFakeMetrics } from "../fakes/fake-telemetry.js";
 import type { FakeLog } from "../fakes/fake-telemetry.js";
+import type { NarrowLink } from "../fakes/narrow-link.js";
 import { PausableClock } from "../fakes/pausable-clock.js";
 
 export const CORE: Resources = { cpuMillis: 1_000, memoryMib: 1_024, accelerators: 0 };
@@ -139,6 +140,8 @@
     private readonly random = createRandom(7);
     /** Random numbers of the leaders, separate so that their draws do not shift those of the faults. */
     private readonly leaderRandom = createRandom(11);
+    /** Link that the calls of a leader to workers share; without limits by default. */
+    link: NarrowLink | undefined;
     /** Lateness that the leaders measure for their timers. */
     latenessMs: Millis = 0;
     config: ClusterConfig = {
@@ -237,6 +240,7 @@
         const workers = new FakeTaskWorkers(
             address => this.models.get(address),
             () => this.createPath(clock),
+            this.link && { clock: this.clock, link: this.link },
         );
         function handleDeposed(reason: string): void {
             deposed.push(reason);
