A late report that a run is done ends its task, although the task was started again

Change: the end is recorded as that of the current run, which is stopped.

Tests: worker-faults_test, two cases; with a second run of 10 s the job was still running before.

--- a/src/process/leader/run-end-handler.ts
+++ b/src/process/leader/run-end-handler.ts
@@ -74,6 +74,9 @@
         const isCurrent = found !== undefined && isEffectiveEnd(found, notice.run, notice.end);
         this.reportEnd(notice, found, isCurrent);
         if (!isCurrent) {
+            if (found !== undefined && isDoneAfterRestart(found, notice)) {
+                this.replaceRestart(found, notice);
+            }
             return;
         }
         const { step } = found;
@@ -111,6 +114,17 @@
         }
     }
 
+    /** Takes a task as done by a run that was declared lost, and stops the one that replaced it. */
+    private replaceRestart({ step, task }: FoundTask, { checkpoint }: EndedRunNotice): void {
+        const { name, run, workerId } = task;
+        if (workerId !== undefined) {
+            this.stopper?.stopTask(workerId, name, run);
+        }
+        this.context.record({ type: "ended", task: name, run, end: RunEnd.done, checkpoint });
+        this.closeIfFinished(step.job, [step]);
+        this.context.requestPass();
+    }
+
     private reportEnd(notice: EndedRunNotice, found: FoundTask | undefined, isCurrent: boolean): void {
         const { log, metrics } = this.context;
         const { task, run, end, ranMs, lost } = notice;
@@ -251,3 +265,9 @@
         return Math.round(estimateObjectiveMs(job.spec.steps, queue, predict));
     }
 }
+
+/** Tells whether a run that was declared lost has done its task after all while a later run was under way. */
+function isDoneAfterRestart({ step, task }: FoundTask, { run, end }: EndedRunNotice): boolean {
+    return end === RunEnd.done && run < task.run && task.state === TaskState.assigned &&
+        !step.spec.isGang && !step.spec.isLongRunning;
+}
--- a/src/test/leader/worker-faults_test.ts
+++ b/src/test/leader/worker-faults_test.ts
@@ -169,6 +169,33 @@
         assert.deepEqual(cell.faults, []);
     });
 
+    for (const secondRunMs of [500, 10_000]) {
+        // Guards against an end that is read after its run was declared lost, and dropped as the task was started again.
+        it(`takes a task as done by a late report although it was started again: ${secondRunMs} ms`, async () => {
+            const cell = new LeaderCell(2);
+            cell.getBehavior = (...[, run]) => ({
+                demand: CORE,
+                runMs: run === 1 ? 1_000 : secondRunMs,
+                end: "done",
+            });
+            const leader = await cell.startLeader();
+            await cell.clock.step(100);
+            await cell.submit(leader, 1, makeSpec({}));
+            await cell.clock.step(200);
+            const { faults } = leader.workers.getPath(`10.0.0.${cell.starts[0]?.workerId.slice(1)}:80`);
+            faults.unreachable = true;
+            for (let at = 0; at < 10_000 && cell.starts.length < 2; at += 50) {
+                await cell.clock.step(50);
+            }
+            faults.unreachable = false;
+            await cell.clock.step(1_500);
+            assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+            await cell.clock.step(1_000);
+            assert.equal(cell.starts.length, 2);
+            assert.equal(leader.jobs.countOpen(), 0);
+        });
+    }
+
     it("treats a new incarnation at a worker's address as the end of the previous one", async () => {
         // A worker's process crashes and restarts within a second. Its tasks are surely gone, so they start
         // again at once and do not wait for the lease.
