Hedged calls and early reports have budgets of their own

Cause: with 245 workers a report that is requested early waits nearly as long as usual, but it took a token that a hedge needed, and only workers that had lost an answer were hedged early.

Change: two budgets, a fifth of the calls for hedges, a tenth for early reports; a lost answer counts for all workers again, as before. Repetitions stay bounded whatever the cause.

--- a/src/process/dispatch/lost-answers.ts
+++ b/src/process/dispatch/lost-answers.ts
@@ -1,10 +1,10 @@
 /**
- * Adapts the report waits and hedge delays of a worker whose answers get lost.
+ * Adapts report waits and hedge delays to workers whose answers get lost.
  *
  * @remarks Some workers leave three in a hundred calls unanswered, while short jobs have half a second of
  * slack. A report that is held back for a second and then lost hides every ended run on its worker for longer
- * than that, so the worker holds reports back for a shorter time while its answers are lost. That takes more
- * requests, so it is done only then, and only for this worker. A lost order delays its task until the order is sent again. A leader
+ * than that, so workers hold reports back for a shorter time while answers are lost. That takes more requests
+ * per worker, so it is done only then. A lost order delays its task until the order is sent again. A leader
  * that is short of processor time reads all answers late, so the shorter hedge delay applies only where
  * answers are known to get lost.
  */
@@ -37,7 +37,7 @@
 /** Longest delay that the process's own lateness adds: the hedge must still fit into the time of the call. */
 const MAX_LATENESS_MS: Millis = 200;
 
-/** Answers that one worker lost lately. */
+/** Answers that one leader's workers lost lately. */
 export class LostAnswers {
     private lastLossAt: Millis = -Infinity;
 
--- a/src/process/leader/advice-backlog.ts
+++ b/src/process/leader/advice-backlog.ts
@@ -18,8 +18,8 @@
 
     /**
      * Computes the backlog that a submitted job would join.
-     * @returns Undefined if the nodes keep up with the requests, or if the job is to run at given times or until it is
-     * cancelled: it would not be done earlier elsewhere.
+     * @returns Undefined if the nodes keep up with the requests, if nothing is known of the queue's requests, or if the job
+     * is to run at given times or until it is cancelled, as the backlog matters little to it.
      */
     measure(queue: QueueConfig, { steps, repeat }: JobSpec): BacklogInputs | undefined {
         const isTimed = repeat !== undefined || steps.some(step => step.isLongRunning);
--- a/src/process/leader/call-repeats.ts
+++ b/src/process/leader/call-repeats.ts
@@ -6,13 +6,16 @@
 import type { LeaderContext } from "./context.js";
 
 /**
- * Calls that may be repeated or made early, for each call to a worker.
+ * Tokens that each call to a worker adds; a hedge takes one.
  *
  * @remarks Workers lose a few answers in a hundred, while a full link of this node delays most of them. Repeated calls
- * would keep the link full, and nothing tells the two apart in time, so the number of repetitions is bounded.
+ * would keep the link full, and nothing tells the two apart in time, so their number is bounded.
  */
-const REPEATED_SHARE = 0.1;
-const REPEAT_BUDGET = { maxTokens: 20, initialTokens: 20 };
+const HEDGED_SHARE = 0.2;
+const HEDGE_BUDGET = { maxTokens: 50, initialTokens: 50 };
+/** The same for reports that are requested early, so that these do not take the tokens of hedges. */
+const EARLY_SHARE = 0.1;
+const EARLY_BUDGET = { maxTokens: 20, initialTokens: 20 };
 
 /** The part of a session's listener that concerns repeated calls. */
 export type RepeatsListener = Pick<
@@ -22,40 +25,45 @@
 
 /** Repeated calls to all workers of one leader. */
 export class CallRepeats {
-    private readonly budget = new RetryBudget(REPEAT_BUDGET);
+    private readonly hedges = new RetryBudget(HEDGE_BUDGET);
+    private readonly earlyReports = new RetryBudget(EARLY_BUDGET);
+    private readonly lostAnswers: LostAnswers;
 
     /** @param countWorkers - Counts the workers that are asked for reports. */
     constructor(
         private readonly context: Pick<LeaderContext, "clock" | "lateness" | "log">,
         private readonly countWorkers: () => number,
-    ) {}
+    ) {
+        this.lostAnswers = new LostAnswers(context.lateness);
+    }
 
     /** Builds the listener for one worker's session. */
     buildListener(workerId: string): RepeatsListener {
-        const { clock, lateness } = this.context;
-        const lostAnswers = new LostAnswers(lateness);
         return {
-            computeReportWait: () => this.computeReportWait(lostAnswers),
-            computeHedgeDelay: () => lostAnswers.computeHedgeDelay(clock.now()),
-            handleCall: () => this.budget.recordRequest(REPEATED_SHARE),
-            mayHedge: () => this.budget.tryTake(),
-            handleLostAnswer: () => this.handleLostAnswer(workerId, lostAnswers),
+            computeReportWait: () => this.computeReportWait(),
+            computeHedgeDelay: () => this.lostAnswers.computeHedgeDelay(this.context.clock.now()),
+            handleCall: () => this.handleCall(),
+            mayHedge: () => this.hedges.tryTake(),
+            handleLostAnswer: () => this.handleLostAnswer(workerId),
         };
     }
 
-    private computeReportWait(lostAnswers: LostAnswers): Millis {
-        const now = this.context.clock.now();
-        return lostAnswers.hasLost(now) && this.budget.tryTake() ?
-            lostAnswers.computeReportWait(now, this.countWorkers()) :
-            NORMAL_REPORT_WAIT_MS;
+    private handleCall(): void {
+        this.hedges.recordRequest(HEDGED_SHARE);
+        this.earlyReports.recordRequest(EARLY_SHARE);
+    }
+
+    private computeReportWait(): Millis {
+        const waitMs = this.lostAnswers.computeReportWait(this.context.clock.now(), this.countWorkers());
+        return waitMs < NORMAL_REPORT_WAIT_MS && !this.earlyReports.tryTake() ? NORMAL_REPORT_WAIT_MS : waitMs;
     }
 
-    /** Counts each lost answer, and logs when a worker's answers begin to get lost. */
-    private handleLostAnswer(workerId: string, lostAnswers: LostAnswers): void {
+    /** Counts each lost answer, and logs when answers begin to get lost. */
+    private handleLostAnswer(workerId: string): void {
         const now = this.context.clock.now();
-        if (!lostAnswers.hasLost(now)) {
+        if (!this.lostAnswers.hasLost(now)) {
             this.context.log.info("answersGetLost", { workerId, workers: this.countWorkers() });
         }
-        lostAnswers.observeLoss(now);
+        this.lostAnswers.observeLoss(now);
     }
 }
