--- a/src/process/leader/call-repeats.ts
+++ b/src/process/leader/call-repeats.ts
@@ -55,7 +55,9 @@
 
     private computeReportWait(): Millis {
         const waitMs = this.lostAnswers.computeReportWait(this.context.clock.now(), this.countWorkers());
-        return waitMs < NORMAL_REPORT_WAIT_MS && !this.earlyReports.tryTake() ? NORMAL_REPORT_WAIT_MS : waitMs;
+        return waitMs < NORMAL_REPORT_WAIT_MS && !this.earlyReports.tryTake() ?
+            NORMAL_REPORT_WAIT_MS :
+            waitMs;
     }
 
     /** Counts each lost answer, and logs when answers begin to get lost. */
