--- a/src/process/dispatch/preemption-attempts.ts
+++ b/src/process/dispatch/preemption-attempts.ts
@@ -28,10 +28,8 @@
     }
 
     /**
-     * Deducts the capacity that is being freed for a gang from what others may use in a pass.
-     *
-     * @remarks Less urgent tasks would take each piece as it comes free, and the gang would stop others for it again and
-     * again.
+     * Deducts the capacity that is being freed for a gang from what others may use in a pass: less urgent tasks would take
+     * each piece as it comes free, and the gang would stop others for it again and again.
      * @returns Whether runs are being stopped for the step.
      */
     hold(step: Step, pool: PoolView, now: Millis): boolean {
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -73,10 +73,8 @@
 }
 
 /**
- * Decides on a job while more requests to the advice service wait than the nodes can send.
- *
- * @remarks No order of the requests helps against a backlog that grows. The queues that owe more than their fair part are
- * bounded, so that a queue of short requests is not refused for the long ones of another.
+ * Decides on a job while more requests to the advice service wait than the nodes can send. Only queues that owe their fair
+ * part or more are refused, so that a queue of short requests does not suffer from the long ones of another.
  * @param draw - Random number from 0 to 1.
  */
 export function decideBacklogAdmission(backlog: BacklogInputs, draw: number): Admission {
