--- a/bench/soak/checker.ts
+++ b/bench/soak/checker.ts
@@ -30,6 +30,8 @@
     trueState: "trueState",
     /** An accepted job is never unknown, and it ends. */
     kept: "kept",
+    /** No request with a key that no account has, or that was revoked for long enough, is served. */
+    access: "access",
 } as const;
 export type SoakGuarantee = (typeof SoakGuarantee)[keyof typeof SoakGuarantee];
 
@@ -48,6 +50,9 @@
 /** How long a task may still start after its job's cancellation was acknowledged, as orders may be in flight. */
 const CANCEL_LIMIT_MS: Millis = 4_000;
 
+/** Longest time from a revocation to the last request that its key may make, in the nodes' settings. */
+export const REVOCATION_MS: Millis = 2_500;
+
 interface JobEvidence {
     accepted: boolean;
     refusals: number;
@@ -69,6 +74,7 @@
     private readonly running = new Map<string, Set<string>>();
     /** Tasks whose successful end was acknowledged to a worker as durable. */
     private readonly acknowledged = new Set<string>();
+    private revokedAt: Millis | undefined;
     private readonly begin: Millis;
 
     /**
@@ -89,6 +95,19 @@
         };
     }
 
+    /** Records that the store acknowledged a revocation, or that the key is about to be restored. */
+    observeRevocation(revokedAt: Millis | undefined): void {
+        this.revokedAt = revokedAt;
+    }
+
+    /** Records that a request with a probed key was served. */
+    observeKeyServed(key: "revocable" | "unknown", sentAt: Millis): void {
+        const isLate = this.revokedAt !== undefined && sentAt > this.revokedAt + REVOCATION_MS;
+        if (key === "unknown" || isLate) {
+            this.report("access", `a request with the ${key} key was served`);
+        }
+    }
+
     /** Records the response to a submission. */
     observeSubmit(jobId: string, answer: "accepted" | "refused" | "unknown"): void {
         const job = this.getEvidence(jobId);
--- a/bench/soak/fixture.ts
+++ b/bench/soak/fixture.ts
@@ -1,14 +1,19 @@
 /** Sets up a soak run: the platform's stand-ins, proxies in front of them, and the node processes. */
-import { mkdirSync } from "node:fs";
+import { mkdirSync, readdirSync, readFileSync } from "node:fs";
 import { Agent } from "undici";
 import { CallerClient } from "../../platform/stand-ins/caller-client.js";
-import { STAND_IN_QUEUES, StandInPlatform } from "../../platform/stand-ins/stand-in-platform.js";
+import {
+    STAND_IN_KEYS,
+    STAND_IN_QUEUES,
+    StandInPlatform,
+} from "../../platform/stand-ins/stand-in-platform.js";
 import type { StandInWorker } from "../../platform/stand-ins/stand-in-platform.js";
 import { sleep, systemClock } from "../../src/common/clock.js";
 import { createRandom } from "../../src/common/random.js";
 import type { JobClient } from "./callers.js";
-import { SoakChecker } from "./checker.js";
+import { REVOCATION_MS, SoakChecker } from "./checker.js";
 import { JobSource, WORKER_CAPACITY } from "./job-source.js";
+import type { SendProbe } from "./key-prober.js";
 import { NodeProcess } from "./node-process.js";
 import type { SoakFixture, SoakNode, SoakWorker } from "./soak-run.js";
 import { TcpProxy } from "./tcp-proxy.js";
@@ -27,11 +32,14 @@
 
 /** A running fixture; its owner must close it. */
 export interface OpenFixture extends SoakFixture {
+    /** Lists the logs and records of the nodes that contain a key. */
+    listLeaks(): readonly string[];
     close(): Promise<void>;
 }
 
 const CALLER_SEED_OFFSET = 2_000_003;
 const PLATFORM_SEED_OFFSET = 3_000_017;
+const PROBED_JOB_ID = "ffffffffffffffff";
 const START_TIMEOUT_MS = 30_000;
 const START_POLL_INTERVAL_MS = 50;
 
@@ -61,6 +69,8 @@
         workers,
         services: platform,
         client: createJobClient(agent),
+        sendProbe: createProbe(agent),
+        listLeaks: () => listLeaks(platform, options.folder),
         jobs,
         checker,
         random,
@@ -97,6 +107,7 @@
         nodeName: name,
         storeAddress: storePath.address,
         adviceAddress: advicePath.address,
+        revocationMs: REVOCATION_MS,
     });
     const process = new NodeProcess({
         name,
@@ -120,8 +131,8 @@
 /** Creates a client that sends odd-numbered jobs to the queue that needs permits and the rest to the open queue. */
 function createJobClient(agent: Agent): JobClient {
     const { host, open, advised } = STAND_IN_QUEUES;
-    const openQueue = new CallerClient(agent, host, open);
-    const advisedQueue = new CallerClient(agent, host, advised);
+    const openQueue = new CallerClient(agent, host, open, STAND_IN_KEYS.permanent);
+    const advisedQueue = new CallerClient(agent, host, advised, STAND_IN_KEYS.permanent);
     const choose = (jobId: string): CallerClient =>
         Number.parseInt(jobId, 16) % 2 === 0 ? openQueue : advisedQueue;
     return {
@@ -130,3 +141,24 @@
         cancel: (address, jobId) => choose(jobId).cancel(address, jobId),
     };
 }
+
+/** Creates a sender of requests for jobs that do not exist. */
+function createProbe(agent: Agent): SendProbe {
+    const { host, open } = STAND_IN_QUEUES;
+    const clients = {
+        revocable: new CallerClient(agent, host, open, STAND_IN_KEYS.revocable),
+        unknown: new CallerClient(agent, host, open, STAND_IN_KEYS.unknown),
+    };
+    return async (address, key) => await clients[key].show(address, PROBED_JOB_ID) !== undefined;
+}
+
+/** The operator's own records, which hold the keys, are left out. */
+function listLeaks(platform: StandInPlatform, folder: string): readonly string[] {
+    const logs = readdirSync(folder)
+        .filter(name => name.endsWith(".log"))
+        .map(name => ({ place: name, text: readFileSync(`${folder}/${name}`, "utf8") }));
+    const records = platform.listSystemRecords().map(({ key, value }) => ({ place: key, text: value }));
+    return [...logs, ...records]
+        .filter(({ text }) => Object.values(STAND_IN_KEYS).some(key => text.includes(key)))
+        .map(({ place }) => place);
+}
--- a/bench/soak/soak-run.ts
+++ b/bench/soak/soak-run.ts
@@ -7,6 +7,8 @@
 import { FaultKind } from "./fault-plan.js";
 import type { PlannedFault } from "./fault-plan.js";
 import type { JobSource } from "./job-source.js";
+import { KeyProber } from "./key-prober.js";
+import type { SendProbe } from "./key-prober.js";
 import type { NodeProcess } from "./node-process.js";
 import { PathFault } from "./tcp-proxy.js";
 import type { TcpProxy } from "./tcp-proxy.js";
@@ -34,6 +36,8 @@
     truncateStore(): void;
     /** Publishes a newer configuration. */
     updateConfig(): void;
+    /** Publishes a configuration without, or with, the key that is probed. */
+    setKeyRevoked(isRevoked: boolean): void;
 }
 
 /** All parts that take part in a run. */
@@ -42,6 +46,7 @@
     readonly workers: readonly SoakWorker[];
     readonly services: SoakServices;
     readonly client: JobClient;
+    readonly sendProbe: SendProbe;
     readonly jobs: JobSource;
     readonly checker: SoakChecker;
     readonly random: Random;
@@ -68,17 +73,23 @@
  * @param fixture - A fixture whose nodes are ready.
  */
 export async function runSoak(fixture: SoakFixture, runOptions: SoakRunOptions): Promise<SoakVerdict> {
-    const callers = new SoakCallers({
+    const listAddresses = (): readonly string[] =>
+        fixture.nodes.flatMap(({ process }) => process.getCallerAddress() ?? []);
+    const callers = new SoakCallers({ ...fixture, listAddresses });
+    const prober = new KeyProber({
         ...fixture,
-        listAddresses: () => fixture.nodes.flatMap(({ process }) => process.getCallerAddress() ?? []),
+        setKeyRevoked: isRevoked => fixture.services.setKeyRevoked(isRevoked),
+        listAddresses,
     });
     callers.start(runOptions.callers);
+    void prober.run();
     await Promise.all([
         sleep(systemClock, runOptions.lengthMs),
         ...runOptions.faults.map(fault => runFault(fixture, fault)),
     ]);
     await callers.stop();
     await callers.settle(SETTLE_TIMEOUT_MS);
+    prober.stop();
     fixture.checker.finish();
     const unexpectedExits = fixture.nodes.flatMap(({ process }) => process.unexpectedExits);
     return {
--- a/src/common/resources.ts
+++ b/src/common/resources.ts
@@ -37,3 +37,16 @@
         demand.memoryMib <= free.memoryMib &&
         demand.accelerators <= free.accelerators;
 }
+
+/** Returns how many times a demand fits into an amount; infinite for an empty demand. */
+export function countFitting(demand: Resources, available: Resources): number {
+    return Math.min(
+        countDimension(demand.cpuMillis, available.cpuMillis),
+        countDimension(demand.memoryMib, available.memoryMib),
+        countDimension(demand.accelerators, available.accelerators),
+    );
+}
+
+function countDimension(demand: number, available: number): number {
+    return demand === 0 ? Infinity : Math.max(0, Math.floor(available / demand));
+}
--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -1,5 +1,6 @@
 /** Input and result of a planning pass. */
 import type { Millis } from "../../common/clock.js";
+import type { QuotaLedger } from "../accounts/quota-ledger.js";
 import type { Step, Task } from "../jobs/job.js";
 import type { StepPermits } from "./permits.js";
 import type { PreemptionAttempts } from "./preemption-attempts.js";
@@ -32,6 +33,8 @@
     readonly isAdviceOverloaded: boolean;
     /** Workers that refused orders of a step lately. */
     readonly listRefusing: (step: Step) => ReadonlySet<string>;
+    /** What the quotas of client accounts leave. */
+    readonly quotas: QuotaLedger;
     /** Queues whose tasks crash workers. */
     readonly probation: ProbationInput;
     /** Tells whether a task must wait because it was lost with its worker repeatedly. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -10,27 +10,21 @@
 import type { Step, Task } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
 import { isDeferred } from "./backfill.js";
+import { PermitPlanner } from "./permit-planner.js";
 import type { StepPermits } from "./permits.js";
 import { computePlaceScore } from "./place-score.js";
-import type { PermitRequest, Plan, PlanInput, PlannedStart } from "./plan.js";
-import { canEverHold, countPlaces, isAllOrNothing, PoolView } from "./pool-view.js";
+import type { Plan, PlanInput, PlannedStart } from "./plan.js";
+import { canEverHold, countNeeded, isAllOrNothing, PoolView } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
 import { choosePreemptions } from "./preemption.js";
 import type { Preemption } from "./preemption.js";
 import { Probation } from "./probation.js";
-import { selectRequestedWorkers } from "./request-size.js";
-import type { RequestCandidate } from "./request-size.js";
 import { canBecomeIdle, chooseReserved } from "./reserved-workers.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { listAllowed, sortSuspectsFirst } from "./waiting-step.js";
-import type { Placement, RequestScope, WaitingStep } from "./waiting-step.js";
+import type { Placement, WaitingStep } from "./waiting-step.js";
 
-/**
- * Replaces the expected share of allowed workers in renewals: the workers are allowed, but others may have
- * used their free capacity before the answer arrives.
- */
-const RENEWAL_SHARE = 0.5;
 /**
  * Gangs without enough free capacity that reserve what they could use. One drains workers for the most urgent
  * gang; with more, the capacity for several gangs would stand idle at once.
@@ -46,7 +40,6 @@
 
 class Pass {
     private readonly starts: PlannedStart[] = [];
-    private readonly permitRequests: PermitRequest[] = [];
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
     private readonly reservingGangs: Step[] = [];
@@ -59,19 +52,21 @@
     private blockedGangPriority = Infinity;
 
     private readonly probation: Probation;
+    private readonly permitPlanner: PermitPlanner;
 
     constructor(private readonly input: PlanInput) {
         this.probation = new Probation(input.probation, input.now);
+        this.permitPlanner = new PermitPlanner(input, this.probation);
     }
 
     run(): Plan {
         const ordered = this.probation.order([...this.input.waiting].sort(compareUrgency));
         ordered.forEach(urgency => this.reserveWorkers(urgency));
         ordered.forEach(urgency => this.planStep(urgency));
-        const { starts, permitRequests, preemptions, reservingGangs } = this;
+        const { starts, preemptions, reservingGangs } = this;
         return {
             starts,
-            permitRequests,
+            permitRequests: this.permitPlanner.requests,
             preemptions,
             reservingGangs,
             backlogs: this.probation.collectBacklogs(),
@@ -83,7 +78,9 @@
             return;
         }
         const { step, queue } = urgency;
-        const startable = this.listStartable(step);
+        const { quotas } = this.input;
+        const quotaPlaces = quotas.countPlaces(step.job.account, step.spec.demand);
+        const startable = this.listStartable(step).slice(0, quotaPlaces);
         if (startable.length === 0 || isAllOrNothing(step) && startable.length < step.waiting) {
             return;
         }
@@ -91,10 +88,10 @@
         if (!this.probation.hasBudget(urgency, pool)) {
             return;
         }
-        const requestsBefore = this.permitRequests.length;
+        const requestsBefore = this.permitPlanner.requests.length;
         const current = this.buildWaitingStep(urgency, startable);
         const placements = this.placeTasks(current);
-        const isWhole = placements.length === step.waiting;
+        const isWhole = placements.length >= Math.min(step.waiting, quotaPlaces);
         if (isAllOrNothing(step) && !isWhole) {
             this.settleBlockedGang(current, placements);
         }
@@ -102,9 +99,9 @@
             this.startOrRequest(current, placements);
         }
         if (!isWhole) {
-            this.requestUnknown(current);
+            this.permitPlanner.requestUnknown(current);
         }
-        if (placements.length > 0 || this.permitRequests.length > requestsBefore) {
+        if (placements.length > 0 || this.permitPlanner.requests.length > requestsBefore) {
             this.probation.useBudget(urgency, pool);
         }
     }
@@ -136,6 +133,9 @@
         if (!step.tasks.some(isSuspect) || this.probation.isRisky(queue.name)) {
             return;
         }
+        if (this.input.quotas.countPlaces(step.job.account, step.spec.demand) < countNeeded(step)) {
+            return;
+        }
         const suspects = this.listStartable(step).filter(isSuspect);
         const { pool, permits, candidates } = this.buildWaitingStep(urgency, suspects);
         const { now } = this.input;
@@ -221,6 +221,7 @@
 
     private startOrRequest(current: WaitingStep, placements: readonly Placement[]): void {
         const { step, permits } = current;
+        placements.forEach(() => this.input.quotas.take(step.job.account, step.spec.demand));
         const hasEarlyLoss = this.probation.isSuspect(current.urgency);
         const planned = placements.map(({ task, slot }): PlannedStart => {
             const permit = permits?.getUsable(slot.id, this.input.now);
@@ -235,7 +236,7 @@
             this.starts.push(...planned.filter(start => start.permit !== undefined));
         }
         if (unpermitted.length > 0) {
-            this.renewPermits(current, permits, placements, true);
+            this.permitPlanner.renew(current, permits, placements, true);
             this.releaseUnanswered(current, permits, placements);
         }
     }
@@ -257,32 +258,12 @@
         const isLacking = ({ slot }: Placement): boolean =>
             permits.getUsable(slot.id, this.input.now) === undefined;
         const released = isAllOrNothing(step) ? placements : placements.filter(isLacking);
-        released.forEach(({ slot }) => slot.release(step));
+        released.forEach(({ slot }) => this.releaseTask(step, slot));
     }
 
-    /**
-     * Requests expired permits again, for the workers chosen now and then for the emptiest: by the time of
-     * the answer others may have used their free capacity, and most of the service's time goes to a request
-     * as such.
-     */
-    private renewPermits(
-        current: WaitingStep,
-        permits: StepPermits,
-        placements: readonly Placement[],
-        canStart: boolean,
-    ): void {
-        if (!permits.canRequest(this.input.now)) {
-            return;
-        }
-        const expired = current.candidates
-            .filter(slot => permits.getUsable(slot.id, this.input.now) === undefined);
-        const chosen = new Set(placements.map(({ slot }) => slot));
-        this.addPermitRequest(current.urgency, {
-            slots: expired,
-            allowedShare: RENEWAL_SHARE,
-            hasCapacity: canStart,
-            chosen,
-        });
+    private releaseTask(step: Step, slot: Slot): void {
+        slot.release(step);
+        this.input.quotas.release(step.job.account, step.spec.demand);
     }
 
     /** Reserves what a gang without enough free capacity found, or releases it to the steps behind. */
@@ -299,9 +280,10 @@
         }
         if (canHold && (this.preemptFor(current, placements) || isReserving)) {
             this.reservingGangs.push(step);
+            step.tasks.forEach(() => this.input.quotas.take(step.job.account, step.spec.demand));
             if (permits !== undefined) {
                 // Its capacity may come free at any time and must not stand idle for the time of a request.
-                this.renewPermits(current, permits, placements, false);
+                this.permitPlanner.renew(current, permits, placements, false);
             }
             return;
         }
@@ -342,57 +324,4 @@
         this.preemptions.push(...plan?.preemptions ?? []);
         return plan && [...placements.map(({ slot }) => slot), ...plan.slots];
     }
-
-    /**
-     * Requests permits for workers that were not named yet: for the first ones at once, for more if the
-     * allowed ones can never hold the step, or if others have free capacity now.
-     */
-    private requestUnknown({ urgency, step, pool, permits, candidates }: WaitingStep): void {
-        if (permits?.canRequest(this.input.now) !== true) {
-            return;
-        }
-        const isAllWanted = candidates.length === 0 || !canEverHold(step, candidates);
-        if (!isAllWanted && !pool.mayFit(step.spec.demand)) {
-            return;
-        }
-        const unknown = this.probation.select(urgency, pool, pool.slots).filter(slot =>
-            permits.isUnknown(slot.id) && (isAllWanted || slot.canTake(step)) && slot.isSuitable(step)
-        );
-        // An answer may have left out workers that would be allowed now, and no others remain to be named.
-        const isDeniedWanted = isAllWanted && unknown.length === 0;
-        const wanted = isDeniedWanted ?
-            pool.slots.filter(slot =>
-                permits.isDenialOver(slot.id, this.input.now) && slot.isSuitable(step)
-            ) :
-            unknown;
-        const allowedShare = this.input.getAllowedShare(urgency.queue.name);
-        const needed = isAllOrNothing(step) ? step.waiting : 1;
-        const canStart = countPlaces(step, wanted) * allowedShare >= needed;
-        this.addPermitRequest(urgency, {
-            slots: wanted,
-            allowedShare,
-            hasCapacity: canStart,
-            chosen: new Set(),
-        });
-    }
-
-    private addPermitRequest(
-        urgency: Urgency,
-        { slots, allowedShare, hasCapacity, chosen }: RequestScope,
-    ): void {
-        const { step, queue } = urgency;
-        if (queue.advice === undefined || slots.length === 0) {
-            return;
-        }
-        const need = { spec: step.spec, tasks: step.waiting, policy: queue.advice, allowedShare };
-        const askable = slots.map((slot): RequestCandidate => {
-            const { id, capacity, free } = slot;
-            const cpuMillis = Math.max(0, free.cpuMillis - this.input.getClaimedCpu(id));
-            return { id, capacity, free: { ...free, cpuMillis }, isChosen: chosen.has(slot) };
-        });
-        const workerIds = this.probation.isRisky(queue.name) ?
-            askable.map(({ id }) => id) :
-            selectRequestedWorkers(askable, need);
-        this.permitRequests.push({ urgency, workerIds, hasCapacity });
-    }
 }
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -6,10 +6,15 @@
  * per dimension.
  */
 import type { Millis } from "../../common/clock.js";
-import { addResources, isWithin, NO_RESOURCES, removeResources } from "../../common/resources.js";
+import {
+    addResources,
+    countFitting,
+    isWithin,
+    NO_RESOURCES,
+    removeResources,
+} from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { Step } from "../jobs/job.js";
-import { countFitting } from "./request-size.js";
 import type { WorkerState } from "./worker-state.js";
 
 /** A worker and the capacity that the current pass has not used yet. */
@@ -232,3 +237,8 @@
 export function isAllOrNothing(step: Step): boolean {
     return step.spec.isGang && step.repairRun === undefined;
 }
+
+/** Counts the tasks of a step that have to start together. */
+export function countNeeded(step: Step): number {
+    return isAllOrNothing(step) ? step.waiting : 1;
+}
--- a/src/process/dispatch/request-size.ts
+++ b/src/process/dispatch/request-size.ts
@@ -6,6 +6,7 @@
  * it, while a few are mostly enough. Too few cost a second request, so more capacity is requested than the
  * step needs.
  */
+import { countFitting } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import type { StepSpec } from "../jobs/job-spec.js";
@@ -126,16 +127,3 @@
     const later = countFitting(spec.demand, capacity) * BUSY_CAPACITY_SHARE;
     return Math.min(limit, Math.max(now, later));
 }
-
-/** Returns how many times a demand fits into an amount; infinite for an empty demand. */
-export function countFitting(demand: Resources, available: Resources): number {
-    return Math.min(
-        countDimension(demand.cpuMillis, available.cpuMillis),
-        countDimension(demand.memoryMib, available.memoryMib),
-        countDimension(demand.accelerators, available.accelerators),
-    );
-}
-
-function countDimension(demand: number, available: number): number {
-    return demand === 0 ? Infinity : Math.max(0, Math.floor(available / demand));
-}
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -23,6 +23,8 @@
     readonly step: string;
     /** Queue of its job; empty if unknown. */
     readonly queue: string;
+    /** Client account to whose quota it counts; undefined if its job is anonymous or unknown. */
+    readonly account: string | undefined;
     /**
      * Resources deducted for it: its demand, or everything that could be its own if the demand is not known.
      */
@@ -68,6 +70,7 @@
 export function buildRunRecord(run: NewRun): RunRecord {
     return {
         queue: "",
+        account: undefined,
         isDemandKnown: true,
         wasReported: false,
         isInherited: false,
--- a/src/process/jobs/build-job.ts
+++ b/src/process/jobs/build-job.ts
@@ -11,6 +11,7 @@
     return {
         id: event.jobId,
         queue: event.queue,
+        account: event.account,
         spec: event.spec,
         acceptedAt: event.at,
         phase: JobPhase.queued,
@@ -19,6 +20,7 @@
         occurrences: new Map(),
         nextOccurrence: 0,
         hasStarted: false,
+        leftRuns: [],
     };
 }
 
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -52,6 +52,8 @@
     readonly jobId: string;
     readonly queue: string;
     readonly spec: JobSpec;
+    /** Client account that submitted it. Absent if it was submitted without a key. */
+    readonly account?: string;
     /** Wall-clock time, in milliseconds since 1970. */
     readonly at: number;
 }
--- a/src/process/jobs/job-registry.ts
+++ b/src/process/jobs/job-registry.ts
@@ -16,7 +16,7 @@
     TaskCleared,
 } from "./job-events.js";
 import { parseTaskName } from "./job-spec.js";
-import { isStepRunnable, listSteps, TaskState } from "./job.js";
+import { isStepRunnable, listAssignedRuns, listSteps, TaskState } from "./job.js";
 import type { Job, Step, Task } from "./job.js";
 import { LossIndex } from "./worker-losses.js";
 
@@ -117,6 +117,12 @@
         return step === undefined || task === undefined ? undefined : { step, task };
     }
 
+    /** Finds the job, open or ended, to which a task belongs by its name. */
+    findJobOfTask(name: string): Job | undefined {
+        const ref = parseTaskName(name);
+        return ref && this.jobs.get(ref.jobId);
+    }
+
     /** Lists the steps of open jobs that have a task or a gang to start. */
     *listRunnable(): Iterable<Step> {
         for (const step of this.listOpenSteps()) {
@@ -329,6 +335,7 @@
         job.phase = phase;
         job.endedAt = at;
         this.forgetLosses(job);
+        job.leftRuns = listAssignedRuns(job);
         job.spec = undefined;
         job.occurrences.clear();
         this.open.delete(jobId);
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -1,4 +1,5 @@
 /** The state of one job: occurrences, steps and tasks. Only {@link JobRegistry} changes it. */
+import type { Resources } from "../../common/resources.js";
 import type { JobPhase } from "./job-events.js";
 import type { JobSpec, StepSpec } from "./job-spec.js";
 import type { WorkerLoss } from "./worker-losses.js";
@@ -68,6 +69,8 @@
 export interface Job {
     readonly id: string;
     readonly queue: string;
+    /** Client account that submitted it; undefined if it was submitted without a key. */
+    readonly account: string | undefined;
     /** Undefined once the job has ended (only its end is kept) or its acceptance was withdrawn. */
     spec: JobSpec | undefined;
     /** Wall-clock time of its acceptance. */
@@ -83,6 +86,29 @@
     nextOccurrence: number;
     /** Whether any run was ever assigned. */
     hasStarted: boolean;
+    /** Runs that were assigned when the job ended, and that may go on until they are stopped. */
+    leftRuns: readonly LeftRun[];
+}
+
+/** A run of a job that has ended. */
+export interface LeftRun {
+    readonly workerId: string;
+    readonly task: string;
+    readonly run: number;
+    readonly demand: Resources;
+}
+
+/** Lists a job's assigned runs. */
+export function listAssignedRuns(job: Job): readonly LeftRun[] {
+    const runs: LeftRun[] = [];
+    for (const { tasks, spec: { demand } } of listSteps(job)) {
+        for (const { state, workerId, name: task, run } of tasks) {
+            if (state === TaskState.assigned && workerId !== undefined) {
+                runs.push({ workerId, task, run, demand });
+            }
+        }
+    }
+    return runs;
 }
 
 /** Lists the steps of a job's occurrences that are due and not yet done. */
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -6,7 +6,7 @@
 import { JobRegistry } from "./job-registry.js";
 import type { JobSpec } from "./job-spec.js";
 import { TaskState } from "./job.js";
-import type { Job, Occurrence, Step, Task } from "./job.js";
+import type { Job, LeftRun, Occurrence, Step, Task } from "./job.js";
 import type { LossIndex, WorkerLoss } from "./worker-losses.js";
 
 /** A task that differs from its initial state. */
@@ -39,6 +39,7 @@
 interface StoredOpenJob {
     readonly id: string;
     readonly queue: string;
+    readonly account?: string;
     readonly at: number;
     readonly spec: JobSpec;
     readonly hasStarted: boolean;
@@ -49,9 +50,12 @@
 interface StoredEndedJob {
     readonly id: string;
     readonly queue: string;
+    readonly account?: string;
     readonly at: number;
     readonly phase: JobPhase;
     readonly endedAt: number;
+    /** Absent if there are none. */
+    readonly leftRuns?: readonly LeftRun[];
 }
 
 /** Worker, epoch of the leader that adopted it, and the worker's address if known. */
@@ -71,14 +75,15 @@
     const open: StoredOpenJob[] = [];
     const ended: StoredEndedJob[] = [];
     for (const job of jobs.listAll()) {
-        const { id, queue, acceptedAt: at, phase, endedAt, spec } = job;
+        const { id, queue, account, acceptedAt: at, phase, endedAt, spec } = job;
         if (spec === undefined) {
-            ended.push({ id, queue, at, phase, endedAt });
+            const leftRuns = job.leftRuns.length > 0 ? job.leftRuns : undefined;
+            ended.push({ id, queue, account, at, phase, endedAt, leftRuns });
             continue;
         }
         const occurrences = [...job.occurrences.values()].map(convertOccurrence);
         const { hasStarted, nextOccurrence } = job;
-        open.push({ id, queue, at, spec, hasStarted, nextOccurrence, occurrences });
+        open.push({ id, queue, account, at, spec, hasStarted, nextOccurrence, occurrences });
     }
     const adoptions = jobs.adoptions.list(jobs.listConcernedWorkers()).map(convertAdoption);
     const queues = [...jobs.listQueues()];
@@ -92,10 +97,10 @@
 export function decodeJobs(text: string): JobRegistry {
     const jobs = new JobRegistry();
     const stored = JSON.parse(text) as StoredJobs;
-    for (const { id, queue, at, phase, endedAt } of stored.ended) {
+    for (const { id, queue, account, at, phase, endedAt, leftRuns = [] } of stored.ended) {
         const spec: JobSpec = { payload: "", steps: [], repeat: undefined };
-        const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
-        jobs.restore({ ...job, spec: undefined, phase, endedAt });
+        const job = buildJob({ type: "accepted", jobId: id, queue, account, spec, at });
+        jobs.restore({ ...job, spec: undefined, phase, endedAt, leftRuns });
     }
     for (const [workerId, epoch, address] of stored.adoptions ?? []) {
         jobs.apply({ type: "adopted", workerId, epoch, address });
@@ -112,8 +117,8 @@
 }
 
 function rebuildOpenJob(entry: StoredOpenJob, index: LossIndex): Job {
-    const { id, queue, at, spec, hasStarted, nextOccurrence } = entry;
-    const job = buildJob({ type: "accepted", jobId: id, queue, spec, at });
+    const { id, queue, account, at, spec, hasStarted, nextOccurrence } = entry;
+    const job = buildJob({ type: "accepted", jobId: id, queue, account, spec, at });
     job.hasStarted = hasStarted;
     job.nextOccurrence = nextOccurrence;
     job.phase = hasStarted ? JobPhase.running : JobPhase.queued;
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -29,6 +29,8 @@
     /** Leases that earlier leaders granted and that may still be valid. */
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
+    /** Whether the configuration in force is recent enough to grant requests access by it. */
+    readonly isConfigConfirmed: () => boolean;
     /**
      * Finds the settings for a queue's jobs, also after the queue was removed from the configuration;
      * undefined if no leader has recorded them.
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,6 +1,7 @@
 /** The workers of a leader: their registrations, sessions and runs, and the processing of their reports. */
 import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
+import { AccountUse } from "../accounts/account-use.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
 import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
@@ -102,6 +103,14 @@
         );
     }
 
+    /** Sums what the runs of each client account use or may still use. */
+    collectAccountUse(): AccountUse {
+        const use = new AccountUse();
+        use.add(this.inherited.listCharged());
+        this.members.forEach(({ state }) => use.add(state.runs.values()));
+        return use;
+    }
+
     /** Finds a worker's session. */
     findSession(workerId: string): WorkerSession | undefined {
         return this.members.get(workerId)?.session;
@@ -257,6 +266,7 @@
             this.context.runWhenCommitted(() => session.acknowledgeEnds(lastEnd));
         }
         if (isFirst) {
+            this.inherited.observeReport(state.id);
             this.adopt(member);
         }
         if (ended.length > 0) {
@@ -313,6 +323,7 @@
         const record = buildForeignRun({
             running,
             step: this.context.jobs.findTask(running.task)?.step,
+            job: this.context.jobs.findJobOfTask(running.task),
             free: state.free,
             workerNow,
             now: this.context.clock.now(),
--- a/src/process/leader/foreign-run.ts
+++ b/src/process/leader/foreign-run.ts
@@ -3,7 +3,7 @@
 import type { Resources } from "../../common/resources.js";
 import { buildRunRecord, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
-import type { Step } from "../jobs/job.js";
+import type { Job, Step } from "../jobs/job.js";
 import type { RunningRun } from "../ports/task-worker-port.js";
 
 /** What is known about a foreign run. */
@@ -11,6 +11,8 @@
     readonly running: RunningRun;
     /** Undefined if its job has ended or was never known. */
     readonly step: Step | undefined;
+    /** Undefined if its job was never known, or was forgotten. */
+    readonly job: Job | undefined;
     /** Free resources of its worker. */
     readonly free: Resources;
     /** When the run was reported, on the worker's clock. */
@@ -19,17 +21,19 @@
 }
 
 /**
- * Builds the record that reserves the run's resources until it has ended. The demand of an ended job is no
- * longer known, so its run is charged with everything that seems free.
+ * Builds the record that reserves the run's resources until it has ended. A run of unknown demand
+ * is charged with everything that seems free.
  */
-export function buildForeignRun({ running, step, free, workerNow, now }: ForeignRun): RunRecord {
+export function buildForeignRun({ running, step, job, free, workerNow, now }: ForeignRun): RunRecord {
+    const demand = step?.spec.demand ?? job?.leftRuns.find(({ task }) => task === running.task)?.demand;
     return buildRunRecord({
         task: running.task,
         run: running.run,
         step: step?.name ?? "",
-        queue: step?.job.queue ?? "",
-        demand: step?.spec.demand ?? computeAvailable(free),
-        isDemandKnown: step !== undefined,
+        queue: job?.queue ?? "",
+        account: job?.account,
+        demand: demand ?? computeAvailable(free),
+        isDemandKnown: demand !== undefined,
         phase: RunPhase.running,
         settledAfter: workerNow,
         wasReported: true,
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -1,5 +1,6 @@
 /** Runs that earlier leaders assigned to workers with which this leader has had no contact yet. */
 import type { Millis } from "../../common/clock.js";
+import type { ChargedRun } from "../accounts/account-use.js";
 import { buildRunRecord, makeRunKey, RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
 import { RunEnd } from "../jobs/job-events.js";
@@ -8,6 +9,7 @@
 import { isSuspect } from "../jobs/worker-losses.js";
 import type { LeaderContext } from "./context.js";
 import { computeLossGrace } from "./late-leader.js";
+import { LeftRuns } from "./left-runs.js";
 import type { RunEndHandler } from "./run-end-handler.js";
 import { RunLoss } from "./run-loss.js";
 
@@ -16,9 +18,11 @@
     private readonly tasks = new Map<string, FoundTask[]>();
     /** Keys of runs that have to end. */
     private readonly pendingStops = new Set<string>();
+    private readonly left: LeftRuns;
 
     /** @param ends - Handles the loss of runs whose workers never appear. */
     constructor(private readonly context: LeaderContext, private readonly ends: RunEndHandler) {
+        this.left = new LeftRuns(context);
         for (const found of context.jobs.listAssigned()) {
             const workerId = found.task.workerId ?? "";
             this.tasks.set(workerId, [...this.tasks.get(workerId) ?? [], found]);
@@ -48,6 +52,21 @@
         }
     }
 
+    /** Lists the inherited runs as far as they count towards quotas. */
+    *listCharged(): Iterable<ChargedRun> {
+        for (const tasks of this.tasks.values()) {
+            for (const { step } of tasks) {
+                yield { account: step.job.account, demand: step.spec.demand };
+            }
+        }
+        yield* this.left.listCharged();
+    }
+
+    /** Handles the first report of a worker, which lists all that runs there. */
+    observeReport(workerId: string): void {
+        this.left.forgetWorker(workerId);
+    }
+
     /**
      * Stops a run once its worker appears.
      *
@@ -82,6 +101,7 @@
 
     /** Declares the runs of workers that never appeared lost once their leases have certainly expired. */
     dropExpired(now: Millis): void {
+        this.left.dropExpired(now);
         for (const [workerId, tasks] of this.tasks) {
             if (now <= this.computeEnd(workerId) + computeLossGrace(this.context.lateness)) {
                 continue;
@@ -116,6 +136,7 @@
             run: task.run,
             step: step.name,
             queue: step.job.queue,
+            account: step.job.account,
             demand: step.spec.demand,
             phase: RunPhase.ordered,
             // The first report carries the new epoch, after which orders of earlier leaders have no effect.
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -3,6 +3,8 @@
 import type { Random } from "../../common/random.js";
 import { findQueue } from "../../version/cluster-config.js";
 import type { QueueConfig } from "../../version/cluster-config.js";
+import { decideAccess, findAccount, mayAccessJob } from "../accounts/access.js";
+import { canQuotaHold } from "../accounts/quota-ledger.js";
 import { JobPhase } from "../jobs/job-events.js";
 import type { JobSpec } from "../jobs/job-spec.js";
 import { listSteps } from "../jobs/job.js";
@@ -18,6 +20,10 @@
 import type { CallerReply, CallerRequest } from "./requests.js";
 import type { RunEndHandler } from "./run-end-handler.js";
 
+/** When a caller may retry after its job did not fit into the quota, which only the operator can raise. */
+const QUOTA_RETRY_MS: Millis = 30_000;
+/** When a caller may retry while the store has not confirmed the configuration. */
+const CONFIG_UNCONFIRMED_RETRY_MS: Millis = 1_000;
 /** When a caller may retry during an outage of the store; such outages last seconds. */
 const STORE_UNAVAILABLE_RETRY_MS: Millis = 1_000;
 /** Minimum time for which ended jobs are shown; deployments require 120 s. */
@@ -26,6 +32,15 @@
 
 type Reply = (reply: CallerReply) => void;
 
+/** A job that a caller submits. */
+interface Submission {
+    readonly jobId: string;
+    readonly queue: QueueConfig;
+    /** Client account; undefined for an anonymous request. */
+    readonly account: string | undefined;
+    readonly spec: JobSpec;
+}
+
 /** Accepts, shows and cancels jobs for callers. */
 export class JobRequestHandler {
     /** Callers that wait until the acceptance of a job is durable, by job. */
@@ -98,12 +113,27 @@
     }
 
     private dispatchRequest(request: CallerRequest, reply: Reply): void {
-        const match = findQueue(this.context.getConfig(), request.host, request.path);
+        if (!this.context.isConfigConfirmed()) {
+            reply({
+                kind: "refused",
+                reason: RefusalReason.configUnconfirmed,
+                retryAfterMs: CONFIG_UNCONFIRMED_RETRY_MS,
+            });
+            return;
+        }
+        const config = this.context.getConfig();
+        const match = findQueue(config, request.host, request.path);
         if (match === undefined) {
             reply({ kind: "noQueue" });
             return;
         }
         const { queue, rest } = match;
+        const access = decideAccess(config, queue, request.credential);
+        if (access.kind === "denied") {
+            reply({ kind: "unauthorized", reason: access.reason });
+            return;
+        }
+        const { account } = access;
         if (request.kind === "show" && rest === "") {
             reply({ kind: "pending", count: this.context.jobs.countPending(queue.name) });
             return;
@@ -114,21 +144,26 @@
         }
         switch (request.kind) {
             case "submit":
-                return this.submit(rest, queue, request.spec, reply);
+                return this.submit({ jobId: rest, queue, account, spec: request.spec }, reply);
             case "show":
-                return this.show(rest, reply);
+                return this.show(rest, account, reply);
             case "cancel":
-                return this.cancel(rest, reply);
+                return this.cancel(rest, account, reply);
         }
     }
 
-    private submit(jobId: string, queue: QueueConfig, spec: JobSpec, reply: Reply): void {
+    private submit({ jobId, queue, account, spec }: Submission, reply: Reply): void {
+        const known = this.context.jobs.get(jobId);
+        if (known !== undefined && !mayAccessJob(account, known.account)) {
+            reply({ kind: "jobIdTaken" });
+            return;
+        }
         const waiting = this.waiting.get(jobId);
         if (waiting !== undefined) {
             waiting.push(reply);
             return;
         }
-        if (this.context.jobs.get(jobId) !== undefined) {
+        if (known !== undefined) {
             reply({ kind: "accepted" });
             return;
         }
@@ -137,6 +172,9 @@
             reply(buildStoreUnavailable());
             return;
         }
+        if (this.refuseIfNeverHeld({ jobId, queue, account, spec }, reply)) {
+            return;
+        }
         if (
             this.refuseIfOverloaded(jobId, queue, reply) || this.refuseIfBacklogged(jobId, queue, spec, reply)
         ) {
@@ -146,7 +184,7 @@
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
         this.ends.crashes.observeAccepted(queue.name, spec);
-        this.context.record({ type: "accepted", jobId, queue: queue.name, spec, at }, () => {
+        this.context.record({ type: "accepted", jobId, queue: queue.name, account, spec, at }, () => {
             this.logDecision(jobId, queue.name, "accepted", "durable");
             this.finishWaiting(jobId, { kind: "accepted" });
             this.context.requestPass();
@@ -155,6 +193,32 @@
         this.context.requestPass();
     }
 
+    /** Refuses a job that the quota of its client account could never hold; returns whether it did. */
+    private refuseIfNeverHeld({ jobId, queue, account, spec }: Submission, reply: Reply): boolean {
+        const quota = findAccount(this.context.getConfig(), account)?.quota;
+        const unheld = quota &&
+            spec.steps.find(({ isGang, demand, taskCount }) =>
+                !canQuotaHold(quota, demand, isGang ? taskCount : 1)
+            );
+        if (unheld === undefined) {
+            return false;
+        }
+        this.logDecision(
+            jobId,
+            queue.name,
+            "refused",
+            "the account's quota is smaller than what must run at once",
+            {
+                account,
+                tasks: unheld.isGang ? unheld.taskCount : 1,
+                cpuMillis: unheld.demand.cpuMillis,
+                quotaCpuMillis: quota?.cpuMillis,
+            },
+        );
+        reply({ kind: "refused", reason: RefusalReason.quotaTooSmall, retryAfterMs: QUOTA_RETRY_MS });
+        return true;
+    }
+
     /**
      * Refuses a job if the leader is overloaded or the queue's tasks crash workers; returns whether it did.
      */
@@ -207,18 +271,18 @@
         });
     }
 
-    private show(jobId: string, reply: Reply): void {
+    private show(jobId: string, account: string | undefined, reply: Reply): void {
         const job = this.context.jobs.get(jobId);
-        if (job === undefined) {
+        if (job === undefined || !mayAccessJob(account, job.account)) {
             void this.replyNoJob(reply);
             return;
         }
         reply({ kind: "state", phase: getShownPhase(job) });
     }
 
-    private cancel(jobId: string, reply: Reply): void {
+    private cancel(jobId: string, account: string | undefined, reply: Reply): void {
         const job = this.context.jobs.get(jobId);
-        if (job === undefined) {
+        if (job === undefined || !mayAccessJob(account, job.account)) {
             void this.replyNoJob(reply);
             return;
         }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -6,6 +6,7 @@
 import type { Lateness } from "../../common/lateness.js";
 import type { Random } from "../../common/random.js";
 import type { ClusterConfig } from "../../version/cluster-config.js";
+import { QuotaLedger } from "../accounts/quota-ledger.js";
 import { AdviceDispatcher } from "../dispatch/advice-dispatcher.js";
 import type { AdviceCaller } from "../dispatch/advice-dispatcher.js";
 import { planStarts } from "../dispatch/planner.js";
@@ -49,6 +50,8 @@
     readonly leaseMs: Millis;
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
+    /** Whether the configuration in force is recent enough to grant requests access by it. */
+    readonly isConfigConfirmed: () => boolean;
     /** Asks the store whether this leader still leads. */
     readonly confirmLeading: () => Promise<boolean>;
     readonly handleDeposed: (reason: string) => void;
@@ -180,6 +183,7 @@
             lateness: options.lateness,
             inheritedLeases: options.inheritedLeases,
             getConfig: options.getConfig,
+            isConfigConfirmed: options.isConfigConfirmed,
             predictRunMs: ({ spec, job }) =>
                 spec.isLongRunning ? Infinity : this.runTimes.estimate(job.queue, spec.estimateMs),
             findPreemptibleBelow: step => this.findPreemptibleBelow(step),
@@ -267,6 +271,7 @@
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
             isAdviceOverloaded: this.advice.isOverloaded(),
             listRefusing: step => this.starter.refusals.listPaused(step, begin),
+            quotas: new QuotaLedger(this.context.getConfig().accounts, this.fleet.collectAccountUse()),
             probation: this.ends.crashes.getProbation(),
             isPaused: task => this.ends.crashes.isPaused(task),
             now: begin,
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -1,12 +1,15 @@
 /** Requests of callers and the replies to them, as exchanged between any node and the leader. */
 import type { Millis } from "../../common/clock.js";
+import type { AccessDenial } from "../accounts/access.js";
+import type { Credential } from "../accounts/credential.js";
 import type { JobPhase } from "../jobs/job-events.js";
 import type { JobSpec } from "../jobs/job-spec.js";
 
-/** The host and path of a request, by which its queue is found. */
+/** The host and path of a request, by which its queue is found, and the key with which it was sent. */
 export interface QueueAddress {
     readonly host: string;
     readonly path: string;
+    readonly credential?: Credential;
 }
 
 /** A request of a caller. */
@@ -27,6 +30,10 @@
     queueOnProbation: "queueOnProbation",
     /** The accepted jobs need all the time that the nodes have for requests to the advice service. */
     adviceBacklog: "adviceBacklog",
+    /** The store has not confirmed for too long that no key was revoked. */
+    configUnconfirmed: "configUnconfirmed",
+    /** The quota of its client account could never hold what has to run at once. */
+    quotaTooSmall: "quotaTooSmall",
     /** No configuration has been received yet. */
     noConfig: "noConfig",
 } as const;
@@ -38,6 +45,10 @@
     | { readonly kind: "accepted"; }
     /** The request has not been carried out and will not be. */
     | { readonly kind: "refused"; readonly reason: RefusalReason; readonly retryAfterMs: Millis; }
+    /** Its key does not allow the request, which has not been carried out. */
+    | { readonly kind: "unauthorized"; readonly reason: AccessDenial; }
+    /** The id of the submitted job is that of another client account's job. */
+    | { readonly kind: "jobIdTaken"; }
     /** No queue has this host and path. */
     | { readonly kind: "noQueue"; }
     | { readonly kind: "state"; readonly phase: JobPhase; }
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -67,6 +67,7 @@
             run,
             step: step.name,
             queue: step.job.queue,
+            account: step.job.account,
             demand: step.spec.demand,
             phase: RunPhase.reserved,
             settledAfter: Infinity,
--- a/src/process/leader/step-capacity.ts
+++ b/src/process/leader/step-capacity.ts
@@ -1,8 +1,8 @@
 /** The capacity that is available to one waiting step, and which step uses most of the rest. */
 import type { Millis } from "../../common/clock.js";
+import { countFitting } from "../../common/resources.js";
 import type { StepPermits } from "../dispatch/permits.js";
 import type { PoolView, Slot } from "../dispatch/pool-view.js";
-import { countFitting } from "../dispatch/request-size.js";
 import type { Step } from "../jobs/job.js";
 
 /** Capacity available to one step. */
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -24,6 +24,8 @@
     noPass: "noPass",
     /** The advice service was not asked about it yet. */
     notAsked: "notAsked",
+    /** Its client account uses all that its quota allows. */
+    quotaUsed: "quotaUsed",
     /** Its advice request is queued until a node can send it. */
     questionWaiting: "questionWaiting",
     /** A node was given its advice request and has not answered. */
@@ -69,6 +71,8 @@
     /** Undefined if its queue is missing. */
     readonly capacity: StepCapacity | undefined;
     readonly record: Readonly<StepRecord> | undefined;
+    /** Number of its tasks that the quota of its client account allows to start now. */
+    readonly quotaPlaces: number;
     /** The waiting steps of its queue, if that queue's tasks crash workers. */
     readonly backlog: RiskyBacklog | undefined;
     /** A gang that reserved capacity in the last pass. */
@@ -107,6 +111,7 @@
     findNoPass,
     findLossPause,
     findProbation,
+    findUsedQuota,
     findLongRequest,
     findLackOfAnswer,
     findLackOfWorkers,
@@ -209,6 +214,12 @@
     });
 }
 
+function findUsedQuota({ step, quotaPlaces }: WaitingState): WaitCause | undefined {
+    return quotaPlaces < countNeeded(step) ?
+        buildCause(WaitReason.quotaUsed, { account: step.job.account, quotaPlaces }) :
+        undefined;
+}
+
 function findLongRequest({ permits, now }: WaitingState): WaitCause | undefined {
     const request = permits?.getRequest();
     // A request that is withdrawn from the queue and made again is a new one; its step has wanted an answer
--- a/src/process/leader/waiting-report.ts
+++ b/src/process/leader/waiting-report.ts
@@ -1,5 +1,6 @@
 /** Logs each step that has been waiting for long, with the reason. */
 import type { Millis } from "../../common/clock.js";
+import { QuotaLedger } from "../accounts/quota-ledger.js";
 import { PoolView } from "../dispatch/pool-view.js";
 import { compareUrgency } from "../dispatch/urgency.js";
 import type { Urgency } from "../dispatch/urgency.js";
@@ -34,6 +35,7 @@
 interface ReportView {
     readonly now: Millis;
     readonly ranked: readonly Urgency[];
+    readonly quotas: QuotaLedger;
     readonly workersByPool: WorkersByPool;
 }
 
@@ -56,7 +58,12 @@
         const uncertain = new Set([...fleet.runs.listUncertainSteps(), ...this.unheld.listSteps()]);
         const scan = this.waiting.observe(now, uncertain);
         if (scan.due.length > 0) {
-            const view = { now, ranked: rankWaiting(), workersByPool: fleet.collectUsable(now) };
+            const view = {
+                now,
+                ranked: rankWaiting(),
+                quotas: new QuotaLedger(context.getConfig().accounts, fleet.collectAccountUse()),
+                workersByPool: fleet.collectUsable(now),
+            };
             scan.due.forEach(wait => this.logWait(wait, view));
         }
         return scan;
@@ -82,7 +89,7 @@
         });
     }
 
-    private findCause(step: Step, { now, workersByPool }: ReportView): WaitCause {
+    private findCause(step: Step, { now, quotas, workersByPool }: ReportView): WaitCause {
         const { context, fleet, permits: coordinator, crashes, isStalled, getReservingGangs } = this.options;
         const queue = context.findQueueByName(step.job.queue);
         const permits = queue?.advice === undefined ? undefined : coordinator.getPermits(step);
@@ -90,6 +97,7 @@
         return findWaitCause({
             step,
             hasQueue: queue !== undefined,
+            quotaPlaces: quotas.countPlaces(step.job.account, step.spec.demand),
             storeAway: isStalled(),
             mayOrder: context.authority.mayOrder(),
             permits,
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -9,7 +9,7 @@
 import type { LinkNetwork } from "../../connection/link-network.js";
 import type { CallerReply, CallerRequest } from "../leader/requests.js";
 import { EpochHistory } from "../leadership/epoch-history.js";
-import type { SourceHandle } from "../ports/cluster-sources.js";
+import type { ConfigSubscription } from "../ports/cluster-sources.js";
 import type { AdvicePort } from "../ports/task-worker-port.js";
 import { CatchUpDelay, ConfigCatchUp } from "./config-catch-up.js";
 import { isMuchLarger } from "./larger-node.js";
@@ -29,7 +29,7 @@
 import type { LeaderRoute } from "./serve-caller.js";
 
 /** Dependencies and settings of a node. */
-export interface ClusterNodeOptions extends Omit<LeadershipOptions, "epochs"> {
+export interface ClusterNodeOptions extends Omit<LeadershipOptions, "epochs" | "confirmConfig"> {
     readonly name: string;
     readonly host: string;
     /** Connections to and from other nodes. */
@@ -50,7 +50,7 @@
     private address = "";
     private term: LeadershipTerm | undefined;
     private readonly follower: LeaderFollower;
-    private configWatch: SourceHandle | undefined;
+    private configWatch: ConfigSubscription | undefined;
     private readonly identifiedLinks = new WeakSet<InboundLink>();
     private readonly search: LeaderSearch;
     private readonly notifier: LeaderNotifier;
@@ -172,7 +172,11 @@
     /** Leads under a claim that was won, until this node is deposed or steps down. */
     private async runLeadership(claim: WonClaim): Promise<void> {
         const { options } = this;
-        const term = new LeadershipTerm({ ...options, epochs: this.epochs }, claim);
+        const term = new LeadershipTerm({
+            ...options,
+            epochs: this.epochs,
+            confirmConfig: timeout => this.configWatch?.confirm(timeout) ?? Promise.resolve(false),
+        }, claim);
         this.term = term;
         this.addCallers(term);
         this.notifier.publishMembers();
@@ -195,13 +199,21 @@
     private buildLeaderRoute(): LeaderRoute {
         return {
             clock: this.options.clock,
-            hasConfig: () => this.options.config.get().version > 0,
+            getConfig: () => this.options.config.get(),
+            isConfigAsNewAsLeaders: () => this.isConfigAsNewAsLeaders(),
             getTerm: () => this.term,
             getLink: () => this.follower.getLink()?.link,
             offerConfig: () => this.follower.offerConfig(),
         };
     }
 
+    /** Returns whether the leader, as far as this node has heard from it, has no newer configuration than this node. */
+    private isConfigAsNewAsLeaders(): boolean {
+        const status = this.follower.getLeaderStatus();
+        return this.term !== undefined ||
+            status?.leadsEpoch !== undefined && status.configVersion <= this.options.config.get().version;
+    }
+
     private async handleCall(body: unknown): Promise<NodeAnswer> {
         const call = body as NodeCall;
         if (call.kind === "advise") {
--- a/src/process/node/leadership-term.ts
+++ b/src/process/node/leadership-term.ts
@@ -3,6 +3,7 @@
 import type { Clock, Millis } from "../../common/clock.js";
 import { LatenessMeter } from "../../common/lateness.js";
 import type { Random } from "../../common/random.js";
+import { ConfigConfirmation } from "../accounts/config-confirmation.js";
 import type { AdviceCaller } from "../dispatch/advice-dispatcher.js";
 import { GuardedStore } from "../journal/guarded-store.js";
 import type { LoadedJournal } from "../journal/load-journal.js";
@@ -37,6 +38,10 @@
     readonly epochs: EpochHistory;
     /** Longest lease that workers grant. */
     readonly maxLeaseMs: Millis;
+    /** Longest time from a revocation to the last request that its key may make; undefined for no limit. */
+    readonly revocationMs?: Millis | undefined;
+    /** Asks the store whether the configuration in force is the newest, after applying a newer one. */
+    readonly confirmConfig: (timeout: Millis) => Promise<boolean>;
 }
 
 /** A claim that was won. */
@@ -63,6 +68,7 @@
     readonly ended: Promise<string>;
     private readonly store: GuardedStore;
     private readonly lateness: LatenessMeter;
+    private readonly configConfirmation: ConfigConfirmation;
     private readonly ready: Promise<Leader | undefined>;
     private leader: Leader | undefined;
     private lease: LeaderLease | undefined;
@@ -85,6 +91,13 @@
             leaderRevision: claim.revision,
             getResponsiveMs: () => this.lateness.getResponsiveMs(),
         });
+        this.configConfirmation = new ConfigConfirmation({
+            clock: options.clock,
+            log: options.log,
+            revocationMs: options.revocationMs,
+            hasAccounts: () => options.config.get().accounts !== undefined,
+            confirm: options.confirmConfig,
+        });
         this.ready = this.open();
     }
 
@@ -145,6 +158,7 @@
         this.options.log.warn("CR1631", "leadershipOver", { epoch: this.claim.epoch, reason });
         this.workerWatch?.stop();
         this.lateness.close();
+        this.configConfirmation.close();
         this.lease?.close();
         this.leader?.close();
         this.store.close();
@@ -211,6 +225,7 @@
                 unconfirmedMs: MAX_UNCONFIRMED_MS,
             }),
             getConfig: () => options.config.get(),
+            isConfigConfirmed: () => this.configConfirmation.isValid(),
             confirmLeading: () => lease.confirm(),
             random: options.random,
             lateness: this.lateness,
--- a/src/process/node/serve-caller.ts
+++ b/src/process/node/serve-caller.ts
@@ -2,6 +2,9 @@
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
 import type { NodeLink } from "../../connection/node-link.js";
+import { findQueue } from "../../version/cluster-config.js";
+import type { ClusterConfig } from "../../version/cluster-config.js";
+import { decideAccess } from "../accounts/access.js";
 import { RefusalReason } from "../leader/requests.js";
 import type { CallerReply, CallerRequest } from "../leader/requests.js";
 import type { LeadershipTerm } from "./leadership-term.js";
@@ -10,8 +13,10 @@
 /** How a node reaches the leader at present. */
 export interface LeaderRoute {
     readonly clock: Clock;
-    /** Whether this node has received any configuration. */
-    readonly hasConfig: () => boolean;
+    /** Returns the configuration in force at this node; version 0 if it has received none. */
+    readonly getConfig: () => ClusterConfig;
+    /** Whether the leader has no newer configuration than this node, as far as is known. */
+    readonly isConfigAsNewAsLeaders: () => boolean;
     /** Returns this node's own leadership; undefined while another node leads. */
     readonly getTerm: () => LeadershipTerm | undefined;
     /** Returns the link to the leader; undefined while this node follows none. */
@@ -50,15 +55,21 @@
     const limit = timeoutMs * IN_DOUBT_SHARE;
     let mayHaveRun = false;
     while (clock.now() - begin < limit) {
-        if (!route.hasConfig()) {
+        if (route.getConfig().version === 0) {
             return { kind: "refused", reason: RefusalReason.noConfig, retryAfterMs: NO_LEADER_RETRY_MS };
         }
+        const denial = findDenial(route, request);
+        if (denial !== undefined && !mayHaveRun) {
+            return denial;
+        }
         const reply = await tryServe(route, request, limit - (clock.now() - begin));
         mayHaveRun ||= reply?.kind === "unknown";
         // A refusal covers only its sender: a partitioned leader does not know what another leader did.
         const isInDoubt = reply?.kind === "unknown" || reply?.kind === "refused" && mayHaveRun;
         if (reply !== undefined && !isInDoubt) {
-            return reply;
+            // A key may have been revoked while the leader answered. What it has carried out is told all the same.
+            const isRead = reply.kind === "state" || reply.kind === "pending";
+            return isRead ? findDenial(route, request) ?? reply : reply;
         }
         if (!mayHaveRun && clock.now() - begin > LEADER_WAIT_MS) {
             return { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
@@ -92,12 +103,30 @@
         return { kind: "unknown", message: answer.message };
     }
     const body = answer.body as NodeAnswer;
-    if (body.kind !== "served" || body.reply.kind === "noQueue" && route.offerConfig()) {
+    if (body.kind !== "served" || isDeniedByOlderConfig(body.reply) && route.offerConfig()) {
         return undefined;
     }
     return body.reply;
 }
 
+/**
+ * Denies a request whose key allows nothing, without a call to the leader.
+ * @returns Undefined if the leader has to decide, as it may have a newer configuration.
+ */
+function findDenial(route: LeaderRoute, request: CallerRequest): CallerReply | undefined {
+    const config = route.getConfig();
+    const match = findQueue(config, request.host, request.path);
+    const access = match && decideAccess(config, match.queue, request.credential);
+    return access?.kind === "denied" && route.isConfigAsNewAsLeaders() ?
+        { kind: "unauthorized", reason: access.reason } :
+        undefined;
+}
+
+/** Tells whether a leader with an older configuration than this node's may have given a reply that does not hold. */
+function isDeniedByOlderConfig(reply: CallerReply): boolean {
+    return reply.kind === "noQueue" || reply.kind === "unauthorized";
+}
+
 /** Bounds the wait for the leader on this node, which answers only once the store has answered. */
 function waitForReply(reply: Promise<CallerReply>, clock: Clock, limit: Millis): Promise<CallerReply> {
     return new Promise(resolve => {
--- a/src/process/store/prefix-follower.ts
+++ b/src/process/store/prefix-follower.ts
@@ -12,7 +12,7 @@
     /** Receives all records: at the start, and after a gap that the store's history no longer covers. */
     replaceAll(listing: StoreListing): void;
     /** Receives one change, in the store's order; `value` is undefined for a deletion. */
-    applyEvent(key: string, value: string | undefined): void;
+    applyEvent(key: string, value: string | undefined, revision: number): void;
     /** Called after all changes of one poll have been passed on. */
     finishBatch?(): void;
 }
@@ -98,7 +98,7 @@
         const { listener } = this.options;
         for (const event of answer.value.events) {
             if (event.revision > position) {
-                listener.applyEvent(event.key, event.value);
+                listener.applyEvent(event.key, event.value, event.revision);
             }
         }
         this.position = answer.value.revision;
--- a/src/test/dispatch/plan-passes.ts
+++ b/src/test/dispatch/plan-passes.ts
@@ -2,6 +2,8 @@
  * Planning passes over a single waiting step, with its requests to the advice service answered by the test.
  */
 import type { Millis } from "../../common/clock.js";
+import { AccountUse } from "../../process/accounts/account-use.js";
+import { QuotaLedger } from "../../process/accounts/quota-ledger.js";
 import { StepPermits } from "../../process/dispatch/permits.js";
 import { planStarts } from "../../process/dispatch/planner.js";
 import { PreemptionAttempts } from "../../process/dispatch/preemption-attempts.js";
@@ -51,6 +53,7 @@
     const queue = { ...QUEUE, advice: policy };
     for (let now = 0; now < forMs; now += PASS_INTERVAL_MS) {
         const plan = planStarts({
+            quotas: new QuotaLedger(undefined, new AccountUse()),
             waiting: [...registry.listRunnable()].map(waiting => rankStep(waiting, queue, now)),
             workersByPool: new Map([[QUEUE.pool, listWorkers(now)]]),
             unreportedByPool: new Map(),
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -2,6 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { Resources } from "../../common/resources.js";
+import { AccountUse } from "../../process/accounts/account-use.js";
+import { QuotaLedger } from "../../process/accounts/quota-ledger.js";
 import { StepPermits } from "../../process/dispatch/permits.js";
 import type { Plan } from "../../process/dispatch/plan.js";
 import { planStarts } from "../../process/dispatch/planner.js";
@@ -58,6 +60,7 @@
         return rankStep(step, { ...QUEUE, ...jobs[index]?.queue }, NOW);
     });
     return planStarts({
+        quotas: new QuotaLedger(undefined, new AccountUse()),
         waiting,
         workersByPool: new Map([["pool", workers]]),
         unreportedByPool: new Map([["pool", unreported]]),
--- a/src/test/dispatch/probation_test.ts
+++ b/src/test/dispatch/probation_test.ts
@@ -1,6 +1,8 @@
 /** Tests where one pass starts the tasks of queues whose tasks crash workers. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { AccountUse } from "../../process/accounts/account-use.js";
+import { QuotaLedger } from "../../process/accounts/quota-ledger.js";
 import type { QueueRisk } from "../../process/dispatch/crash-risk.js";
 import { StepPermits } from "../../process/dispatch/permits.js";
 import { planStarts } from "../../process/dispatch/planner.js";
@@ -157,6 +159,7 @@
     });
     const nameJob = (task: string): number => Number.parseInt(task.split(".")[0] ?? "", 16);
     const plan = planStarts({
+        quotas: new QuotaLedger(undefined, new AccountUse()),
         waiting: [...registry.listRunnable()].map(step =>
             rankStep(step, { ...QUEUE, name: names[nameJob(step.name)] ?? "" }, NOW)
         ),
--- a/src/test/dispatch/suspects_test.ts
+++ b/src/test/dispatch/suspects_test.ts
@@ -1,6 +1,8 @@
 /** Tests where one pass starts tasks that must run exclusively. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { AccountUse } from "../../process/accounts/account-use.js";
+import { QuotaLedger } from "../../process/accounts/quota-ledger.js";
 import { StepPermits } from "../../process/dispatch/permits.js";
 import { planStarts } from "../../process/dispatch/planner.js";
 import { PreemptionAttempts } from "../../process/dispatch/preemption-attempts.js";
@@ -147,6 +149,7 @@
         return `${Number.parseInt(jobId, 16)}.${taskIndex}`;
     };
     const plan = planStarts({
+        quotas: new QuotaLedger(undefined, new AccountUse()),
         waiting: [...registry.listRunnable()].map(step => rankStep(step, QUEUE, NOW)),
         workersByPool: new Map([["pool", workers.map(makeWorker)]]),
         unreportedByPool: new Map(),
--- a/src/test/leader/day-callers.ts
+++ b/src/test/leader/day-callers.ts
@@ -1,11 +1,12 @@
 /** The callers of a random day: they submit jobs, some repeatedly, cancel some, and check how they ended. */
 import type { Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
-import { countFitting } from "../../process/dispatch/request-size.js";
+import { countFitting } from "../../common/resources.js";
+import type { Credential } from "../../process/accounts/credential.js";
 import type { JobSpec } from "../../process/jobs/job-spec.js";
 import { isStepReady, listSteps, TaskState } from "../../process/jobs/job.js";
 import type { Step } from "../../process/jobs/job.js";
-import type { CallerReply } from "../../process/leader/requests.js";
+import type { CallerReply, QueueAddress } from "../../process/leader/requests.js";
 import type { DayInvariantChecker } from "./day-invariant-checker.js";
 import type { DayLeaders } from "./day-leaders.js";
 import { DAY_CAPACITY, DAY_QUEUES } from "./day-work.js";
@@ -42,6 +43,8 @@
     readonly allowsMissingQueues: boolean;
     /** Lists the workers that the policy allows for a step at the end of the day. */
     readonly listAllowed: (step: string) => readonly string[];
+    /** Returns the key with which a job is sent, by its number. */
+    readonly getCredential: (jobNumber: number) => Credential;
 }
 
 /** Submits and cancels random jobs and checks that accepted jobs end as they must. */
@@ -78,7 +81,7 @@
         }
         const { leaders } = this.options;
         job.isCancelRequested = true;
-        void leaders.request(leaders.get(), { kind: "cancel", host: HOST, path: getPath(job) });
+        void leaders.request(leaders.get(), { kind: "cancel", ...this.buildAddress(job) });
     }
 
     /** Describes the accepted jobs that have not ended as they must. */
@@ -96,13 +99,15 @@
     /** Lists the jobs that ran although every submission was refused. */
     listRefusedStarts(): readonly string[] {
         return [...this.jobs.values()]
-            .filter(({ replies, submitCount }) =>
-                replies.length === submitCount && replies.every(reply => reply.kind === "refused")
-            )
+            .filter(({ replies, submitCount }) => replies.length === submitCount && replies.every(isRefusal))
             .filter(({ number }) => this.options.checker.describeJob(makeJobId(number)).length > 0)
             .map(({ number }) => `refused job ${number} ran`);
     }
 
+    private buildAddress(job: DayJob): QueueAddress {
+        return { host: HOST, path: getPath(job), credential: this.options.getCredential(job.number) };
+    }
+
     private makeJob(): DayJob {
         const { random } = this.options;
         // Short jobs are only a fifth, so that gangs and single tasks fill the workers.
@@ -130,7 +135,7 @@
         const leader = random.pickInt(12) === 0 ?
             leaders.all[random.pickInt(leaders.all.length)] ?? leaders.get() :
             leaders.get();
-        const request = { kind: "submit", host: HOST, path: getPath(job), spec: job.spec } as const;
+        const request = { kind: "submit", ...this.buildAddress(job), spec: job.spec } as const;
         job.submitCount += 1;
         void leaders.request(leader, request).then(reply => job.replies.push(reply));
     }
@@ -140,7 +145,7 @@
         if (!job.replies.some(reply => reply.kind === "accepted")) {
             return undefined;
         }
-        const request = { kind: "show", host: HOST, path: getPath(job) } as const;
+        const request = { kind: "show", ...this.buildAddress(job) } as const;
         const reply = await cell.clock.wait(leaders.request(leaders.get(), request), ANSWER_TIMEOUT_MS);
         const phase = reply.kind === "state" ? reply.phase : reply.kind;
         switch (phase) {
@@ -195,6 +200,10 @@
     }
 }
 
+function isRefusal({ kind }: CallerReply): boolean {
+    return kind === "refused" || kind === "unauthorized";
+}
+
 function getPath({ queue, number }: DayJob): string {
     return `${queue.config.pathPrefix}${makeJobId(number)}`;
 }
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -150,6 +150,8 @@
         pools: [{ name: "pool", checksAdmission: false, maxConnections: 64 }],
         maxBodyBytes: 262_144,
     };
+    /** Whether the leaders may grant requests access by the configuration. */
+    isConfigConfirmed = true;
     /** Called for each run that starts. */
     handleStarted: (start: RunStart) => void = () => undefined;
     getBehavior: (task: string, run: number) => TaskBehavior = () => ({
@@ -275,6 +277,7 @@
                 unconfirmedMs: MAX_UNCONFIRMED_MS,
             }),
             getConfig: () => this.config,
+            isConfigConfirmed: () => this.isConfigConfirmed,
             confirmLeading: () => lease.confirm(),
             handleDeposed,
             random: this.leaderRandom,
--- a/src/test/leader/random-day.ts
+++ b/src/test/leader/random-day.ts
@@ -9,7 +9,9 @@
 import { NO_RESOURCES } from "../../common/resources.js";
 import { parseTaskName } from "../../process/jobs/job-spec.js";
 import type { TaskBehavior } from "../../stand-ins/index.js";
+import type { QueueConfig } from "../../version/cluster-config.js";
 import type { CallFault } from "../fakes/call-path.js";
+import { DayAccounts } from "./day-accounts.js";
 import { AdviceFault, DayAdvice } from "./day-advice.js";
 import type { StepAdvice } from "./day-advice.js";
 import { DayCallers } from "./day-callers.js";
@@ -44,6 +46,8 @@
     readonly crashingShare: number;
     /** Whether the capacity of workers shrinks and grows again. */
     readonly shrinksWorkers: boolean;
+    /** Whether jobs are sent by client accounts with quotas, which change. */
+    readonly hasAccounts: boolean;
 }
 
 /** Lengths and loads of days; the seed selects one. */
@@ -65,6 +69,7 @@
         advisesByList: false,
         crashingShare: 0,
         shrinksWorkers: false,
+        hasAccounts: false,
         ...change,
     };
 }
@@ -79,6 +84,7 @@
     private readonly jobs = new Map<string, DayJob>();
     private readonly workers: DayWorkers;
     private readonly callers: DayCallers;
+    private readonly accounts: DayAccounts | undefined;
     private readonly actions: readonly Action[];
     private configVersion = 1;
     /** Time until all work had ended once all was well. */
@@ -109,6 +115,7 @@
             this.leaders,
         );
         const { random, leaders, checker } = this;
+        this.accounts = options.hasAccounts ? new DayAccounts(cell.clock, checker.faults) : undefined;
         this.callers = new DayCallers({
             cell,
             random,
@@ -117,8 +124,13 @@
             maxJobs: options.maxJobs,
             allowsMissingQueues: options.leavesQueuesDropped,
             listAllowed: step => this.listAllowed(step),
+            getCredential: number => this.accounts?.getCredential(number),
         }, this.jobs);
-        cell.config = { ...cell.config, queues: DAY_QUEUES.map(queue => queue.config) };
+        cell.config = {
+            ...cell.config,
+            queues: DAY_QUEUES.map(queue => queue.config),
+            ...this.accounts && { accounts: this.accounts.buildConfig() },
+        };
         this.actions = this.chooseActions();
     }
 
@@ -161,6 +173,7 @@
             { weight: 2, action: () => workers.break() },
             { weight: 4, action: () => this.breakAdvice() },
             { weight: 1, action: () => this.dropQueue() },
+            ...this.options.hasAccounts ? [{ weight: 3, action: () => this.applyRandomQuotas() }] : [],
             ...this.options.shrinksWorkers ? [{ weight: 6, action: () => workers.cutCapacity() }] : [],
             { weight: 4, action: () => callers.cancel() },
             { weight: 4, action: () => callers.submitAgain() },
@@ -196,13 +209,18 @@
         return {
             isPermitted: (task, permit) => advice.isPermitted(task, workerId, permit),
             getBehavior: (task, run) => this.describeTask(task, run, worker.slowness),
-            handleStart: (...[task, , used, order]) => {
+            handleStart: (...[task, run, used, order]) => {
+                const { demand } = this.describeTask(task, run, worker.slowness);
+                this.accounts?.observeStart(workerId, task, demand);
                 checker.observeStart(cell.getModel(worker.address), order, used, worker.allowedCapacity);
                 if (this.isCrashing(task)) {
                     cell.clock.schedule(CRASH_AFTER_MS, () => this.killWorker(worker, workerId, task));
                 }
             },
-            handleEnd: (task, run, end) => checker.observeEnd(workerId, task, run, end),
+            handleEnd: (task, run, end) => {
+                this.accounts?.observeEnd(workerId, task);
+                checker.observeEnd(workerId, task, run, end);
+            },
             handleAcknowledged: ended => checker.observeAcknowledged(workerId, ended),
             handleLapse: () => checker.observeLeaseExpiry(workerId),
         };
@@ -305,11 +323,21 @@
     }
 
     private applyConfig(isKept: (name: string) => boolean): void {
+        this.publishConfig(DAY_QUEUES.map(queue => queue.config).filter(queue => isKept(queue.name)));
+    }
+
+    private applyRandomQuotas(): void {
+        this.accounts?.setRandomQuotas(this.random);
+        this.publishConfig(this.cell.config.queues);
+    }
+
+    private publishConfig(queues: readonly QueueConfig[]): void {
         this.configVersion += 1;
         this.cell.config = {
             ...this.cell.config,
             version: this.configVersion,
-            queues: DAY_QUEUES.map(queue => queue.config).filter(queue => isKept(queue.name)),
+            queues,
+            ...this.accounts && { accounts: this.accounts.buildConfig() },
         };
         this.leaders.publishConfig();
     }
@@ -317,6 +345,10 @@
     /** Ends all faults. The current leader is kept where possible, as the fault may be in its memory. */
     private async heal(): Promise<void> {
         await this.cell.clock.step(RECOVERY_MS);
+        if (this.accounts !== undefined) {
+            this.accounts.heal();
+            this.publishConfig(this.cell.config.queues);
+        }
         this.advice.heal();
         this.leaders.heal();
         await this.leaders.ensure();
--- a/src/test/leader/random-days_test.ts
+++ b/src/test/leader/random-days_test.ts
@@ -3,7 +3,7 @@
  *
  * Guarantees under all faults: no task runs twice at once or after it is known to be done, none starts before
  * the steps it depends on are done, no worker is over its capacity, no refused job starts, a task resumes
- * from its newest checkpoint, no task crashes more than five workers, and once all faults have ended every
+ * from its newest checkpoint, no task crashes more than five workers, no client account exceeds its quota, and once all faults have ended every
  * accepted job ends.
  */
 import assert from "node:assert/strict";
@@ -18,6 +18,8 @@
 /** Seeds of days on which, in addition, the capacity of workers shrinks and grows. */
 const SHRINKING_SEEDS = [3012, 3099, 3113, 5186];
 const CRASHING_SHARE = 0.03;
+/** Seeds of days on which client accounts with changing quotas send the jobs. */
+const ACCOUNT_SEEDS = [1, 2, 3, 4, 5, 6];
 
 const kinds: readonly { readonly name: string; readonly change: Partial<DayOptions>; }[] = [
     { name: "all queues are restored at the end", change: {} },
@@ -54,6 +56,13 @@
         });
     }
 
+    for (const seed of ACCOUNT_SEEDS) {
+        it(`seed ${seed}, client accounts have quotas, which change`, async () => {
+            const day = new RandomDay(seed, chooseDayOptions(seed, { hasAccounts: true }));
+            assert.deepEqual(await day.run(), [], day.describe());
+        });
+    }
+
     it("cover preemption, snapshots, lost and refused runs", () => {
         const missing = [...cover].filter(([, count]) => count === 0).map(([event]) => event);
         assert.deepEqual(missing, []);
--- a/src/test/leader/wait-cause_test.ts
+++ b/src/test/leader/wait-cause_test.ts
@@ -225,6 +225,11 @@
             },
             expected: { reason: "probation", backlogSteps: 30, backlogProbes: 4, probationWorkers: 3 },
         },
+        {
+            name: "a used quota",
+            state: { quotaPlaces: 0 },
+            expected: { reason: "quotaUsed", quotaPlaces: 0 },
+        },
         { name: "steps that are ranked ahead", state: {}, expected: { reason: "othersFirst" } },
     ];
     for (const { name, state, expected } of cases) {
@@ -237,6 +242,7 @@
                 permits: undefined,
                 capacity: CAPACITY,
                 record: undefined,
+                quotaPlaces: Infinity,
                 backlog: undefined,
                 reservingGang: undefined,
                 showRun: () => RUN,
--- a/src/test/load/stalled-jobs.ts
+++ b/src/test/load/stalled-jobs.ts
@@ -2,7 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import { addResources, isWithin, NO_RESOURCES, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
-import { countFitting } from "../../process/dispatch/request-size.js";
+import { countFitting } from "../../common/resources.js";
 import type { JobRegistry } from "../../process/jobs/job-registry.js";
 import { isStepRunnable, listSteps } from "../../process/jobs/job.js";
 import type { Job, Step } from "../../process/jobs/job.js";
--- a/src/test/model/model-cluster.ts
+++ b/src/test/model/model-cluster.ts
@@ -74,7 +74,7 @@
                 follow: handle => {
                     accept = handle;
                     accept(CONFIG);
-                    return { stop: () => undefined };
+                    return { stop: () => undefined, confirm: () => Promise.resolve(true) };
                 },
             },
             workerSource: {
--- a/src/test/node/cluster-fixture.ts
+++ b/src/test/node/cluster-fixture.ts
@@ -129,7 +129,7 @@
     return {
         follow(accept) {
             accept(config);
-            return { stop: () => undefined };
+            return { stop: () => undefined, confirm: () => Promise.resolve(true) };
         },
     };
 }
--- a/src/test/node/refusals-in-doubt_test.ts
+++ b/src/test/node/refusals-in-doubt_test.ts
@@ -7,7 +7,7 @@
 import { serveCaller } from "../../process/node/serve-caller.js";
 import { FakeClock } from "../fakes/fake-clock.js";
 import { makeSpec } from "../leader/leader-cell.js";
-import { makeAddress } from "./cluster-fixture.js";
+import { makeAddress, makeConfig } from "./cluster-fixture.js";
 
 const CALLER_TIMEOUT_MS = 3_000;
 const LOST: CallerReply = { kind: "unknown", message: "the link was closed" };
@@ -54,7 +54,8 @@
                     serveCaller(
                         {
                             clock,
-                            hasConfig: () => true,
+                            getConfig: () => makeConfig(1),
+                            isConfigAsNewAsLeaders: () => true,
                             // The code under test only calls `serve`.
                             getTerm: () => ({ serve }) as unknown as LeadershipTerm,
                             getLink: () => undefined,
--- a/src/test/node/serve-caller_test.ts
+++ b/src/test/node/serve-caller_test.ts
@@ -7,7 +7,7 @@
 import type { LeaderRoute } from "../../process/node/serve-caller.js";
 import { FakeClock } from "../fakes/fake-clock.js";
 import { makeSpec } from "../leader/leader-cell.js";
-import { makeAddress } from "./cluster-fixture.js";
+import { makeAddress, makeConfig } from "./cluster-fixture.js";
 
 const CALLER_TIMEOUT_MS = 3_000;
 
@@ -16,7 +16,8 @@
     const term = { serve } as unknown as LeadershipTerm;
     return {
         clock,
-        hasConfig: () => true,
+        getConfig: () => makeConfig(1),
+        isConfigAsNewAsLeaders: () => true,
         getTerm: () => term,
         getLink: () => undefined,
         offerConfig: () => false,
--- a/src/test/random-days.ts
+++ b/src/test/random-days.ts
@@ -17,13 +17,14 @@
         "advise-by-list": { type: "boolean" },
         crashing: { type: "boolean" },
         shrinking: { type: "boolean" },
+        accounts: { type: "boolean" },
     },
 });
 const firstSeed = Number(values.seed ?? 1);
 const runs = Number(values.runs ?? DEFAULT_RUNS);
 if (!Number.isInteger(firstSeed) || !Number.isInteger(runs) || runs < 1) {
     console.error(
-        "usage: npm run random-days -- --seed N --runs N [--leave-dropped] [--advise-by-list] [--crashing] [--shrinking]",
+        "usage: npm run random-days -- --seed N --runs N [--leave-dropped] [--advise-by-list] [--crashing] [--shrinking] [--accounts]",
     );
     process.exit(2);
 }
@@ -33,6 +34,7 @@
     values["advise-by-list"] === true ? " --advise-by-list" : "",
     values.crashing === true ? " --crashing" : "",
     values.shrinking === true ? " --shrinking" : "",
+    values.accounts === true ? " --accounts" : "",
 ].join("");
 let failures = 0;
 for (let done = 1; done <= runs; done++) {
@@ -49,6 +51,7 @@
         advisesByList: values["advise-by-list"] === true,
         crashingShare: values.crashing === true ? CRASHING_SHARE : 0,
         shrinksWorkers: values.shrinking === true,
+        hasAccounts: values.accounts === true,
     });
     const day = new RandomDay(seed, options);
     const broken = await day.run();
--- a/src/version/cluster-config.ts
+++ b/src/version/cluster-config.ts
@@ -1,5 +1,6 @@
 /** One version of the operator's configuration of queues and pools. */
 import type { Millis } from "../common/clock.js";
+import type { Resources } from "../common/resources.js";
 
 /** Cost of requesting permits for a step from the advice service, and how long a permit is valid. */
 export interface AdvicePolicy {
@@ -30,6 +31,19 @@
     readonly targetMs: Millis;
     /** Set if the queue's steps need a permit for each worker. */
     readonly advice: AdvicePolicy | undefined;
+    /** Whether requests without a key are served although client accounts are configured; false by default. */
+    readonly admitsAnonymous?: boolean;
+}
+
+/** A client account: who may send requests, and how much of the workers its jobs may use. */
+export interface AccountConfig {
+    readonly name: string;
+    /** Digests of its keys, as computed by `computeKeyDigest`. */
+    readonly keyDigests: readonly string[];
+    /** Jobs a second to which it is entitled, and its share of the workers relative to other accounts. */
+    readonly weight: number;
+    /** What its jobs may use at any time, over all workers; 0 means no limit in that dimension. */
+    readonly quota: Resources;
 }
 
 /** A pool of workers. */
@@ -46,6 +60,8 @@
     readonly version: number;
     readonly queues: readonly QueueConfig[];
     readonly pools: readonly PoolConfig[];
+    /** Client accounts; undefined if requests need no key. */
+    readonly accounts?: readonly AccountConfig[];
     /** Maximum size of a request body, in bytes. */
     readonly maxBodyBytes: number;
 }
