Rates and shares of client accounts

One account that sends many times its usual stood in one line with all others.

Jobs beyond an account's weight a second are marked as such when they are accepted, run behind the work of all others, and are refused (429, each with a turn of its own in Retry-After) once the processors, the leader or the advice service are short. While workers are scarce, accounts whose dominant share is over twice their weight stand behind the others of the same timeliness, in planning and at the advice service, and preempt and reserve nothing.

--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -273,7 +273,8 @@
             placements.forEach(({ slot }) => slot.release(step));
             return;
         }
-        const isReserving = this.reservingGangs.length < MAX_RESERVING_GANGS && placements.length > 0;
+        const isReserving = this.reservingGangs.length < MAX_RESERVING_GANGS && placements.length > 0 &&
+            urgency.isBeyondShare !== true;
         const canHold = canEverHold(step, candidates);
         if (canHold && urgency.lateness === 0) {
             this.blockedGangPriority = Math.min(this.blockedGangPriority, urgency.queue.priority);
@@ -299,7 +300,9 @@
         const { now, preemptionAttempts } = this.input;
         const limit = Math.max(1, pool.slots.length / WORKERS_PER_PREEMPTING_GANG);
         // Members that must run exclusively need workers on which all runs end, not some.
-        const isPossible = urgency.lateness === 0 && !startable.some(isSuspect);
+        // An account beyond its share gets it back with the next starts, not at the cost of others.
+        const isPossible = urgency.lateness === 0 && urgency.isBeyondShare !== true &&
+            !startable.some(isSuspect);
         if (!isPossible || this.preemptingGangs >= limit) {
             return false;
         }
--- a/src/process/dispatch/request-shares.ts
+++ b/src/process/dispatch/request-shares.ts
@@ -5,10 +5,11 @@
 import type { AdvicePolicy } from "../../version/cluster-config.js";
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import { LoadMeter } from "./load-meter.js";
+import { compareShare } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 
 /** A request that waits or is in flight. */
-export interface AdviceRequest extends Pick<Urgency, "lateness" | "dueAt"> {
+export interface AdviceRequest extends Pick<Urgency, "lateness" | "isBeyondShare" | "dueAt"> {
     readonly step: string;
     readonly workerIds: readonly string[];
     readonly policy: AdvicePolicy;
@@ -152,6 +153,6 @@
 
 /** Compares as planning does: a share may hold requests of several queues. */
 function compareDue(left: AdviceRequest, right: AdviceRequest): number {
-    return left.lateness - right.lateness || left.priority - right.priority || left.dueAt - right.dueAt ||
-        left.since - right.since;
+    return left.lateness - right.lateness || compareShare(left, right) || left.priority - right.priority ||
+        left.dueAt - right.dueAt || left.since - right.since;
 }
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -11,8 +11,13 @@
     readonly queue: QueueConfig;
     /** Whether it is a gang whose other members have been started already. */
     readonly isRepair: boolean;
-    /** 0 while the objective can be met, 1 while a late result is still of use, 2 beyond that. */
+    /**
+     * 0 while the objective can be met, 1 while a late result is still of use, 2 beyond that and for jobs beyond their
+     * account's rate.
+     */
     readonly lateness: 0 | 1 | 2;
+    /** Whether its client account uses more than its share of the workers; false by default. */
+    readonly isBeyondShare?: boolean | undefined;
     /** Wall-clock time by which the job has to be done to meet its objective. */
     readonly dueAt: number;
     /** How much later the step could start and still meet the objective; negative if it is too late. */
@@ -56,6 +61,9 @@
     const dueAt = startAt + objectiveMs;
     const endAt = wallNow + computeCriticalPathFromMs(specs, step.number, predictMs);
     const slackMs = dueAt - endAt;
+    if (step.job.isBeyondRate) {
+        return { step, queue, isRepair, lateness: 2, dueAt, slackMs };
+    }
     if (slackMs >= 0) {
         return { step, queue, isRepair, lateness: 0, dueAt, slackMs };
     }
@@ -74,12 +82,21 @@
 }
 
 /**
- * Compares two steps: gangs with missing members first, then on time before late, then by the queue's
- * priority, then by due time.
+ * Compares two steps: gangs with missing members first, then on time before late, then accounts within their share, then
+ * by the queue's priority, then by due time.
  */
 export function compareUrgency(left: Urgency, right: Urgency): number {
     return Number(right.isRepair) - Number(left.isRepair) ||
         left.lateness - right.lateness ||
+        compareShare(left, right) ||
         left.queue.priority - right.queue.priority ||
         left.dueAt - right.dueAt;
 }
+
+/** Compares by client account: those within their share of the workers first. */
+export function compareShare(
+    left: Pick<Urgency, "isBeyondShare">,
+    right: Pick<Urgency, "isBeyondShare">,
+): number {
+    return Number(left.isBeyondShare ?? false) - Number(right.isBeyondShare ?? false);
+}
--- a/src/process/jobs/build-job.ts
+++ b/src/process/jobs/build-job.ts
@@ -12,6 +12,7 @@
         id: event.jobId,
         queue: event.queue,
         account: event.account,
+        isBeyondRate: event.isBeyondRate === true,
         spec: event.spec,
         acceptedAt: event.at,
         phase: JobPhase.queued,
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -54,6 +54,8 @@
     readonly spec: JobSpec;
     /** Client account that submitted it. Absent if it was submitted without a key. */
     readonly account?: string;
+    /** Whether the account had used up its rate of jobs. Absent if it had not. */
+    readonly isBeyondRate?: boolean;
     /** Wall-clock time, in milliseconds since 1970. */
     readonly at: number;
 }
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -71,6 +71,8 @@
     readonly queue: string;
     /** Client account that submitted it; undefined if it was submitted without a key. */
     readonly account: string | undefined;
+    /** Whether its account had used up its rate of jobs, so that it runs behind the work of others. */
+    readonly isBeyondRate: boolean;
     /** Undefined once the job has ended (only its end is kept) or its acceptance was withdrawn. */
     spec: JobSpec | undefined;
     /** Wall-clock time of its acceptance. */
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -40,6 +40,7 @@
     readonly id: string;
     readonly queue: string;
     readonly account?: string;
+    readonly isBeyondRate?: boolean;
     readonly at: number;
     readonly spec: JobSpec;
     readonly hasStarted: boolean;
@@ -83,7 +84,8 @@
         }
         const occurrences = [...job.occurrences.values()].map(convertOccurrence);
         const { hasStarted, nextOccurrence } = job;
-        open.push({ id, queue, account, at, spec, hasStarted, nextOccurrence, occurrences });
+        const isBeyondRate = job.isBeyondRate || undefined;
+        open.push({ id, queue, account, isBeyondRate, at, spec, hasStarted, nextOccurrence, occurrences });
     }
     const adoptions = jobs.adoptions.list(jobs.listConcernedWorkers()).map(convertAdoption);
     const queues = [...jobs.listQueues()];
@@ -117,8 +119,8 @@
 }
 
 function rebuildOpenJob(entry: StoredOpenJob, index: LossIndex): Job {
-    const { id, queue, account, at, spec, hasStarted, nextOccurrence } = entry;
-    const job = buildJob({ type: "accepted", jobId: id, queue, account, spec, at });
+    const { id, queue, account, isBeyondRate, at, spec, hasStarted, nextOccurrence } = entry;
+    const job = buildJob({ type: "accepted", jobId: id, queue, account, isBeyondRate, spec, at });
     job.hasStarted = hasStarted;
     job.nextOccurrence = nextOccurrence;
     job.phase = hasStarted ? JobPhase.running : JobPhase.queued;
--- a/src/process/leader/admission.ts
+++ b/src/process/leader/admission.ts
@@ -13,6 +13,25 @@
 /** Spread of the retry times, so that refused callers do not retry simultaneously. */
 const RETRY_SPREAD_MS: Millis = 1_000;
 
+/** Mean lateness, and share of the workers' processors in use, from which jobs beyond an account's rate are refused. */
+const CONTENDED_FROM_MS: Millis = 25;
+const CONTENDED_CPU_SHARE = 0.6;
+
+/** How much room the cluster has for jobs to which nobody is entitled. */
+export interface Contention {
+    /** Mean lateness of the leader's timers. */
+    readonly latenessMs: Millis;
+    /** Share of the workers' processors in use. */
+    readonly usedCpuShare: number;
+    /** Whether the nodes can't send all requests to the advice service. */
+    readonly isAdviceOverloaded: boolean;
+}
+
+/** Tells whether a job beyond its account's rate would delay the work of others, although it runs behind them. */
+export function isContended({ latenessMs, usedCpuShare, isAdviceOverloaded }: Contention): boolean {
+    return isAdviceOverloaded || latenessMs > CONTENDED_FROM_MS || usedCpuShare > CONTENDED_CPU_SHARE;
+}
+
 /** Inputs of a decision. */
 export interface AdmissionInputs {
     /** Mean lateness of the leader's timers. */
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -2,8 +2,9 @@
 import type { Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
 import { findQueue } from "../../version/cluster-config.js";
-import type { QueueConfig } from "../../version/cluster-config.js";
+import type { AccountConfig, QueueConfig } from "../../version/cluster-config.js";
 import { decideAccess, findAccount, mayAccessJob } from "../accounts/access.js";
+import { JobRates } from "../accounts/job-rates.js";
 import { canQuotaHold } from "../accounts/quota-ledger.js";
 import { JobPhase } from "../jobs/job-events.js";
 import type { JobSpec } from "../jobs/job-spec.js";
@@ -11,8 +12,8 @@
 import type { Job } from "../jobs/job.js";
 import type { Journal } from "../journal/journal.js";
 import type { LogValue } from "../telemetry.js";
-import { decideAdmission, decideBacklogAdmission, decideRiskyAdmission } from "./admission.js";
-import type { Admission } from "./admission.js";
+import { decideAdmission, decideBacklogAdmission, decideRiskyAdmission, isContended } from "./admission.js";
+import type { Admission, Contention } from "./admission.js";
 import type { AdviceBacklog } from "./advice-backlog.js";
 import type { LeaderContext } from "./context.js";
 import type { QueueSettings } from "./queue-settings.js";
@@ -47,6 +48,7 @@
     private readonly waiting = new Map<string, Reply[]>();
     /** All callers without a reply; they get one when this leader closes. */
     private readonly unanswered = new Set<Reply>();
+    private readonly rates: JobRates;
 
     /**
      * @param journal - Knows whether the store is unavailable.
@@ -54,6 +56,7 @@
      * @param queues - Records the settings of accepted jobs' queues.
      * @param random - Decides which jobs are refused under overload, and spreads the retry times.
      * @param adviceBacklog - Measures what the accepted jobs owe at the advice service.
+     * @param measureContention - Measures how much room there is for jobs to which nobody is entitled.
      */
     constructor(
         private readonly context: LeaderContext,
@@ -62,7 +65,10 @@
         private readonly queues: QueueSettings,
         private readonly random: Random,
         private readonly adviceBacklog: AdviceBacklog,
-    ) {}
+        private readonly measureContention: () => Contention,
+    ) {
+        this.rates = new JobRates(context.clock);
+    }
 
     /** Answers a request; the promise resolves once the answer is durable. */
     serve(request: CallerRequest): Promise<CallerReply> {
@@ -175,16 +181,25 @@
         if (this.refuseIfNeverHeld({ jobId, queue, account, spec }, reply)) {
             return;
         }
+        const config = findAccount(this.context.getConfig(), account);
+        const isBeyondRate = config !== undefined && !this.rates.isEntitled(config);
+        if (isBeyondRate && this.refuseIfContended(jobId, queue, config, reply)) {
+            return;
+        }
         if (
             this.refuseIfOverloaded(jobId, queue, reply) || this.refuseIfBacklogged(jobId, queue, spec, reply)
         ) {
             return;
         }
         this.waiting.set(jobId, [reply]);
+        if (config !== undefined) {
+            this.rates.take(config);
+        }
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
         this.ends.crashes.observeAccepted(queue.name, spec);
-        this.context.record({ type: "accepted", jobId, queue: queue.name, account, spec, at }, () => {
+        const event = { type: "accepted", jobId, queue: queue.name, account, spec, at } as const;
+        this.context.record(isBeyondRate ? { ...event, isBeyondRate } : event, () => {
             this.logDecision(jobId, queue.name, "accepted", "durable");
             this.finishWaiting(jobId, { kind: "accepted" });
             this.context.requestPass();
@@ -193,6 +208,28 @@
         this.context.requestPass();
     }
 
+    /** Refuses a job beyond its account's rate if there is no room for it; returns whether it did. */
+    private refuseIfContended(
+        jobId: string,
+        queue: QueueConfig,
+        account: AccountConfig,
+        reply: Reply,
+    ): boolean {
+        const contention = this.measureContention();
+        if (!isContended(contention)) {
+            return false;
+        }
+        const retryAfterMs = Math.round(this.rates.reserveTurn(account));
+        this.logDecision(jobId, queue.name, "refused", "the account has used up its rate of jobs", {
+            account: account.name,
+            rate: account.weight,
+            retryAfterMs,
+            ...contention,
+        });
+        reply({ kind: "refused", reason: RefusalReason.rateExceeded, retryAfterMs });
+        return true;
+    }
+
     /** Refuses a job that the quota of its client account could never hold; returns whether it did. */
     private refuseIfNeverHeld({ jobId, queue, account, spec }: Submission, reply: Reply): boolean {
         const quota = findAccount(this.context.getConfig(), account)?.quota;
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -5,7 +5,10 @@
 import type { Clock, Millis, Timer } from "../../common/clock.js";
 import type { Lateness } from "../../common/lateness.js";
 import type { Random } from "../../common/random.js";
+import { NO_RESOURCES } from "../../common/resources.js";
 import type { ClusterConfig } from "../../version/cluster-config.js";
+import { AccountUse } from "../accounts/account-use.js";
+import { FairShares } from "../accounts/fair-shares.js";
 import { QuotaLedger } from "../accounts/quota-ledger.js";
 import { AdviceDispatcher } from "../dispatch/advice-dispatcher.js";
 import type { AdviceCaller } from "../dispatch/advice-dispatcher.js";
@@ -23,6 +26,7 @@
 import type { InheritedLeases } from "../leadership/inherited-leases.js";
 import type { TaskWorkerPort, WorkerRecord } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
+import type { Contention } from "./admission.js";
 import { AdviceBacklog } from "./advice-backlog.js";
 import { Authority } from "./authority.js";
 import type { LeaderContext } from "./context.js";
@@ -36,6 +40,7 @@
 import { Starter } from "./starter.js";
 import { StateReport } from "./state-report.js";
 import { StepHistory } from "./step-history.js";
+import { computeUsedCpuShare, sumCapacity } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
 /** Dependencies of a leader. */
@@ -91,6 +96,9 @@
     private readonly permits: PermitCoordinator;
     private readonly report: StateReport;
     private lastPassAt: Millis | undefined;
+    private fairShares = new FairShares(undefined, new AccountUse(), NO_RESOURCES);
+    /** Share of the usable workers' processors that runs took in the last pass. */
+    private usedCpuShare = 0;
     /** Gangs that reserved capacity in the last pass. */
     private reservingGangs: readonly Step[] = [];
     private passTimer: Timer | undefined;
@@ -114,6 +122,7 @@
             this.queues,
             options.random,
             new AdviceBacklog(this.context, this.advice, this.permits),
+            () => this.measureContention(),
         );
         this.starter = new Starter(
             this.context,
@@ -261,6 +270,9 @@
             return;
         }
         const workersByPool = this.fleet.collectUsable(begin);
+        const { accounts } = this.context.getConfig();
+        const use = this.fleet.collectAccountUse();
+        this.fairShares = new FairShares(accounts, use, sumCapacity(workersByPool));
         const plan = planStarts({
             waiting: this.rankWaiting(),
             workersByPool,
@@ -271,7 +283,7 @@
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
             isAdviceOverloaded: this.advice.isOverloaded(),
             listRefusing: step => this.starter.refusals.listPaused(step, begin),
-            quotas: new QuotaLedger(this.context.getConfig().accounts, this.fleet.collectAccountUse()),
+            quotas: new QuotaLedger(accounts, use),
             probation: this.ends.crashes.getProbation(),
             isPaused: task => this.ends.crashes.isPaused(task),
             now: begin,
@@ -281,11 +293,20 @@
         this.permits.requestPermits(plan.permitRequests, begin, countWorkers(workersByPool));
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
         this.lastPassAt = begin;
+        this.usedCpuShare = computeUsedCpuShare(workersByPool);
         this.reservingGangs = plan.reservingGangs;
         this.passTookMs = clock.now() - begin;
         metrics.time("plan.took", this.passTookMs);
     }
 
+    private measureContention(): Contention {
+        return {
+            latenessMs: Math.round(this.options.lateness.getMeanLatenessMs()),
+            usedCpuShare: this.usedCpuShare,
+            isAdviceOverloaded: this.advice.isOverloaded(),
+        };
+    }
+
     private preemptRun({ worker, run, forStep }: Preemption): void {
         const { log, metrics } = this.options;
         log.info("runPreempted", { task: run.task, run: run.run, workerId: worker.id, forStep });
@@ -300,7 +321,8 @@
             const queue = this.context.findQueueByName(step.job.queue);
             if (queue !== undefined) {
                 const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
-                ranked.push(rankStep(step, queue, wallNow, predict));
+                const isBeyondShare = this.fairShares.isBeyond(step.job.account);
+                ranked.push({ ...rankStep(step, queue, wallNow, predict), isBeyondShare });
             }
         }
         return ranked;
--- a/src/process/leader/permit-coordinator.ts
+++ b/src/process/leader/permit-coordinator.ts
@@ -142,6 +142,7 @@
             policy: queue.advice,
             priority: queue.priority,
             lateness: urgency.lateness,
+            isBeyondShare: urgency.isBeyondShare,
             dueAt: urgency.dueAt,
             hasCapacity,
             isFirst: !permits.hasAnswer(),
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -32,6 +32,8 @@
     adviceBacklog: "adviceBacklog",
     /** The store has not confirmed for too long that no key was revoked. */
     configUnconfirmed: "configUnconfirmed",
+    /** Its client account has used up its rate of jobs, and there is no room for more. */
+    rateExceeded: "rateExceeded",
     /** The quota of its client account could never hold what has to run at once. */
     quotaTooSmall: "quotaTooSmall",
     /** No configuration has been received yet. */
--- a/src/process/leader/workers-by-pool.ts
+++ b/src/process/leader/workers-by-pool.ts
@@ -1,4 +1,6 @@
 /** Groups workers by pool. */
+import { addResources, NO_RESOURCES } from "../../common/resources.js";
+import type { Resources } from "../../common/resources.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
 
 /** Workers, by the name of their pool. */
@@ -32,3 +34,9 @@
     const free = states.reduce((sum, state) => sum + state.free.cpuMillis, 0);
     return total === 0 ? 0 : 1 - free / total;
 }
+
+/** Sums the capacity of all workers. */
+export function sumCapacity(workersByPool: WorkersByPool): Resources {
+    return [...workersByPool.values()].flat()
+        .reduce((sum, { record }) => addResources(sum, record.capacity), NO_RESOURCES);
+}
--- a/src/test/load/load-profile.ts
+++ b/src/test/load/load-profile.ts
@@ -4,7 +4,7 @@
 import type { Random } from "../../common/random.js";
 import type { Resources } from "../../common/resources.js";
 import type { JobSpec, StepSpec } from "../../process/jobs/job-spec.js";
-import type { QueueConfig } from "../../version/cluster-config.js";
+import type { AccountConfig, QueueConfig } from "../../version/cluster-config.js";
 import { makeJobId, makeSpec, QUEUE } from "../leader/leader-cell.js";
 
 /** A log-normal distribution: its mean, the standard deviation of the logarithm, and an upper bound. */
@@ -33,6 +33,8 @@
     readonly allowedShare: number;
     /** Share of the steps of which each worker may run at most one task; 0 if omitted. */
     readonly apartShare?: number;
+    /** Client account that submits all its jobs, if the profile has accounts; otherwise all accounts do in turn. */
+    readonly account?: string;
     /** Period in which the arrival rate is multiplied by a factor. */
     readonly burst?: { readonly from: Millis; readonly to: Millis; readonly factor: number; };
 }
@@ -49,6 +51,10 @@
     readonly adviceSlowness?: number;
     /** When most nodes are lost for the rest of the load, and how many can send requests after it. */
     readonly nodeLoss?: NodeLoss;
+    /** Classes whose jobs come on top of an otherwise unchanged load. */
+    readonly extraClasses?: readonly LoadClass[];
+    /** Client accounts; undefined for anonymous jobs. */
+    readonly accounts?: readonly AccountConfig[];
 }
 
 /** A loss of most nodes. */
@@ -71,6 +77,8 @@
 }
 
 const WARM_UP_DRAWS = 1_000;
+/** Extra jobs must not change the draws of the others. */
+const EXTRA_SEED_OFFSET = 1_000_003;
 const VALID_MS: Millis = 2_500;
 
 function makeQueue(name: string, change: Partial<QueueConfig>): QueueConfig {
@@ -227,14 +235,24 @@
     ],
 };
 
-/** Generates the jobs of a load, in order of arrival. */
+/** Generates the jobs of a load, in order of arrival; those of extra classes come last. */
 export function pickJobs(profile: LoadProfile, seed: number): readonly LoadJob[] {
+    const { classes, extraClasses = [], durationMs } = profile;
+    const jobs = pickJobsOf(classes, { durationMs, seed, firstNumber: 1 });
+    const extra = { durationMs, seed: seed + EXTRA_SEED_OFFSET, firstNumber: jobs.length + 1 };
+    return [...jobs, ...pickJobsOf(extraClasses, extra)];
+}
+
+function pickJobsOf(
+    classes: readonly LoadClass[],
+    { durationMs, seed, firstNumber }: Readonly<Record<"durationMs" | "seed" | "firstNumber", number>>,
+): readonly LoadJob[] {
     const random = createWarmRandom(seed);
-    const arrivals = profile.classes.flatMap(kind =>
-        pickArrivals(kind, profile.durationMs, random).map(at => ({ kind, at }))
+    const arrivals = classes.flatMap(kind =>
+        pickArrivals(kind, durationMs, random).map(at => ({ kind, at }))
     );
     arrivals.sort((left, right) => left.at - right.at);
-    return arrivals.map(({ kind, at }, index) => pickJob(kind, at, index + 1, random));
+    return arrivals.map(({ kind, at }, index) => pickJob(kind, at, firstNumber + index, random));
 }
 
 /** Creates a generator past its first draws, which are much alike for neighbouring seeds. */
--- a/src/test/load/played-load.ts
+++ b/src/test/load/played-load.ts
@@ -7,6 +7,7 @@
 import { RunEnd } from "../../process/jobs/job-events.js";
 import { parseTaskName } from "../../process/jobs/job-spec.js";
 import type { TaskBehavior } from "../../stand-ins/index.js";
+import type { AccountConfig } from "../../version/cluster-config.js";
 import { AdviceFault, DayAdvice } from "../leader/day-advice.js";
 import { hashToFraction } from "../leader/day-work.js";
 import { HOST, LeaderCell, makeJobId } from "../leader/leader-cell.js";
@@ -57,6 +58,8 @@
     readonly standing: readonly StalledJob[];
     /** Use of the advice service. */
     readonly advice: AdviceUse;
+    /** Earned share of the worth that each client account submitted. */
+    readonly accounts: ReadonlyMap<string, number>;
 }
 
 interface GangRun {
@@ -75,6 +78,8 @@
     private readonly open = new Set<LoadJob>();
     private readonly advice: DayAdvice;
     private readonly startedAt = new Map<string, { readonly at: Millis; readonly cpuMillis: number; }>();
+    private readonly offeredByAccount = new Map<string, number>();
+    private readonly earnedByAccount = new Map<string, number>();
     private usedCpuMs = 0;
     private readonly adviceUse = new AdviceUse(this.cell.clock);
     private readonly stalled: StalledJobs;
@@ -85,7 +90,7 @@
     constructor(private readonly profile: LoadProfile, seed: number) {
         this.jobs = pickJobs(profile, seed);
         this.jobs.forEach(job => this.byId.set(makeJobId(job.number), job));
-        for (const kind of profile.classes) {
+        for (const kind of [...profile.classes, ...profile.extraClasses ?? []]) {
             this.results.set(kind, {
                 name: kind.queue.name,
                 jobs: 0,
@@ -98,7 +103,11 @@
                 startWaits: [],
             });
         }
-        this.cell.config = { ...this.cell.config, queues: profile.classes.map(({ queue }) => queue) };
+        this.cell.config = {
+            ...this.cell.config,
+            queues: profile.classes.map(({ queue }) => queue),
+            ...profile.accounts && { accounts: profile.accounts },
+        };
         this.advice = new DayAdvice(this.cell.clock, step => this.findAdvice(step), () => true);
         const isAllowed = (step: string, workerId: string): boolean => this.advice.isAllowed(step, workerId);
         this.stalled = new StalledJobs(profile, isAllowed);
@@ -167,6 +176,7 @@
             const result = this.getResult(job);
             result.jobs += 1;
             result.offeredWorth += job.worth;
+            addWorth(this.offeredByAccount, this.findAccount(job)?.name, job.worth);
             this.open.add(job);
         }
         const { leader } = this;
@@ -180,7 +190,14 @@
             return;
         }
         const path = `${job.kind.queue.pathPrefix}${makeJobId(job.number)}`;
-        const reply = await leader.leader.serve({ kind: "submit", host: HOST, path, spec: job.spec });
+        const credential = this.findAccount(job)?.keyDigests[0];
+        const reply = await leader.leader.serve({
+            kind: "submit",
+            host: HOST,
+            path,
+            credential,
+            spec: job.spec,
+        });
         if (reply.kind !== "accepted") {
             this.open.delete(job);
             this.getResult(job).refused += 1;
@@ -205,7 +222,9 @@
             const isLate = took > objective;
             result.late += isLate ? 1 : 0;
             result.inTime += isLate ? 0 : 1;
-            result.earnedWorth += job.worth * (isLate ? LATE_WORTH : 1);
+            const worth = job.worth * (isLate ? LATE_WORTH : 1);
+            result.earnedWorth += worth;
+            addWorth(this.earnedByAccount, this.findAccount(job)?.name, worth);
         }
     }
 
@@ -223,9 +242,22 @@
             stalled: this.stalled.list(),
             standing: this.standing.list(),
             advice: this.adviceUse,
+            accounts: new Map(
+                [...this.offeredByAccount].map(([name, offered]) => [
+                    name,
+                    (this.earnedByAccount.get(name) ?? 0) / offered,
+                ]),
+            ),
         };
     }
 
+    private findAccount({ number, kind }: LoadJob): AccountConfig | undefined {
+        const { accounts } = this.profile;
+        return kind.account === undefined ?
+            accounts?.[number % accounts.length] :
+            accounts?.find(({ name }) => name === kind.account);
+    }
+
     private getResult({ kind }: LoadJob): ClassResult {
         const result = this.results.get(kind);
         if (result === undefined) {
@@ -355,6 +387,12 @@
     }
 }
 
+function addWorth(sums: Map<string, number>, account: string | undefined, worth: number): void {
+    if (account !== undefined) {
+        sums.set(account, (sums.get(account) ?? 0) + worth);
+    }
+}
+
 function computeObjective({ kind, runMs }: LoadJob): Millis {
     return kind.queue.stretch * runMs.reduce((sum, ms) => sum + ms, 0) + kind.queue.targetMs;
 }
