Capacity that preemption frees is held for the stop time of the settings

The capacity was held for 0.5 s: then less urgent tasks took the first pieces that came free, and the gang stopped others for it again.

--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -53,6 +53,8 @@
     readonly loaded: LoadedJournal;
     readonly workerPort: TaskWorkerPort;
     readonly leaseMs: Millis;
+    /** Time that a worker may take to stop a run. */
+    readonly stopMs: Millis;
     readonly inheritedLeases: InheritedLeases;
     readonly getConfig: () => ClusterConfig;
     /** Whether the configuration in force is recent enough to grant requests access by it. */
@@ -90,7 +92,7 @@
     private readonly jobRequests: JobRequestHandler;
     private readonly starter: Starter;
     private readonly runTimes = new RunTimeModel();
-    private readonly preemptionAttempts = new PreemptionAttempts();
+    private readonly preemptionAttempts: PreemptionAttempts;
     /** Duration of the last pass. */
     private passTookMs: Millis = 0;
     private readonly permits: PermitCoordinator;
@@ -108,6 +110,7 @@
 
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
+        this.preemptionAttempts = new PreemptionAttempts(options.stopMs);
         this.journal = this.buildJournal();
         this.queues = new QueueSettings(this.context);
         this.advice = new AdviceDispatcher(options.clock, options.log);
--- a/src/process/node/leadership-term.ts
+++ b/src/process/node/leadership-term.ts
@@ -38,6 +38,8 @@
     readonly epochs: EpochHistory;
     /** Longest lease that workers grant. */
     readonly maxLeaseMs: Millis;
+    /** Time that a worker may take to stop a run. */
+    readonly stopMs: Millis;
     /** Longest time from a revocation to the last request that its key may make; undefined for no limit. */
     readonly revocationMs?: Millis | undefined;
     /** Asks the store whether the configuration in force is the newest, after applying a newer one. */
@@ -216,6 +218,7 @@
             loaded,
             workerPort: options.workerPort,
             leaseMs,
+            stopMs: options.stopMs,
             inheritedLeases: new InheritedLeases({
                 epoch: claim.epoch,
                 wasHandedOver: claim.wasHandedOver,
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -268,6 +268,7 @@
             loaded,
             workerPort: workers,
             leaseMs: LEASE_MS,
+            stopMs: 400,
             inheritedLeases: new InheritedLeases({
                 epoch: claim.epoch,
                 wasHandedOver,
--- a/src/test/model/model-cluster.ts
+++ b/src/test/model/model-cluster.ts
@@ -88,6 +88,7 @@
             }),
             advicePort: { requestPermits: () => Promise.resolve({ kind: "busy" }) },
             maxLeaseMs: MAX_LEASE_MS,
+            stopMs: 400,
             cores: size.cores,
         });
         this.nodes.push({ name: `node-${number}`, vm, node, log, deliverConfig: config => accept(config) });
--- a/src/test/node/cluster-fixture.ts
+++ b/src/test/node/cluster-fixture.ts
@@ -90,6 +90,7 @@
                 },
             },
             maxLeaseMs: MAX_LEASE_MS,
+            stopMs: 400,
             cores,
         });
         await node.open();
