--- a/src/process/dispatch/preemption-attempts.ts
+++ b/src/process/dispatch/preemption-attempts.ts
@@ -8,8 +8,11 @@
  * runs could be stopped.
  */
 const ATTEMPT_INTERVAL_MS: Millis = 100;
-/** Time from the end of a stopped run until a leader knows of it. */
-const REPORT_DELAY_MS: Millis = 100;
+/**
+ * Time for which freed capacity is held. Shorter than the longest stop: held for all of it, more capacity stands idle than is
+ * saved by fewer stops.
+ */
+const PREEMPTION_TIME_MS: Millis = 500;
 
 interface Attempt {
     readonly at: Millis;
@@ -21,9 +24,6 @@
 export class PreemptionAttempts {
     private readonly attempts = new WeakMap<Step, Attempt>();
 
-    /** @param stopMs - Time that a worker may take to stop a run. */
-    constructor(private readonly stopMs: Millis) {}
-
     /** Tells whether a step may attempt a preemption again. */
     isDue(step: Step, now: Millis): boolean {
         const attempt = this.attempts.get(step);
@@ -37,7 +37,7 @@
      */
     hold(step: Step, pool: PoolView, now: Millis): boolean {
         const attempt = this.attempts.get(step);
-        if (attempt?.members === undefined || now - attempt.at >= this.stopMs + REPORT_DELAY_MS) {
+        if (attempt?.members === undefined || now - attempt.at >= PREEMPTION_TIME_MS) {
             return false;
         }
         for (const [workerId, count] of attempt.members) {
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -92,7 +92,7 @@
     private readonly jobRequests: JobRequestHandler;
     private readonly starter: Starter;
     private readonly runTimes = new RunTimeModel();
-    private readonly preemptionAttempts: PreemptionAttempts;
+    private readonly preemptionAttempts = new PreemptionAttempts();
     /** Duration of the last pass. */
     private passTookMs: Millis = 0;
     private readonly permits: PermitCoordinator;
@@ -110,7 +110,6 @@
 
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
-        this.preemptionAttempts = new PreemptionAttempts(options.stopMs);
         this.journal = this.buildJournal();
         this.queues = new QueueSettings(this.context);
         this.advice = new AdviceDispatcher(options.clock, options.log);
--- a/src/test/dispatch/plan-passes.ts
+++ b/src/test/dispatch/plan-passes.ts
@@ -49,7 +49,7 @@
     registry.apply({ type: "accepted", jobId: makeJobId(1), queue: QUEUE.name, spec: makeSpec(step), at: 0 });
     const permits = new StepPermits();
     permits.accept(allowedBefore, makePermits(allowedBefore), -policy.validMs, policy.validMs);
-    const preemptionLooks = new PreemptionAttempts(400);
+    const preemptionLooks = new PreemptionAttempts();
     const queue = { ...QUEUE, advice: policy };
     for (let now = 0; now < forMs; now += PASS_INTERVAL_MS) {
         const plan = planStarts({
