Orders to stop a run are repeated once the stop should have ended

An answered order is now repeated only after the stop time of the settings and the time for a report.

--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -24,6 +24,8 @@
     readonly history: StepHistory;
     /** Duration of the leases that workers are granted. */
     readonly leaseMs: Millis;
+    /** Time that a worker may take to stop a run. */
+    readonly stopMs: Millis;
     /** How late the timers of this process fire. */
     readonly lateness: Lateness;
     /** Leases that earlier leaders granted and that may still be valid. */
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -1,5 +1,4 @@
 /** The workers of a leader: their registrations, sessions and runs, and the processing of their reports. */
-import { sleep } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import { AccountUse } from "../accounts/account-use.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
@@ -16,6 +15,7 @@
 import type { RunEndHandler } from "./run-end-handler.js";
 import { RunFinder } from "./run-finder.js";
 import { RunLoss } from "./run-loss.js";
+import { sendStops } from "./stop-orders.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
@@ -24,8 +24,6 @@
  * last.
  */
 const REPORT_GAP_MS: Millis = 150;
-/** Time between two orders to stop the same run, until its end is reported. */
-const STOP_RETRY_MS: Millis = 400;
 /**
  * Time for which a worker without runs is kept once it is unlisted: registrations lapse during store outages.
  */
@@ -143,10 +141,17 @@
         const wasOrdered = run.phase !== RunPhase.reserved;
         run.phase = RunPhase.stopping;
         if (wasOrdered) {
-            void this.sendStops(state, run);
+            void sendStops(this.context, run, () => this.findStopSession(state, run));
         }
     }
 
+    /** Returns the session through which a run is to be stopped; undefined once its end is known. */
+    private findStopSession(state: WorkerState, run: RunRecord): WorkerSession | undefined {
+        const isRunning = !this.closed && state.getRun(run.task, run.run) === run;
+        const session = isRunning ? this.findSession(state.id) : undefined;
+        return session?.isClosed() === true ? undefined : session;
+    }
+
     /** Stops a run, whether its worker has been added or not. */
     stopTask(workerId: string, task: string, run: number): void {
         const state = this.findState(workerId);
@@ -381,19 +386,4 @@
         this.members.delete(state.id);
         this.context.requestPass();
     }
-
-    private async sendStops(state: WorkerState, run: RunRecord): Promise<void> {
-        const { clock } = this.context;
-        while (!this.closed && state.getRun(run.task, run.run) === run) {
-            const session = this.findSession(state.id);
-            if (session === undefined || session.isClosed()) {
-                return;
-            }
-            const answer = await session.stop({ task: run.task, run: run.run });
-            if (answer.kind === "done") {
-                run.settledAfter = Math.min(run.settledAfter, answer.value);
-            }
-            await sleep(clock, STOP_RETRY_MS);
-        }
-    }
 }
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -191,6 +191,7 @@
             authority: new Authority(options.clock, options.store),
             history: new StepHistory(),
             leaseMs: options.leaseMs,
+            stopMs: options.stopMs,
             lateness: options.lateness,
             inheritedLeases: options.inheritedLeases,
             getConfig: options.getConfig,
