--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -158,7 +158,8 @@
         }
     }
 
-    private submit({ jobId, queue, account, spec }: Submission, reply: Reply): void {
+    private submit(submission: Submission, reply: Reply): void {
+        const { jobId, queue, account, spec } = submission;
         const known = this.context.jobs.get(jobId);
         if (known !== undefined && !mayAccessJob(account, known.account)) {
             reply({ kind: "jobIdTaken" });
@@ -178,22 +179,18 @@
             reply(buildStoreUnavailable());
             return;
         }
-        if (this.refuseIfNeverHeld({ jobId, queue, account, spec }, reply)) {
-            return;
-        }
-        const config = findAccount(this.context.getConfig(), account);
-        const isBeyondRate = config !== undefined && !this.rates.isEntitled(config);
-        if (isBeyondRate && this.refuseIfContended(jobId, queue, config, reply)) {
-            return;
-        }
+        const settings = findAccount(this.context.getConfig(), account);
+        const isBeyondRate = settings !== undefined && !this.rates.isEntitled(settings);
         if (
+            settings !== undefined && this.refuseIfNeverHeld(submission, settings, reply) ||
+            isBeyondRate && this.refuseIfContended(submission, settings, reply) ||
             this.refuseIfOverloaded(jobId, queue, reply) || this.refuseIfBacklogged(jobId, queue, spec, reply)
         ) {
             return;
         }
         this.waiting.set(jobId, [reply]);
-        if (config !== undefined) {
-            this.rates.take(config);
+        if (settings !== undefined) {
+            this.rates.take(settings);
         }
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
@@ -209,12 +206,7 @@
     }
 
     /** Refuses a job beyond its account's rate if there is no room for it; returns whether it did. */
-    private refuseIfContended(
-        jobId: string,
-        queue: QueueConfig,
-        account: AccountConfig,
-        reply: Reply,
-    ): boolean {
+    private refuseIfContended({ jobId, queue }: Submission, account: AccountConfig, reply: Reply): boolean {
         const contention = this.measureContention();
         if (!isContended(contention)) {
             return false;
@@ -230,28 +222,24 @@
         return true;
     }
 
-    /** Refuses a job that the quota of its client account could never hold; returns whether it did. */
-    private refuseIfNeverHeld({ jobId, queue, account, spec }: Submission, reply: Reply): boolean {
-        const quota = findAccount(this.context.getConfig(), account)?.quota;
-        const unheld = quota &&
-            spec.steps.find(({ isGang, demand, taskCount }) =>
-                !canQuotaHold(quota, demand, isGang ? taskCount : 1)
-            );
+    /** Refuses a job that its account's quota could never hold; returns whether it did. */
+    private refuseIfNeverHeld(
+        { jobId, queue, spec }: Submission,
+        { name, quota }: AccountConfig,
+        reply: Reply,
+    ): boolean {
+        const unheld = spec.steps.find(({ isGang, demand, taskCount }) =>
+            !canQuotaHold(quota, demand, isGang ? taskCount : 1)
+        );
         if (unheld === undefined) {
             return false;
         }
-        this.logDecision(
-            jobId,
-            queue.name,
-            "refused",
-            "the account's quota is smaller than what must run at once",
-            {
-                account,
-                tasks: unheld.isGang ? unheld.taskCount : 1,
-                cpuMillis: unheld.demand.cpuMillis,
-                quotaCpuMillis: quota?.cpuMillis,
-            },
-        );
+        this.logDecision(jobId, queue.name, "refused", "the quota is smaller than what must run at once", {
+            account: name,
+            tasks: unheld.isGang ? unheld.taskCount : 1,
+            cpuMillis: unheld.demand.cpuMillis,
+            quotaCpuMillis: quota.cpuMillis,
+        });
         reply({ kind: "refused", reason: RefusalReason.quotaTooSmall, retryAfterMs: QUOTA_RETRY_MS });
         return true;
     }
--- a/src/process/leader/state-report.ts
+++ b/src/process/leader/state-report.ts
@@ -6,6 +6,9 @@
 import type { WaitingReportOptions } from "./waiting-report.js";
 import { computeUsedCpuShare } from "./workers-by-pool.js";
 
+/** Each account has gauges of its own, and a scrape must stay small. */
+const MAX_ACCOUNT_GAUGES = 50;
+
 /** The state that the report reads. */
 export interface StateReportOptions extends WaitingReportOptions {
     readonly advice: AdviceDispatcher;
@@ -59,5 +62,22 @@
         metrics.gauge("advice.waiting", fields.questions);
         metrics.gauge("steps.waiting", fields.waitingSteps);
         metrics.gauge("steps.longestWaitMs", fields.longestWaitMs);
+        this.reportAccounts();
+    }
+
+    /** Sets the gauges of client accounts. With many accounts only the first ones get gauges. */
+    private reportAccounts(): void {
+        const { context: { metrics, getConfig }, fleet } = this.options;
+        const accounts = getConfig().accounts ?? [];
+        if (accounts.length === 0) {
+            return;
+        }
+        const use = fleet.collectAccountUse();
+        for (const { name, weight, quota } of accounts.slice(0, MAX_ACCOUNT_GAUGES)) {
+            const tags = { account: name };
+            metrics.gauge("account.cpuMillis", use.get(name).cpuMillis, tags);
+            metrics.gauge("account.quotaCpuMillis", quota.cpuMillis, tags);
+            metrics.gauge("account.weight", weight, tags);
+        }
     }
 }
