--- a/bench/table.ts
+++ b/bench/table.ts
@@ -1,4 +1,5 @@
 /** The table of benches. A new one is a file and a row here. */
+import { accountsBench } from "./accounts-bench.js";
 import { controlCostBench } from "./control-cost-bench.js";
 import { coreBench } from "./core-bench.js";
 import { coreFaultsBench } from "./core-faults-bench.js";
@@ -20,4 +21,5 @@
     homeLogBench,
     frontLoadBench,
     faultsBench,
+    accountsBench,
 ];
