--- a/src/process/accounts/job-rates.ts
+++ b/src/process/accounts/job-rates.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the jobs to which client accounts are entitled from those beyond their rate.
+ * Distinguishes jobs to which client accounts are entitled from those beyond their rate.
  *
  * @remarks Answers the load of an account that sends many times its usual: what it sends beyond its rate is run while
  * there is room for it, behind the work of all others, and is refused first.
--- a/src/process/dispatch/preemption-attempts.ts
+++ b/src/process/dispatch/preemption-attempts.ts
@@ -8,10 +8,7 @@
  * runs could be stopped.
  */
 const ATTEMPT_INTERVAL_MS: Millis = 100;
-/**
- * Time for which freed capacity is held. Shorter than the longest stop: held for all of it, more capacity stands idle than is
- * saved by fewer stops.
- */
+/** Time for which freed capacity is held. Longer than this, more capacity stands idle than repeated stops would cost. */
 const PREEMPTION_TIME_MS: Millis = 500;
 
 interface Attempt {
--- a/src/process/node/serve-caller.ts
+++ b/src/process/node/serve-caller.ts
@@ -67,7 +67,7 @@
         // A refusal covers only its sender: a partitioned leader does not know what another leader did.
         const isInDoubt = reply?.kind === "unknown" || reply?.kind === "refused" && mayHaveRun;
         if (reply !== undefined && !isInDoubt) {
-            // A key may have been revoked while the leader answered. What it has carried out is told all the same.
+            // The key may have been revoked while the leader answered. What was carried out is reported all the same.
             const isRead = reply.kind === "state" || reply.kind === "pending";
             return isRead ? findDenial(route, request) ?? reply : reply;
         }
