Simpler books of accounts: one count of needed tasks, no sums without accounts

Behaviour is as before. The reason why a step waits uses the planner's count of tasks that have to start together instead of a copy of it. Passes of clusters without client accounts no longer sum the use of all runs. Runs that ended jobs left are kept in one map with their lease's end, and without a run number that nothing read. Deducting from a quota and returning to it share one piece.

--- a/src/process/accounts/config-confirmation.ts
+++ b/src/process/accounts/config-confirmation.ts
@@ -34,9 +34,8 @@
 /**
  * Confirms the configuration in force while a node leads.
  *
- * @remarks The store answers a call with a state at least as new as when the call was sent. A request that is checked
- * less than `revocationMs` after such a call was sent was therefore sent less than that time after any revocation which
- * the configuration does not contain. Neither a watch without events nor the arrival of an answer proves as much.
+ * @remarks An answer of the store is at least as new as its call. A request that is checked within `revocationMs` of the
+ * call was therefore sent within that time of any revocation that the configuration lacks. A silent watch proves nothing.
  */
 export class ConfigConfirmation {
     private confirmedAt: Instant | undefined;
@@ -67,8 +66,8 @@
         return isValid;
     }
 
-    /** Returns the time since the last call that confirmed the configuration was sent; infinite before the first. */
-    getAgeMs(): Millis {
+    /** Returns the time since the last confirming call was sent; infinite before the first. */
+    private getAgeMs(): Millis {
         const { clock } = this.options;
         return this.confirmedAt === undefined ?
             Infinity :
--- a/src/process/accounts/quota-ledger.ts
+++ b/src/process/accounts/quota-ledger.ts
@@ -28,17 +28,18 @@
 
     /** Deducts tasks that the pass starts, or for which it keeps workers. */
     take(account: string | undefined, demand: Resources): void {
-        const left = account === undefined ? undefined : this.leftByAccount.get(account);
-        if (account !== undefined && left !== undefined) {
-            this.leftByAccount.set(account, removeResources(left, demand));
-        }
+        this.update(account, left => removeResources(left, demand));
     }
 
     /** Returns what was deducted for a task that the pass does not start after all. */
     release(account: string | undefined, demand: Resources): void {
+        this.update(account, left => addResources(left, demand));
+    }
+
+    private update(account: string | undefined, compute: (left: Resources) => Resources): void {
         const left = account === undefined ? undefined : this.leftByAccount.get(account);
         if (account !== undefined && left !== undefined) {
-            this.leftByAccount.set(account, addResources(left, demand));
+            this.leftByAccount.set(account, compute(left));
         }
     }
 }
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -96,7 +96,6 @@
 export interface LeftRun {
     readonly workerId: string;
     readonly task: string;
-    readonly run: number;
     readonly demand: Resources;
 }
 
@@ -104,9 +103,9 @@
 export function listAssignedRuns(job: Job): readonly LeftRun[] {
     const runs: LeftRun[] = [];
     for (const { tasks, spec: { demand } } of listSteps(job)) {
-        for (const { state, workerId, name: task, run } of tasks) {
+        for (const { state, workerId, name: task } of tasks) {
             if (state === TaskState.assigned && workerId !== undefined) {
-                runs.push({ workerId, task, run, demand });
+                runs.push({ workerId, task, demand });
             }
         }
     }
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -101,9 +101,12 @@
         );
     }
 
-    /** Sums what the runs of each client account use or may still use. */
+    /** Sums what the runs of each client account use or may still use; nothing if there are no accounts. */
     collectAccountUse(): AccountUse {
         const use = new AccountUse();
+        if (this.context.getConfig().accounts === undefined) {
+            return use;
+        }
         use.add(this.inherited.listCharged());
         this.members.forEach(({ state }) => use.add(state.runs.values()));
         return use;
--- a/src/process/leader/left-runs.ts
+++ b/src/process/leader/left-runs.ts
@@ -6,6 +6,12 @@
 /** Runs that ended longer ago with their job have certainly been stopped, or their leases have expired. */
 const MAX_AGE_MS: Millis = 60_000;
 
+interface LeftOnWorker {
+    readonly runs: ChargedRun[];
+    /** When the leases that earlier leaders granted have expired at the latest. */
+    readonly expiresAt: Millis;
+}
+
 /**
  * Counts such runs towards their accounts' quotas.
  *
@@ -13,45 +19,38 @@
  * finds neither the job's tasks nor, before the workers' first reports, the runs.
  */
 export class LeftRuns {
-    private readonly runsByWorker = new Map<string, ChargedRun[]>();
-    /** When the leases that earlier leaders granted have expired at the latest, by worker. */
-    private readonly expiryByWorker = new Map<string, Millis>();
+    private readonly workers = new Map<string, LeftOnWorker>();
 
-    constructor(private readonly context: LeaderContext) {
-        const oldest = context.clock.wallNow() - MAX_AGE_MS;
-        for (const job of context.jobs.listAll()) {
-            if (job.endedAt > oldest) {
-                job.leftRuns.forEach(({ workerId, demand }) =>
-                    this.add(workerId, { account: job.account, demand })
-                );
+    constructor({ clock, jobs, inheritedLeases }: LeaderContext) {
+        const oldest = clock.wallNow() - MAX_AGE_MS;
+        for (const { endedAt, leftRuns, account } of jobs.listAll()) {
+            for (const { workerId, demand } of endedAt > oldest ? leftRuns : []) {
+                const expiresAt = inheritedLeases.computeEnd(jobs.adoptions.get(workerId)?.epoch);
+                const left = this.workers.get(workerId) ?? { runs: [], expiresAt };
+                left.runs.push({ account, demand });
+                this.workers.set(workerId, left);
             }
         }
     }
 
     /** Lists the runs that count towards quotas. */
     *listCharged(): Iterable<ChargedRun> {
-        for (const runs of this.runsByWorker.values()) {
+        for (const { runs } of this.workers.values()) {
             yield* runs;
         }
     }
 
     /** Forgets the runs of a worker, whose first report lists those that still exist. */
     forgetWorker(workerId: string): void {
-        this.runsByWorker.delete(workerId);
+        this.workers.delete(workerId);
     }
 
     /** Forgets the runs on workers whose leases have certainly expired. */
     dropExpired(now: Millis): void {
-        for (const workerId of this.runsByWorker.keys()) {
-            if (now > (this.expiryByWorker.get(workerId) ?? -Infinity)) {
-                this.runsByWorker.delete(workerId);
+        for (const [workerId, { expiresAt }] of this.workers) {
+            if (now > expiresAt) {
+                this.workers.delete(workerId);
             }
         }
     }
-
-    private add(workerId: string, run: ChargedRun): void {
-        const { jobs, inheritedLeases } = this.context;
-        this.expiryByWorker.set(workerId, inheritedLeases.computeEnd(jobs.adoptions.get(workerId)?.epoch));
-        this.runsByWorker.set(workerId, [...this.runsByWorker.get(workerId) ?? [], run]);
-    }
 }
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -1,6 +1,7 @@
 /** Determines why a step waits, from the leader's state at the time when a log line about the step is due. */
 import type { Millis } from "../../common/clock.js";
 import type { OpenAdviceRequest, StepPermits } from "../dispatch/permits.js";
+import { countNeeded } from "../dispatch/pool-view.js";
 import type { RiskyBacklog } from "../dispatch/probation.js";
 import { isStepReady, TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
@@ -279,11 +280,6 @@
     return buildCause(nodeName === undefined ? WaitReason.questionWaiting : WaitReason.questionUnderWay);
 }
 
-/** A gang needs places for all its members; another step, or a gang that only lacks members, needs one. */
-function countNeeded(step: Step): number {
-    return step.spec.isGang && step.repairRun === undefined ? step.waiting : 1;
-}
-
 function describeCapacity(
     { poolUsable, usable, places, permittedPlaces, mostTakenBy }: StepCapacity,
 ): WaitFields {
