Incarnations of workers: a name and a start

Cause: a worker may start again under its id. Nothing read its start, so the check of the addressed instance no longer told two starts apart: reports of the later one were dropped because its clock is behind, and orders to the earlier one could be carried out by it, as their deadline lies on another clock.

A report with another start ends the addressed incarnation. Each further incarnation in a leader's term gets a higher fencing epoch, so that it refuses late orders; takeovers reserve 1,000 epochs.

--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -32,8 +32,11 @@
     handleReachabilityChange(isReachable: boolean): void;
     /** A call failed well before its timeout, as when the worker's process has ended. */
     handleConnectionFailure(): void;
-    /** This incarnation has ended: another one answers at its address. */
-    handleReplaced(): void;
+    /**
+     * This incarnation has ended: another one answers at its address.
+     * @param successorId - The one that answered, if it is of the same worker.
+     */
+    handleReplaced(successorId: string | undefined): void;
     /** The worker follows a later leader. */
     handleFenced(): void;
     /** The worker's clock advanced by this much more than the leader's: this process was suspended. */
@@ -61,7 +64,13 @@
     readonly clock: Clock;
     readonly log: Log;
     readonly metrics: Metrics;
+    /** The leader's epoch. */
     readonly epoch: number;
+    /**
+     * Epoch that orders to this incarnation carry. It is above the leader's own if an earlier incarnation of
+     * the worker may have unanswered orders: once the worker has received it, it refuses them.
+     */
+    readonly fencingEpoch: number;
     /** Length of the leases that this leader grants. */
     readonly leaseMs: Millis;
     /** Until when, on the leader's clock, leases granted by earlier leaders may last. */
@@ -112,6 +121,8 @@
     /** When the latest order that the worker answered was sent. */
     private lastAnsweredOrderAt: Millis = -Infinity;
     private isFirstReport = true;
+    /** Whether a report has shown that the addressed incarnation is the one that answers. */
+    private isConfirmed: boolean;
     private areLeasesAllowed = false;
     private readonly leasesAllowed = new Signal();
     /** Whether the last request extended the lease. */
@@ -122,6 +133,7 @@
 
     constructor(private readonly options: SessionOptions) {
         this.leaseEnd = options.inheritedLeaseEnd;
+        this.isConfirmed = options.fencingEpoch === options.epoch;
     }
 
     /**
@@ -184,7 +196,7 @@
 
     /** Orders the worker to start a run. */
     start(order: Omit<StartOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
-        const { port, worker, epoch, clock } = this.options;
+        const { port, worker, fencingEpoch: epoch, clock } = this.options;
         // The order's deadline acts as a lease: a worker that becomes silent before a report request has
         // renewed a lease runs the task until then, and must not count as free of it.
         const remainingMs = order.workerDeadline - (this.estimateWorkerNow() ?? order.workerDeadline);
@@ -199,7 +211,7 @@
 
     /** Orders the worker to stop a run. */
     stop(order: Omit<RunOrder, "epoch">): Promise<WorkerAnswer<Millis>> {
-        const { port, worker, epoch } = this.options;
+        const { port, worker, fencingEpoch: epoch } = this.options;
         return this.sendOrder("stop", () => port.stop(worker, { ...order, epoch }, ORDER_TIMEOUT_MS));
     }
 
@@ -275,7 +287,9 @@
     }
 
     private async requestReport(sentAt: Millis): Promise<void> {
-        const { port, worker, epoch, leaseMs } = this.options;
+        const { port, worker, leaseMs } = this.options;
+        // A registration may be wrong about the incarnation, and the fencing epoch would lock the right one out.
+        const epoch = this.isConfirmed ? this.options.fencingEpoch : this.options.epoch;
         const now = this.estimateWorkerNow();
         // A request without an answer may still be carried out. If each one extended the lease, the lease of
         // a silent worker would never certainly expire, and its tasks would wait for it forever.
@@ -301,6 +315,11 @@
         }
         if (answer.kind === "done") {
             this.failures = 0;
+            if (!this.isConfirmed) {
+                this.isConfirmed = true;
+                await this.requestReport(this.options.clock.now());
+                return;
+            }
             this.acceptReport(answer.value);
             return;
         }
@@ -335,7 +354,7 @@
     private handleFinalAnswer(answer: WorkerAnswer<unknown>): boolean {
         if (answer.kind === "replaced") {
             this.close();
-            this.options.listener.handleReplaced();
+            this.options.listener.handleReplaced(answer.successorId);
             return true;
         }
         if (answer.kind === "refused" && answer.reason === OrderRefusal.fenced) {
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -2,13 +2,11 @@
 import type { Millis } from "../../common/clock.js";
 import { AccountUse } from "../accounts/account-use.js";
 import { WorkerSession } from "../dispatch/worker-session.js";
-import { makeRunKey, RunPhase, WorkerState } from "../dispatch/worker-state.js";
+import { RunPhase, WorkerState } from "../dispatch/worker-state.js";
 import type { RunRecord } from "../dispatch/worker-state.js";
-import { MAX_REPORTED_ENDS } from "../ports/task-worker-port.js";
-import type { EndedRun, RunningRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
+import type { EndedRun, WorkerRecord, WorkerReport } from "../ports/task-worker-port.js";
 import { CallRepeats } from "./call-repeats.js";
 import type { LeaderContext } from "./context.js";
-import { buildForeignRun } from "./foreign-run.js";
 import { InheritedRuns } from "./inherited-runs.js";
 import { computeExtraReportGap, computeLossGrace } from "./late-leader.js";
 import { LostRuns } from "./lost-runs.js";
@@ -16,6 +14,8 @@
 import { RunFinder } from "./run-finder.js";
 import { RunLoss } from "./run-loss.js";
 import { sendStops } from "./stop-orders.js";
+import { WorkerReports } from "./worker-reports.js";
+import { WorkerSuccessions } from "./worker-successions.js";
 import { collectByPool } from "./workers-by-pool.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
@@ -52,7 +52,9 @@
     private readonly members = new Map<string, FleetMember>();
     private readonly inherited: InheritedRuns;
     private readonly losses: LostRuns;
+    private readonly reports: WorkerReports;
     private readonly repeats: CallRepeats;
+    private readonly successions: WorkerSuccessions;
     /** Incarnations that have ended but are still listed. */
     private readonly endedIncarnations = new Set<string>();
     private closed = false;
@@ -62,6 +64,13 @@
         this.repeats = new CallRepeats(context, () => this.members.size);
         this.inherited = new InheritedRuns(context, ends);
         this.losses = new LostRuns(context, ends);
+        this.reports = new WorkerReports(
+            context,
+            ends,
+            this.losses,
+            (state, run) => this.stopRun(state, run),
+        );
+        this.successions = new WorkerSuccessions(context, this.members);
         this.runs = new RunFinder(context, this.members, this.inherited);
     }
 
@@ -199,7 +208,12 @@
 
     private addWorker(record: WorkerRecord): void {
         const { context } = this;
+        const fencingEpoch = this.successions.addIncarnation(record.workerId);
+        if (fencingEpoch === undefined) {
+            return;
+        }
         const state = new WorkerState(record);
+        state.avoidedUntil = context.clock.now() + this.successions.computePause(record.workerId);
         const session = new WorkerSession({
             worker: record,
             port: context.workerPort,
@@ -207,6 +221,7 @@
             log: context.log,
             metrics: context.metrics,
             epoch: context.epoch,
+            fencingEpoch,
             leaseMs: context.leaseMs,
             inheritedLeaseEnd: this.inherited.computeLeaseEnd(record.workerId),
             listener: {
@@ -214,8 +229,8 @@
                 handleReachabilityChange: isReachable => this.handleReachable(member, isReachable),
                 handleConnectionFailure: () =>
                     this.ends.crashes.observeWorkerEnd(state, session.getLastContactAt()),
-                handleReplaced: () => this.removeMember(member, RemovalReason.replaced),
-                handleFenced: () => context.handleDeposed("a worker follows a later leader"),
+                handleReplaced: successorId => this.handleReplaced(member, successorId),
+                handleFenced: () => this.handleFenced(member),
                 handleSuspended: gap => this.handleSuspended(gap),
                 mayExtendLeases: () => context.authority.mayOrder(),
                 computeReportGap: () => REPORT_GAP_MS + computeExtraReportGap(context.lateness),
@@ -247,6 +262,53 @@
         this.context.requestPass();
     }
 
+    /**
+     * Handles the answer of another incarnation. One under the same name may hold runs that were ordered here,
+     * so these are settled by its first report.
+     */
+    private handleReplaced(member: FleetMember, successorId: string | undefined): void {
+        const { state } = member;
+        if (successorId === undefined || state.runs.size === 0) {
+            this.removeMember(member, RemovalReason.replaced);
+        }
+        if (successorId === undefined || this.members.has(successorId)) {
+            return;
+        }
+        this.context.log.info("workerStartedAgain", {
+            workerId: state.id,
+            successorId,
+            runs: state.runs.size,
+        });
+        this.endedIncarnations.delete(successorId);
+        this.addWorker({ ...state.record, workerId: successorId });
+        const successor = this.members.get(successorId);
+        if (successor !== undefined) {
+            // It may have another capacity, so it gets work once it is listed.
+            successor.state.isListed = false;
+            successor.unlistedSince = this.context.clock.now();
+        }
+    }
+
+    private handleFenced({ state }: FleetMember): void {
+        if (this.successions.hasSuccessor(state.id)) {
+            state.isReachable = false;
+            return;
+        }
+        this.context.handleDeposed("a worker follows a later leader");
+    }
+
+    private expirePredecessors({ state }: FleetMember): void {
+        this.inherited.expirePredecessors(state.id, ({ name, run }) => state.getRun(name, run) !== undefined);
+        for (const predecessor of this.successions.listPredecessors(state.id)) {
+            for (const { task, run } of [...predecessor.state.runs.values()]) {
+                if (state.getRun(task, run) !== undefined) {
+                    predecessor.state.removeRun(task, run);
+                }
+            }
+            this.removeMember(predecessor, RemovalReason.replaced);
+        }
+    }
+
     private handleSuspended(gap: Millis): void {
         this.context.log.warn("CR1612", "processWasSuspended", { gapMs: Math.round(gap) });
         this.context.authority.observeSuspension();
@@ -258,23 +320,10 @@
         ended: readonly EndedRun[],
         isFirst: boolean,
     ): void {
-        const { state, session } = member;
-        const listed = new Set(report.ended.map(({ task, run }) => makeRunKey(task, run)));
-        ended.forEach(end => this.acceptEnd(state, end));
-        for (const running of report.running) {
-            listed.add(makeRunKey(running.task, running.run));
-            this.acceptRunning(state, running, report.workerNow);
-        }
-        const isComplete = report.ended.length < MAX_REPORTED_ENDS;
-        if (isComplete) {
-            this.settleAbsent(member, listed, report.workerNow);
-        }
-        const lastEnd = report.ended.at(-1)?.number;
-        if (lastEnd !== undefined) {
-            this.context.runWhenCommitted(() => session.acknowledgeEnds(lastEnd));
-        }
+        this.reports.accept(member, report, ended);
         if (isFirst) {
-            this.inherited.observeReport(state.id);
+            this.inherited.observeReport(member.state.id);
+            this.expirePredecessors(member);
             this.adopt(member);
         }
         if (ended.length > 0) {
@@ -293,70 +342,6 @@
         });
     }
 
-    private acceptEnd(state: WorkerState, ended: EndedRun): void {
-        const record = state.removeRun(ended.task, ended.run);
-        const checkpoint = ended.checkpoint === "" ? record?.checkpoint ?? "" : ended.checkpoint;
-        const ranMs = record === undefined || record.isInherited ?
-            undefined :
-            this.context.clock.now() - record.orderedAt;
-        this.ends.recordEnd({ state, task: ended.task, run: ended.run, end: ended.end, checkpoint, ranMs });
-    }
-
-    private acceptRunning(state: WorkerState, running: RunningRun, workerNow: Millis): void {
-        const record = state.getRun(running.task, running.run);
-        if (record === undefined) {
-            this.stopForeign(state, running, workerNow);
-            return;
-        }
-        record.wasReported = true;
-        if (running.checkpoint !== "") {
-            record.checkpoint = running.checkpoint;
-        }
-        if (record.phase === RunPhase.ordered) {
-            record.phase = RunPhase.running;
-            record.settledAfter = workerNow;
-            this.observeBegin(running.task);
-        }
-    }
-
-    private observeBegin(task: string): void {
-        const step = this.context.jobs.findTask(task)?.step;
-        if (step !== undefined) {
-            this.context.history.observeBegin(step, this.context.clock.now());
-        }
-    }
-
-    /** Stops a run that no task is assigned to; it occupies capacity until it has ended. */
-    private stopForeign(state: WorkerState, running: RunningRun, workerNow: Millis): void {
-        const record = buildForeignRun({
-            running,
-            step: this.context.jobs.findTask(running.task)?.step,
-            job: this.context.jobs.findJobOfTask(running.task),
-            free: state.free,
-            workerNow,
-            now: this.context.clock.now(),
-        });
-        state.addRun(record);
-        this.context.log.warn("CR1613", "foreignRunStopped", {
-            workerId: state.id,
-            task: running.task,
-            run: running.run,
-        });
-        this.stopRun(state, record);
-    }
-
-    /** Ends the runs that are missing from a report made after the time by which it must list them. */
-    private settleAbsent(member: FleetMember, listed: ReadonlySet<string>, workerNow: Millis): void {
-        const { state } = member;
-        for (const [key, run] of [...state.runs]) {
-            if (listed.has(key) || run.phase === RunPhase.reserved || workerNow <= run.settledAfter) {
-                continue;
-            }
-            state.removeRun(run.task, run.run);
-            this.losses.record(member, run, RunLoss.absent);
-        }
-    }
-
     private sweepMember(member: FleetMember, now: Millis): void {
         const { state, session } = member;
         this.losses.endExclusiveness(member);
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -7,6 +7,7 @@
 import type { FoundTask } from "../jobs/job-registry.js";
 import type { Step, Task } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
+import { buildIncarnationId, isSameWorker, parseIncarnationId } from "../ports/incarnation.js";
 import type { LeaderContext } from "./context.js";
 import { computeLossGrace } from "./late-leader.js";
 import { LeftRuns } from "./left-runs.js";
@@ -92,11 +93,25 @@
         return this.pendingStops.has(makeRunKey(task, run));
     }
 
-    /** Removes and returns the inherited runs of a worker, which has appeared. */
+    /**
+     * Removes and returns the inherited runs of a worker, which has appeared. Those that were assigned by name
+     * only, by leaders that did not know starts, may be its own: its first report shows whether they are.
+     */
     take(workerId: string): readonly RunRecord[] {
-        const found = this.tasks.get(workerId) ?? [];
-        this.tasks.delete(workerId);
-        return found.map(task => this.buildRun(task));
+        const { name } = parseIncarnationId(workerId);
+        const ids = new Set([workerId, buildIncarnationId({ name, startedAt: undefined })]);
+        return [...ids].flatMap(id => this.remove(id)).map(task => this.buildRun(task));
+    }
+
+    /**
+     * Declares the runs of earlier incarnations of a worker lost.
+     * @param isHeld - Whether the incarnation that has reported lists a run, which it carried out late.
+     */
+    expirePredecessors(workerId: string, isHeld: (task: Task) => boolean): void {
+        const ids = [...this.tasks.keys()].filter(id => id !== workerId && isSameWorker(id, workerId));
+        for (const id of ids) {
+            this.expire(id, this.remove(id).filter(({ task }) => !isHeld(task)), RunLoss.replaced);
+        }
     }
 
     /** Declares the runs of workers that never appeared lost once their leases have certainly expired. */
@@ -107,21 +122,27 @@
                 continue;
             }
             this.tasks.delete(workerId);
-            this.context.log.warn("CR1614", "runsLost", {
-                workerId,
-                runs: tasks.length,
-                reason: RunLoss.unheard,
+            this.expire(workerId, tasks, RunLoss.unheard);
+        }
+    }
+
+    private remove(workerId: string): readonly FoundTask[] {
+        const found = this.tasks.get(workerId) ?? [];
+        this.tasks.delete(workerId);
+        return found;
+    }
+
+    private expire(workerId: string, tasks: readonly FoundTask[], cause: RunLoss): void {
+        this.context.log.warn("CR1614", "runsLost", { workerId, runs: tasks.length, reason: cause });
+        for (const { task: { name, run, checkpoint } } of tasks) {
+            this.ends.recordEnd({
+                state: undefined,
+                task: name,
+                run,
+                end: RunEnd.lost,
+                checkpoint,
+                lost: { cause, isDraining: false, provenMs: 0, isInherited: true },
             });
-            for (const { task: { name, run, checkpoint } } of tasks) {
-                this.ends.recordEnd({
-                    state: undefined,
-                    task: name,
-                    run,
-                    end: RunEnd.lost,
-                    checkpoint,
-                    lost: { cause: RunLoss.unheard, isDraining: false, provenMs: 0, isInherited: true },
-                });
-            }
         }
     }
 
--- a/src/process/leader/left-runs.ts
+++ b/src/process/leader/left-runs.ts
@@ -1,6 +1,7 @@
 /** Runs of ended jobs that may still be on workers from which this leader has not heard. */
 import type { Millis } from "../../common/clock.js";
 import type { ChargedRun } from "../accounts/account-use.js";
+import { isSameWorker } from "../ports/incarnation.js";
 import type { LeaderContext } from "./context.js";
 
 /** Runs that ended longer ago with their job have certainly been stopped, or their leases have expired. */
@@ -42,7 +43,11 @@
 
     /** Forgets the runs of a worker, whose first report lists those that still exist. */
     forgetWorker(workerId: string): void {
-        this.workers.delete(workerId);
+        for (const id of this.workers.keys()) {
+            if (isSameWorker(id, workerId)) {
+                this.workers.delete(id);
+            }
+        }
     }
 
     /** Forgets the runs on workers whose leases have certainly expired. */
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -102,7 +102,7 @@
         const payload = step.job.spec?.payload;
         const isWanted = record.phase === RunPhase.reserved && payload !== undefined &&
             context.authority.mayOrder();
-        if (session === undefined || workerNow === undefined || !isWanted) {
+        if (session === undefined || session.isClosed() || workerNow === undefined || !isWanted) {
             this.settleNotRun(start, record, "no longer wanted");
             return;
         }
--- a/src/process/leadership/inherited-leases.ts
+++ b/src/process/leadership/inherited-leases.ts
@@ -5,8 +5,8 @@
 
 /** What a leader knows about the leaderships before its own. */
 export interface InheritedLeasesOptions {
-    /** The leader's own epoch. */
-    readonly epoch: number;
+    /** Epoch of the leader before; 0 if there was none. */
+    readonly previousEpoch: number;
     /**
      * Whether the previous leader handed its leadership over, and so stopped extending leases at that moment.
      */
@@ -36,11 +36,11 @@
      * @param adoptedBy - Epoch of the last leader that adopted the worker; undefined if unknown.
      */
     computeEnd(adoptedBy: number | undefined): Millis {
-        const { epoch, wasHandedOver, begin, history, leaseMs, unconfirmedMs } = this.options;
-        const lastHolder = adoptedBy ?? epoch - 1;
+        const { previousEpoch, wasHandedOver, begin, history, leaseMs, unconfirmedMs } = this.options;
+        const lastHolder = adoptedBy ?? previousEpoch;
         // Snapshots leave out adoptions of idle workers, so a worker without a known adoption may have been
         // adopted by any earlier leader.
-        const wasGivenUp = wasHandedOver && adoptedBy === epoch - 1;
+        const wasGivenUp = wasHandedOver && adoptedBy === previousEpoch;
         const lostAt = history.findLossTime(lastHolder, begin);
         return lostAt + (wasGivenUp ? 0 : unconfirmedMs) + computeLeaseBound(leaseMs);
     }
--- a/src/process/leadership/leader-record.ts
+++ b/src/process/leadership/leader-record.ts
@@ -3,6 +3,13 @@
 import { ALIVE_KEY, LEADER_KEY, LEADER_PREFIX } from "../journal/keys.js";
 import type { StorePort, StoreRecord } from "../ports/index.js";
 
+/**
+ * Number of epochs that each takeover reserves. A leader uses those above its own to tell the incarnations of a
+ * worker apart: see `worker-successions.ts`.
+ */
+export const EPOCH_STRIDE = 1_000;
+const FIRST_EPOCH = 1;
+
 /** The leader's record, stored as JSON. */
 export interface LeaderRecord {
     /** Increases with each takeover. Workers and the store refuse requests of a lower epoch. */
@@ -31,7 +38,13 @@
 
 /** Result of a claim of the leadership. */
 export type ClaimResult =
-    | { readonly kind: "won"; readonly revision: number; readonly epoch: number; }
+    | {
+        readonly kind: "won";
+        readonly revision: number;
+        readonly epoch: number;
+        /** Epoch of the leader before; 0 if there was none. */
+        readonly previousEpoch: number;
+    }
     | { readonly kind: "lost"; }
     /** The store did not answer: read the record again to find out. */
     | { readonly kind: "unknown"; };
@@ -74,7 +87,7 @@
 }
 
 /**
- * Claims the leadership: writes a record with the next epoch if the record is unchanged since it was read.
+ * Claims the leadership: writes a record with a higher epoch if the record is unchanged since it was read.
  *
  * @remarks Safe at any time, even while the current leader is healthy: from that write on, the store refuses
  * the earlier leader's writes, and workers that receive the new epoch refuse its orders.
@@ -88,7 +101,8 @@
     own: Omit<LeaderRecord, "epoch">,
     timeout: Millis,
 ): Promise<ClaimResult> {
-    const epoch = (view.record?.epoch ?? 0) + 1;
+    const previousEpoch = view.record?.epoch ?? 0;
+    const epoch = previousEpoch === 0 ? FIRST_EPOCH : previousEpoch + EPOCH_STRIDE;
     const value = JSON.stringify({ epoch, ...own } satisfies LeaderRecord);
     const answer = await port.transact(
         {
@@ -99,11 +113,13 @@
         timeout,
     );
     if (answer.kind === "done") {
-        return { kind: "won", revision: answer.value, epoch };
+        return { kind: "won", revision: answer.value, epoch, previousEpoch };
     }
     if (answer.kind !== "refused") {
         return { kind: "unknown" };
     }
     const standing = answer.standing?.find(record => record.key === LEADER_KEY);
-    return standing?.value === value ? { kind: "won", revision: standing.revision, epoch } : { kind: "lost" };
+    return standing?.value === value ?
+        { kind: "won", revision: standing.revision, epoch, previousEpoch } :
+        { kind: "lost" };
 }
--- a/src/process/node/leader-search.ts
+++ b/src/process/node/leader-search.ts
@@ -157,7 +157,8 @@
         }
         reachability.observeClaim();
         epochs.observe(result.epoch, clock.now());
-        await this.options.runLeadership({ epoch: result.epoch, revision: result.revision, wasHandedOver });
+        const { epoch, previousEpoch, revision } = result;
+        await this.options.runLeadership({ epoch, previousEpoch, revision, wasHandedOver });
         reachability.observeDeposed(clock.now());
     }
 }
--- a/src/process/node/leadership-term.ts
+++ b/src/process/node/leadership-term.ts
@@ -49,6 +49,8 @@
 /** A claim that was won. */
 export interface WonClaim {
     readonly epoch: number;
+    /** Epoch of the leader before; 0 if there was none. */
+    readonly previousEpoch: number;
     readonly revision: number;
     /** Whether the previous leader stepped down, so that its authority over workers has ended. */
     readonly wasHandedOver: boolean;
@@ -220,7 +222,7 @@
             leaseMs,
             stopMs: options.stopMs,
             inheritedLeases: new InheritedLeases({
-                epoch: claim.epoch,
+                previousEpoch: claim.previousEpoch,
                 wasHandedOver: claim.wasHandedOver,
                 begin,
                 history: options.epochs,
--- a/src/process/ports/task-worker-port.ts
+++ b/src/process/ports/task-worker-port.ts
@@ -8,7 +8,7 @@
 
 /** One incarnation of a worker. */
 export interface WorkerIdentity {
-    /** Changes with each start of the worker's process. */
+    /** Changes with each start of the worker's process: see `incarnation.ts`. */
     readonly workerId: string;
     /** `host:port` with an IP address. Another incarnation may answer there. */
     readonly address: string;
@@ -106,8 +106,12 @@
 export type WorkerAnswer<Value> =
     | { readonly kind: "done"; readonly value: Value; }
     | { readonly kind: "refused"; readonly reason: OrderRefusal; }
-    /** Another incarnation answered at the address: the addressed one has ended, with all of its runs. */
-    | { readonly kind: "replaced"; }
+    /**
+     * Another incarnation answered at the address: the addressed one has ended, with all of its runs. With
+     * `successorId`, the same worker has started again under its name, and orders to the addressed incarnation
+     * may be carried out by its successor.
+     */
+    | { readonly kind: "replaced"; readonly successorId?: string; }
     /** Nothing was sent. */
     | { readonly kind: "notSent"; readonly message: string; }
     /** The order may have been carried out, or may still be, seconds later. */
--- a/src/test/dispatch/worker-session_test.ts
+++ b/src/test/dispatch/worker-session_test.ts
@@ -29,6 +29,7 @@
             log: createFakeLog(true),
             metrics: createFakeMetrics(),
             epoch: 2,
+            fencingEpoch: 2,
             leaseMs: 4_500,
             inheritedLeaseEnd: -Infinity,
             listener: {
--- a/src/test/fakes/fake-task-workers.ts
+++ b/src/test/fakes/fake-task-workers.ts
@@ -3,6 +3,7 @@
  */
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
+import { isSameWorker } from "../../process/ports/incarnation.js";
 import type {
     ReportRequest,
     RunOrder,
@@ -63,7 +64,14 @@
         timeout: Millis,
     ): Promise<WorkerAnswer<WorkerReport>> {
         this.reports += 1;
-        return this.request(worker, request, timeout, model => model.report(request));
+        return this.request(worker, request, timeout, model => {
+            const answer = model.report(request);
+            return model.workerId === worker.workerId ?
+                answer :
+                answer.then(own =>
+                    own.kind === "refused" ? own : { kind: "replaced", successorId: model.workerId }
+                );
+        });
     }
 
     forget(): void {}
@@ -80,7 +88,8 @@
             if (model === undefined) {
                 return { kind: "notSent", message: "no worker listens at this address" };
             }
-            return model.workerId === worker.workerId ? effect(model) : { kind: "replaced" };
+            // Another incarnation under the same name carries orders out, as it can't tell them apart.
+            return isSameWorker(model.workerId, worker.workerId) ? effect(model) : { kind: "replaced" };
         };
         const sendingMs = shared?.link.send(body) ?? 0;
         const end = await this.getPath(worker.address).request<WorkerAnswer<Value>>(
--- a/src/test/leader/day-workers.ts
+++ b/src/test/leader/day-workers.ts
@@ -2,6 +2,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { Random } from "../../common/random.js";
 import type { Resources } from "../../common/resources.js";
+import { buildIncarnationId } from "../../process/ports/incarnation.js";
 import type { TaskWorkerModelOptions } from "../../stand-ins/index.js";
 import type { DayLeaders } from "./day-leaders.js";
 import { DAY_CAPACITY } from "./day-work.js";
@@ -9,6 +10,7 @@
 
 const WORKERS = 12;
 const DRAINING_MS: Millis = 3_000;
+const MAX_LIST_LAG_MS: Millis = 2_000;
 /** Time for which orders sent before a worker's capacity shrank may still be carried out. */
 const SHRINK_GRACE_MS: Millis = 1_200;
 
@@ -39,12 +41,14 @@
     /**
      * @param buildHooks - Builds the callbacks of one incarnation.
      * @param leaders - Leaders that receive the worker list.
+     * @param keepsNames - Whether a worker starts again under the name that it had.
      */
     constructor(
         private readonly cell: LeaderCell,
         private readonly random: Random,
         private readonly buildHooks: (worker: DayWorker, workerId: string) => WorkerHooks,
         private readonly leaders: DayLeaders,
+        private readonly keepsNames: boolean,
     ) {
         this.all = Array.from({ length: WORKERS }, (...[, index]): DayWorker => ({
             address: `10.0.0.${index + 1}:80`,
@@ -112,7 +116,7 @@
         }
         if (this.random.pickInt(2) === 0) {
             this.startIncarnation(worker);
-            this.publish();
+            this.publishStart();
             return;
         }
         this.killIncarnation(worker, 500 + this.random.pickInt(6_000), this.random.pickInt(2) === 0);
@@ -172,7 +176,9 @@
 
     private startIncarnation(worker: DayWorker): void {
         this.incarnations += 1;
-        const workerId = `w${this.incarnations}`;
+        const workerId = this.keepsNames ?
+            buildIncarnationId({ name: worker.address, startedAt: this.incarnations }) :
+            `w${this.incarnations}`;
         this.cell.removeFromList(worker.workerId);
         Object.assign(worker, { workerId, isDraining: false, isHealthy: true, isAlive: true });
         this.cell.addWorker(workerId, worker.address, {
@@ -186,6 +192,15 @@
         });
     }
 
+    /** Publishes the list after a start; a worker that keeps its name may be heard before that. */
+    private publishStart(): void {
+        if (this.keepsNames) {
+            this.cell.clock.schedule(this.random.pickInt(MAX_LIST_LAG_MS), () => this.publish());
+            return;
+        }
+        this.publish();
+    }
+
     /** Updates the worker list and sends it to all leaders. */
     private publish(): void {
         for (const { workerId, address, isListed, isDraining, capacity } of this.all) {
--- a/src/test/leader/inherited-leases_test.ts
+++ b/src/test/leader/inherited-leases_test.ts
@@ -76,7 +76,7 @@
             const history = new EpochHistory();
             seen.forEach(([epoch, at]) => history.observe(epoch, at));
             const leases = new InheritedLeases({
-                epoch: 5,
+                previousEpoch: 4,
                 wasHandedOver,
                 begin: BEGIN,
                 history,
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -270,7 +270,7 @@
             leaseMs: LEASE_MS,
             stopMs: 400,
             inheritedLeases: new InheritedLeases({
-                epoch: claim.epoch,
+                previousEpoch: claim.previousEpoch,
                 wasHandedOver,
                 begin: clock.now(),
                 history: epochs,
--- a/src/test/leader/random-day.ts
+++ b/src/test/leader/random-day.ts
@@ -48,6 +48,8 @@
     readonly shrinksWorkers: boolean;
     /** Whether jobs are sent by client accounts with quotas, which change. */
     readonly hasAccounts: boolean;
+    /** Whether workers start again under the name that they had. */
+    readonly keepsWorkerNames: boolean;
 }
 
 /** Lengths and loads of days; the seed selects one. */
@@ -70,6 +72,7 @@
         crashingShare: 0,
         shrinksWorkers: false,
         hasAccounts: false,
+        keepsWorkerNames: false,
         ...change,
     };
 }
@@ -113,6 +116,7 @@
             this.random,
             (worker, workerId) => this.buildHooks(worker, workerId),
             this.leaders,
+            options.keepsWorkerNames,
         );
         const { random, leaders, checker } = this;
         this.accounts = options.hasAccounts ? new DayAccounts(cell.clock, checker.faults) : undefined;
--- a/src/test/leader/random-days_test.ts
+++ b/src/test/leader/random-days_test.ts
@@ -20,6 +20,8 @@
 const CRASHING_SHARE = 0.03;
 /** Seeds of days on which client accounts with changing quotas send the jobs. */
 const ACCOUNT_SEEDS = [1, 2, 3, 4, 5, 6];
+/** Seeds of days on which workers start again under the name that they had. */
+const NAME_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 
 const kinds: readonly { readonly name: string; readonly change: Partial<DayOptions>; }[] = [
     { name: "all queues are restored at the end", change: {} },
@@ -63,6 +65,14 @@
         });
     }
 
+    for (const seed of NAME_SEEDS) {
+        it(`seed ${seed}, workers start again under their name`, async () => {
+            const change = { keepsWorkerNames: true, hasAccounts: seed % 2 === 0 };
+            const day = new RandomDay(seed, chooseDayOptions(seed, change));
+            assert.deepEqual(await day.run(), [], day.describe());
+        });
+    }
+
     it("cover preemption, snapshots, lost and refused runs", () => {
         const missing = [...cover].filter(([, count]) => count === 0).map(([event]) => event);
         assert.deepEqual(missing, []);
--- a/src/test/node/cluster-node_test.ts
+++ b/src/test/node/cluster-node_test.ts
@@ -167,7 +167,10 @@
         const leader = { epoch: 1, address: first.node.buildStatus().address };
         const own = { ...status, address: "127.0.0.1:1" };
         assert.equal(await registry.isUnreachable(leader, systemClock, () => own), false);
-        assert.equal(await registry.isUnreachable({ ...leader, epoch: 2 }, systemClock, () => own), true);
+        assert.equal(
+            await registry.isUnreachable({ ...leader, epoch: 2 }, systemClock, () => own),
+            true,
+        );
         await cluster.close();
     });
 
