Gangs in a full pool: places gathered once, gaps for urgent tasks, and turns of refused jobs

Single gangs stopped 100 to 205 runs and started none of their members, were late then, and asked for permits every second until the load was gone (28 requests for 18 members). Meanwhile all work with time to spare was put off: 170 steps waited while a quarter of the processors was free. Refused jobs of an account beyond its rate took its tokens when they came back, late, from its new jobs.

Change: GangAssemblies chooses the places of a gang once and withholds them until it starts (docs/design/ gang-assembly.md); Headroom keeps a gap for a task of the most urgent queue on a third of the workers. Both where the stop time of the settings is longer than the short hold. JobRates gives the rate to jobs that were not refused before, keeps one turn a job, and counts what earlier leaders accepted.

--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -2,8 +2,9 @@
 import type { Millis } from "../../common/clock.js";
 import type { QuotaLedger } from "../accounts/quota-ledger.js";
 import type { Step, Task } from "../jobs/job.js";
+import type { FreedCapacity } from "./gang-assemblies.js";
+import type { Headroom } from "./headroom.js";
 import type { StepPermits } from "./permits.js";
-import type { PreemptionAttempts } from "./preemption-attempts.js";
 import type { Preemption } from "./preemption.js";
 import type { ProbationInput, RiskyBacklog } from "./probation.js";
 import type { Urgency } from "./urgency.js";
@@ -23,8 +24,10 @@
     readonly unreportedByPool: ReadonlyMap<string, readonly WorkerState[]>;
     /** Permits of a step whose queue needs them. */
     readonly getPermits: (step: Step) => StepPermits;
-    /** Preemption attempts of earlier passes. */
-    readonly preemptionAttempts: PreemptionAttempts;
+    /** Capacity that is being freed for gangs. */
+    readonly freedCapacity: FreedCapacity;
+    /** Gaps that are kept for urgent tasks; undefined if the deployment keeps none. */
+    readonly headroom?: Headroom | undefined;
     /** Processors of a worker that steps with a request in flight will probably use, in thousandths. */
     readonly getClaimedCpu: (workerId: string) => number;
     /** Share of named workers that a queue's policy is expected to allow. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -10,6 +10,7 @@
 import type { Step, Task } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
 import { isDeferred } from "./backfill.js";
+import { isGapLeft } from "./headroom.js";
 import { PermitPlanner } from "./permit-planner.js";
 import type { StepPermits } from "./permits.js";
 import { computePlaceScore } from "./place-score.js";
@@ -57,6 +58,9 @@
     constructor(private readonly input: PlanInput) {
         this.probation = new Probation(input.probation, input.now);
         this.permitPlanner = new PermitPlanner(input, this.probation);
+        const pools = new Map(input.waiting.map(({ step, queue }) => [step, queue.pool]));
+        input.freedCapacity.holdAll(pools, name => this.getPool(name), input.now);
+        this.preemptingGangs = input.freedCapacity.count();
     }
 
     run(): Plan {
@@ -89,6 +93,7 @@
             return;
         }
         const requestsBefore = this.permitPlanner.requests.length;
+        this.input.freedCapacity.release(step, pool);
         const current = this.buildWaitingStep(urgency, startable);
         const placements = this.placeTasks(current);
         const isWhole = placements.length >= Math.min(step.waiting, quotaPlaces);
@@ -201,10 +206,12 @@
         const isPermitted = ({ id }: Slot): boolean =>
             permits === undefined || permits.getUsable(id, this.input.now) !== undefined;
         const isBesideOthers = this.nonExclusive.has(task);
+        const gap = this.input.headroom?.findGap(step, urgency.queue, this.input.now);
         let best: Slot | undefined;
         let bestScore = Infinity;
         for (const slot of candidates) {
-            const isPossible = isAlone ? slot.canTakeAlone(step) : slot.canTake(step);
+            const isPossible = (isAlone ? slot.canTakeAlone(step) : slot.canTake(step)) &&
+                isGapLeft(slot.id, slot.free, step.spec.demand, gap);
             if (!isPossible || !this.probation.isReady(slot, urgency)) {
                 continue;
             }
@@ -276,7 +283,7 @@
         const isReserving = this.reservingGangs.length < MAX_RESERVING_GANGS && placements.length > 0 &&
             urgency.isBeyondShare !== true;
         const canHold = canEverHold(step, candidates);
-        if (canHold && urgency.lateness === 0) {
+        if (canHold && urgency.lateness === 0 && this.input.freedCapacity.defersOthers) {
             this.blockedGangPriority = Math.min(this.blockedGangPriority, urgency.queue.priority);
         }
         if (canHold && (this.preemptFor(current, placements) || isReserving)) {
@@ -297,7 +304,12 @@
      */
     private preemptFor(current: WaitingStep, placements: readonly Placement[]): boolean {
         const { urgency, step, pool, startable } = current;
-        const { now, preemptionAttempts } = this.input;
+        const { now, freedCapacity } = this.input;
+        if (freedCapacity.has(step)) {
+            // It waits for the places that were chosen for it; what is free elsewhere is left to others.
+            placements.forEach(({ slot }) => slot.release(step));
+            return freedCapacity.hold(step, pool, now);
+        }
         const limit = Math.max(1, pool.slots.length / WORKERS_PER_PREEMPTING_GANG);
         // Members that must run exclusively need workers on which all runs end, not some.
         // An account beyond its share gets it back with the next starts, not at the cost of others.
@@ -306,10 +318,10 @@
         if (!isPossible || this.preemptingGangs >= limit) {
             return false;
         }
-        if (preemptionAttempts.isDue(step, now)) {
-            preemptionAttempts.observe(step, now, this.findPreemptions(current, placements));
+        if (freedCapacity.isDue(step, now)) {
+            freedCapacity.observe(step, now, this.findPreemptions(current, placements));
         }
-        const isPreempting = preemptionAttempts.hold(step, pool, now);
+        const isPreempting = freedCapacity.hold(step, pool, now);
         this.preemptingGangs += isPreempting ? 1 : 0;
         return isPreempting;
     }
@@ -320,11 +332,13 @@
         placements: readonly Placement[],
     ): readonly Slot[] | undefined {
         const { urgency: { queue: { priority } }, step, permits, candidates } = current;
-        const usable = permits === undefined ?
-            candidates :
-            candidates.filter(slot => permits.getUsable(slot.id, this.input.now) !== undefined);
-        const plan = choosePreemptions(step, step.waiting - placements.length, usable, priority);
+        const { now, freedCapacity: { leadMs } } = this.input;
+        const isUsable = ({ id }: Slot): boolean =>
+            permits === undefined || permits.getUsable(id, now + leadMs) !== undefined;
+        const placed = placements.map(({ slot }) => slot).filter(slot => leadMs === 0 || isUsable(slot));
+        const missing = step.waiting - placed.length;
+        const plan = choosePreemptions(step, missing, candidates.filter(isUsable), priority);
         this.preemptions.push(...plan?.preemptions ?? []);
-        return plan && [...placements.map(({ slot }) => slot), ...plan.slots];
+        return plan && [...placed, ...plan.slots];
     }
 }
--- a/src/process/dispatch/preemption-attempts.ts
+++ b/src/process/dispatch/preemption-attempts.ts
@@ -1,6 +1,8 @@
 /** Tracks when gangs that lack capacity last attempted a preemption, and holds the capacity that it frees. */
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
+import { countMembers, takePlaces } from "./gang-assemblies.js";
+import type { FreedCapacity } from "./gang-assemblies.js";
 import type { PoolView, Slot } from "./pool-view.js";
 
 /**
@@ -9,7 +11,7 @@
  */
 const ATTEMPT_INTERVAL_MS: Millis = 100;
 /** Time for which freed capacity is held. Longer than this, more capacity stands idle than repeated stops would cost. */
-const PREEMPTION_TIME_MS: Millis = 500;
+export const PREEMPTION_TIME_MS: Millis = 500;
 
 interface Attempt {
     readonly at: Millis;
@@ -18,9 +20,25 @@
 }
 
 /** Preemption attempts of one leader, across passes. */
-export class PreemptionAttempts {
+export class PreemptionAttempts implements FreedCapacity {
+    /** Stops are so short that a permit which is valid now will do. */
+    readonly leadMs = 0;
+    readonly defersOthers = true;
     private readonly attempts = new WeakMap<Step, Attempt>();
 
+    /** Capacity is withheld in the order of urgency only. */
+    holdAll(): void {}
+
+    count(): number {
+        return 0;
+    }
+
+    has(): boolean {
+        return false;
+    }
+
+    release(): void {}
+
     /** Tells whether a step may attempt a preemption again. */
     isDue(step: Step, now: Millis): boolean {
         const attempt = this.attempts.get(step);
@@ -37,12 +55,7 @@
         if (attempt?.members === undefined || now - attempt.at >= PREEMPTION_TIME_MS) {
             return false;
         }
-        for (const [workerId, count] of attempt.members) {
-            const slot = pool.get(workerId);
-            for (let placed = slot?.countPlaced(step) ?? count; placed < count; placed++) {
-                slot?.take(step);
-            }
-        }
+        takePlaces(step, pool, attempt.members);
         return true;
     }
 
@@ -51,8 +64,6 @@
      * @param slots - The worker of each member afterwards; undefined if too few runs could be stopped for the whole gang.
      */
     observe(step: Step, now: Millis, slots: readonly Slot[] | undefined): void {
-        const members = slots && new Map<string, number>();
-        slots?.forEach(({ id }) => members?.set(id, (members.get(id) ?? 0) + 1));
-        this.attempts.set(step, { at: now, members });
+        this.attempts.set(step, { at: now, members: slots && countMembers(slots) });
     }
 }
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -67,7 +67,7 @@
         private readonly adviceBacklog: AdviceBacklog,
         private readonly measureContention: () => Contention,
     ) {
-        this.rates = new JobRates(context.clock);
+        this.rates = new JobRates(context.clock, context.jobs.listAll());
     }
 
     /** Answers a request; the promise resolves once the answer is durable. */
@@ -180,7 +180,7 @@
             return;
         }
         const settings = findAccount(this.context.getConfig(), account);
-        const isBeyondRate = settings !== undefined && !this.rates.isEntitled(settings);
+        const isBeyondRate = settings !== undefined && !this.rates.isEntitled(settings, jobId);
         if (
             settings !== undefined && this.refuseIfNeverHeld(submission, settings, reply) ||
             isBeyondRate && this.refuseIfContended(submission, settings, reply) ||
@@ -190,7 +190,7 @@
         }
         this.waiting.set(jobId, [reply]);
         if (settings !== undefined) {
-            this.rates.take(settings);
+            this.rates.take(settings, jobId);
         }
         const at = this.context.clock.wallNow();
         this.queues.store(queue);
@@ -211,7 +211,7 @@
         if (!isContended(contention)) {
             return false;
         }
-        const retryAfterMs = Math.round(this.rates.reserveTurn(account));
+        const retryAfterMs = Math.round(this.rates.reserveTurn(account, jobId));
         this.logDecision(jobId, queue.name, "refused", "the account has used up its rate of jobs", {
             account: account.name,
             rate: account.weight,
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -12,8 +12,12 @@
 import { QuotaLedger } from "../accounts/quota-ledger.js";
 import { AdviceDispatcher } from "../dispatch/advice-dispatcher.js";
 import type { AdviceCaller } from "../dispatch/advice-dispatcher.js";
+import { GangAssemblies } from "../dispatch/gang-assemblies.js";
+import type { FreedCapacity } from "../dispatch/gang-assemblies.js";
+import { Headroom } from "../dispatch/headroom.js";
+import type { PlannedStart } from "../dispatch/plan.js";
 import { planStarts } from "../dispatch/planner.js";
-import { PreemptionAttempts } from "../dispatch/preemption-attempts.js";
+import { PREEMPTION_TIME_MS, PreemptionAttempts } from "../dispatch/preemption-attempts.js";
 import type { Preemption } from "../dispatch/preemption.js";
 import { RunTimeModel } from "../dispatch/run-time-model.js";
 import { rankStep } from "../dispatch/urgency.js";
@@ -92,7 +96,8 @@
     private readonly jobRequests: JobRequestHandler;
     private readonly starter: Starter;
     private readonly runTimes = new RunTimeModel();
-    private readonly preemptionAttempts = new PreemptionAttempts();
+    private readonly freedCapacity: FreedCapacity;
+    private readonly headroom: Headroom | undefined;
     /** Duration of the last pass. */
     private passTookMs: Millis = 0;
     private readonly permits: PermitCoordinator;
@@ -110,6 +115,9 @@
 
     constructor(private readonly options: LeaderOptions) {
         this.context = this.buildContext();
+        const gathersRoom = options.stopMs > PREEMPTION_TIME_MS;
+        this.freedCapacity = gathersRoom ? new GangAssemblies(options.stopMs) : new PreemptionAttempts();
+        this.headroom = gathersRoom ? new Headroom() : undefined;
         this.journal = this.buildJournal();
         this.queues = new QueueSettings(this.context);
         this.advice = new AdviceDispatcher(options.clock, options.log);
@@ -281,7 +289,8 @@
             workersByPool,
             unreportedByPool: this.fleet.collectUnreported(),
             getPermits: step => this.permits.getPermits(step),
-            preemptionAttempts: this.preemptionAttempts,
+            freedCapacity: this.freedCapacity,
+            headroom: this.headroom,
             getClaimedCpu: workerId => this.permits.claims.getCpu(workerId),
             getAllowedShare: queue => this.permits.allowedShares.getShare(queue),
             isAdviceOverloaded: this.advice.isOverloaded(),
@@ -293,6 +302,7 @@
         });
         this.ends.crashes.setBacklogs(plan.backlogs);
         this.starter.startAll(plan.starts);
+        this.observeStarts(plan.starts, begin);
         this.permits.requestPermits(plan.permitRequests, begin, countWorkers(workersByPool));
         plan.preemptions.forEach(preemption => this.preemptRun(preemption));
         this.lastPassAt = begin;
@@ -302,6 +312,15 @@
         metrics.time("plan.took", this.passTookMs);
     }
 
+    private observeStarts(starts: readonly PlannedStart[], now: Millis): void {
+        for (const { step } of starts) {
+            const queue = this.queues.find(step.job.queue);
+            if (queue !== undefined) {
+                this.headroom?.observeStart(step, queue, now);
+            }
+        }
+    }
+
     private measureContention(): Contention {
         return {
             latenessMs: Math.round(this.options.lateness.getMeanLatenessMs()),
--- a/src/test/dispatch/plan-passes.ts
+++ b/src/test/dispatch/plan-passes.ts
@@ -58,7 +58,7 @@
             workersByPool: new Map([[QUEUE.pool, listWorkers(now)]]),
             unreportedByPool: new Map(),
             getPermits: () => permits,
-            preemptionAttempts: preemptionLooks,
+            freedCapacity: preemptionLooks,
             getClaimedCpu: () => 0,
             getAllowedShare: () => 0.4,
             isAdviceOverloaded: false,
--- a/src/test/dispatch/planner_test.ts
+++ b/src/test/dispatch/planner_test.ts
@@ -65,7 +65,7 @@
         workersByPool: new Map([["pool", workers]]),
         unreportedByPool: new Map([["pool", unreported]]),
         getPermits: step => permitsOf.get(numbers.get(step) ?? -1) ?? new StepPermits(),
-        preemptionAttempts: new PreemptionAttempts(),
+        freedCapacity: new PreemptionAttempts(),
         getClaimedCpu: () => 0,
         getAllowedShare: () => 0.4,
         isAdviceOverloaded: false,
--- a/src/test/dispatch/suspects_test.ts
+++ b/src/test/dispatch/suspects_test.ts
@@ -154,7 +154,7 @@
         workersByPool: new Map([["pool", workers.map(makeWorker)]]),
         unreportedByPool: new Map(),
         getPermits: () => new StepPermits(),
-        preemptionAttempts: new PreemptionAttempts(),
+        freedCapacity: new PreemptionAttempts(),
         getClaimedCpu: () => 0,
         getAllowedShare: () => 0.4,
         isAdviceOverloaded: false,
--- a/src/test/leader/leader-cell.ts
+++ b/src/test/leader/leader-cell.ts
@@ -142,6 +142,8 @@
     private readonly leaderRandom = createRandom(11);
     /** Link that the calls of a leader to workers share; without limits by default. */
     link: NarrowLink | undefined;
+    /** Time that a worker may take to stop a run. */
+    stopMs: Millis = 400;
     /** Lateness that the leaders measure for their timers. */
     latenessMs: Millis = 0;
     config: ClusterConfig = {
@@ -268,7 +270,7 @@
             loaded,
             workerPort: workers,
             leaseMs: LEASE_MS,
-            stopMs: 400,
+            stopMs: this.stopMs,
             inheritedLeases: new InheritedLeases({
                 previousEpoch: claim.previousEpoch,
                 wasHandedOver,
--- a/src/test/load/played-load.ts
+++ b/src/test/load/played-load.ts
@@ -62,6 +62,9 @@
     readonly accounts: ReadonlyMap<string, number>;
 }
 
+const DEFAULT_STOP_MS: Millis = 400;
+const WORKER_NETWORK = "10.0.0.";
+
 interface GangRun {
     readonly members: Map<string, string>;
     hasStarted: boolean;
@@ -103,6 +106,7 @@
                 startWaits: [],
             });
         }
+        this.cell.stopMs = profile.stopMs ?? DEFAULT_STOP_MS;
         this.cell.config = {
             ...this.cell.config,
             queues: profile.classes.map(({ queue }) => queue),
@@ -113,7 +117,7 @@
         this.stalled = new StalledJobs(profile, isAllowed);
         this.standing = new StalledJobs(profile, isAllowed, Infinity);
         for (let number = 1; number <= profile.workers; number++) {
-            this.addWorker(`w${number}`, `10.0.0.${number}:80`);
+            this.addWorker(`w${number}`, `${WORKER_NETWORK}${number}:80`);
         }
     }
 
@@ -288,8 +292,8 @@
     private addWorker(workerId: string, address: string): void {
         this.cell.addWorker(workerId, address, {
             capacity: this.profile.capacity,
-            stopMs: 400,
-            getBehavior: (task, run) => this.describeRun(task, run),
+            stopMs: this.profile.stopMs ?? DEFAULT_STOP_MS,
+            getBehavior: (task, run) => this.describeRun(task, run, address),
             isPermitted: (task, permit) => this.advice.isPermitted(task, workerId, permit),
             handleStart: (task, run, used, order) => {
                 this.adviceUse.observeStart(order.permit);
@@ -313,7 +317,13 @@
         return found?.job.spec.steps[found.step]?.demand ?? NO_RESOURCES;
     }
 
-    private describeRun(task: string, run: number): TaskBehavior {
+    private findSpeed(address: string): number {
+        const { speeds } = this.profile;
+        return speeds?.[Number(address.slice(WORKER_NETWORK.length, address.indexOf(":"))) % speeds.length] ??
+            1;
+    }
+
+    private describeRun(task: string, run: number, address: string): TaskBehavior {
         const found = this.findJob(task);
         const spec = found?.job.spec.steps[found.step];
         if (found === undefined || spec === undefined) {
@@ -323,7 +333,7 @@
         const isFailing = hashToFraction(`${unit}#${run}`) < found.job.kind.failingShare;
         return {
             demand: spec.demand,
-            runMs: found.job.runMs[found.step] ?? 0,
+            runMs: (found.job.runMs[found.step] ?? 0) / this.findSpeed(address),
             end: isFailing ? "failed" : "done",
             savesCheckpoints: spec.savesCheckpoints,
             waitsForGang: spec.isGang,
