--- a/bench/soak/fixture.ts
+++ b/bench/soak/fixture.ts
@@ -28,6 +28,8 @@
     readonly program: string;
     /** Program of nodes with even numbers, such as an earlier build; defaults to `program`. */
     readonly otherProgram?: string;
+    /** Whether workers start again under the name that they had; false if omitted. */
+    readonly keepsWorkerNames?: boolean;
 }
 
 /** A running fixture; its owner must close it. */
@@ -57,6 +59,7 @@
         capacity: WORKER_CAPACITY,
         getBehavior: task => jobs.getBehavior(task),
         observer: checker,
+        keepsWorkerNames: options.keepsWorkerNames,
     });
     const workers = await Promise.all(platform.workers.map(openWorker));
     const nodes = await Promise.all(
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -15,7 +15,7 @@
 const PROGRAM = `${FOLDER}/cactusrack-node.cjs`;
 const USAGE =
     "usage: npm run soak -- [--seed N] [--runs N] [--nodes N] [--workers N] [--callers N] [--seconds N] [--gap-ms N] [--short] " +
-    "[--other-program FILE]";
+    "[--other-program FILE] [--keep-names]";
 /** Fault plans and fixtures must draw from different random streams. */
 const PLAN_SEED_OFFSET = 1_000_003;
 
@@ -29,11 +29,13 @@
         seconds: { type: "string", default: "15" },
         "gap-ms": { type: "string", default: "500" },
         short: { type: "boolean", default: false },
+        // Workers start again under the name that they had.
+        "keep-names": { type: "boolean", default: false },
         // Another build of the program, run by every second node.
         "other-program": { type: "string" },
     },
 });
-const { short, "other-program": otherProgram, ...numbers } = values;
+const { short, "other-program": otherProgram, "keep-names": keepsWorkerNames, ...numbers } = values;
 const figures = Object.values(numbers).map(Number);
 if (figures.some(figure => !Number.isInteger(figure) || figure < 1)) {
     console.error(USAGE);
@@ -58,7 +60,15 @@
     const folder = `${FOLDER}/seed-${seed}`;
     rmSync(folder, { recursive: true, force: true });
     const { nodes, workers, callers, lengthMs, gapMs } = size;
-    const fixture = await openFixture({ seed, nodes, workers, folder, program: PROGRAM, otherProgram });
+    const fixture = await openFixture({
+        seed,
+        nodes,
+        workers,
+        folder,
+        program: PROGRAM,
+        otherProgram,
+        keepsWorkerNames,
+    });
     const task = short ?
         { faults: SHORT_PLAN, lengthMs: SHORT_LENGTH_MS, callers } :
         {
@@ -85,7 +95,8 @@
     verdict.violations.forEach(message => console.log(`  ${message}`));
     const flags = Object.entries(numbers).filter(([name]) => name !== "seed" && name !== "runs")
         .map(([name, value]) => `--${name} ${value}`).join(" ");
-    const mix = otherProgram === undefined ? "" : ` --other-program ${otherProgram}`;
+    const mix = (otherProgram === undefined ? "" : ` --other-program ${otherProgram}`) +
+        (keepsWorkerNames ? " --keep-names" : "");
     console.log(
         `  logs in ${folder}; again: npm run soak -- --seed ${seed} ${flags}${short ? " --short" : ""}${mix}`,
     );
