Incarnations: runs of one that has ended expire, and a re-listed worker deposes no leader

A member whose worker had started again under its name stayed reachable until the later incarnation's first report, so its runs were never settled if that one was lost first. A session that began again with a later incarnation sent the leader's own epoch first, and took the refusal for a later leader's. The first request now carries the epoch just below, and a refusal of it confirms the incarnation.

--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -289,7 +289,7 @@
     private async requestReport(sentAt: Millis): Promise<void> {
         const { port, worker, leaseMs } = this.options;
         // A registration may be wrong about the incarnation, and the fencing epoch would lock the right one out.
-        const epoch = this.isConfirmed ? this.options.fencingEpoch : this.options.epoch;
+        const epoch = this.options.fencingEpoch - (this.isConfirmed ? 0 : 1);
         const now = this.estimateWorkerNow();
         // A request without an answer may still be carried out. If each one extended the lease, the lease of
         // a silent worker would never certainly expire, and its tasks would wait for it forever.
@@ -358,6 +358,11 @@
             return true;
         }
         if (answer.kind === "refused" && answer.reason === OrderRefusal.fenced) {
+            if (!this.isConfirmed) {
+                // An earlier session with this incarnation has confirmed it.
+                this.isConfirmed = true;
+                return false;
+            }
             this.close();
             this.options.listener.handleFenced();
             return true;
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -268,6 +268,7 @@
      */
     private handleReplaced(member: FleetMember, successorId: string | undefined): void {
         const { state } = member;
+        state.isReachable = false;
         if (successorId === undefined || state.runs.size === 0) {
             this.removeMember(member, RemovalReason.replaced);
         }
--- a/src/test/leader/worker-successions_test.ts
+++ b/src/test/leader/worker-successions_test.ts
@@ -118,6 +118,53 @@
         }
     }
 
+    it("does not keep its tasks if it is lost before its first report", async () => {
+        // Guards against runs of an ended incarnation that are never settled, as only the next one may do so.
+        const cell = createCell();
+        cell.addWorker("w2", OTHER_ADDRESS);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({ taskCount: 4 }));
+        await cell.clock.step(500);
+        const path = leader.workers.getPath(ADDRESS);
+        restart(cell);
+        for (
+            let waited = 0;
+            !leader.log.lines.some(({ event }) => event === "workerStartedAgain");
+            waited += 1
+        ) {
+            assert.ok(waited < 3_000, "the restart was not noticed");
+            await cell.clock.step(1);
+        }
+        path.faults.unreachable = true;
+        await cell.clock.step(10_000);
+        const again = cell.starts.filter(({ run }) => run === 2);
+        assert.equal(again.length, cell.starts.filter(({ workerId }) => workerId === FIRST).length);
+        assert.ok(again.length > 0);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("gets another session under the same leader after it was not listed", async () => {
+        // Guards against a leader that takes the epoch it gave to the worker itself for that of a later leader.
+        const cell = createCell();
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        restart(cell);
+        cell.refreshWorkers(leader);
+        await cell.clock.step(500);
+        cell.removeFromList(SECOND);
+        cell.refreshWorkers(leader);
+        await cell.clock.step(8_000);
+        cell.restoreToList(SECOND, ADDRESS);
+        cell.refreshWorkers(leader);
+        await cell.clock.step(500);
+        await cell.submit(leader, 1, makeSpec({}));
+        await cell.clock.step(2_000);
+        assert.deepEqual(leader.deposed, []);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+    });
+
     it("keeps ends that no leader has read", async () => {
         // Guards against a late request for a report that makes the next incarnation forget its first ends.
         const cell = createCell();
