--- a/src/process/dispatch/gang-assemblies.ts
+++ b/src/process/dispatch/gang-assemblies.ts
@@ -1,9 +1,7 @@
 /**
- * Assemblies of gangs: places on chosen workers that are withheld from all others until the runs there have
- * stopped and the gang can start.
+ * Places that are chosen once for a gang and withheld from all others until the runs there have stopped.
  *
- * @remarks Answers the load of gangs that arrive in a pool full of small tasks, where a stop takes longer than
- * freed capacity can be kept idle on the mere chance that it is enough. The runs to stop are chosen once.
+ * @remarks Answers the load of gangs in a pool full of small tasks, which take each piece as it comes free.
  */
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
--- a/src/process/dispatch/headroom.ts
+++ b/src/process/dispatch/headroom.ts
@@ -1,9 +1,7 @@
 /**
- * Headroom: gaps that less urgent tasks leave on some workers, so that a task of the most urgent queue can
- * start at once.
+ * Gaps that less urgent tasks leave on some workers, so that a task of the most urgent queue can start at once.
  *
- * @remarks Answers the load of quick checks in a pool that is full of long tasks. Tasks of other sizes leave
- * pieces in which no check fits, and a check has no time to wait until several of them end on one worker.
+ * @remarks Answers the load of quick checks in a pool full of long tasks, which leave pieces in which none fits.
  */
 import type { Millis } from "../../common/clock.js";
 import { hashText } from "../../common/hash.js";
--- a/src/process/leader/worker-successions.ts
+++ b/src/process/leader/worker-successions.ts
@@ -21,10 +21,8 @@
 /**
  * Tells the incarnations of each worker apart.
  *
- * @remarks A worker cannot tell an order to an earlier incarnation from one to itself. Each incarnation of a
- * worker therefore gets a higher fencing epoch than the one before: the worker refuses what was sent to its
- * earlier incarnations, however late it arrives. The epochs up to that of the next leader are reserved for
- * this.
+ * @remarks A worker cannot tell a late order to an earlier incarnation from one to itself. Each incarnation
+ * therefore gets a higher fencing epoch than the one before; the next leader's epoch is above all of them.
  */
 export class WorkerSuccessions {
     private readonly successions = new Map<string, Succession>();
--- a/src/test/load/crowded_test.ts
+++ b/src/test/load/crowded_test.ts
@@ -1,7 +1,7 @@
 /** What callers get while gangs, wide steps and quick checks compete for too little room. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { CROWDED_LOAD } from "./load-profile.js";
+import { CROWDED_LOAD } from "./crowded-load.js";
 import { PlayedLoad } from "./played-load.js";
 
 /** Least share of the worth that each queue's callers are to get. */
--- a/src/test/load/main.ts
+++ b/src/test/load/main.ts
@@ -1,6 +1,7 @@
 /** Plays a load with several seeds: `npm run played-load -- --load NAME --seed N --runs N`. */
 import { parseArgs } from "node:util";
-import { CROWDED_LOAD, FEW_CALLERS_LOAD, SCARCE_LOAD } from "./load-profile.js";
+import { CROWDED_LOAD } from "./crowded-load.js";
+import { FEW_CALLERS_LOAD, SCARCE_LOAD } from "./load-profile.js";
 import { PlayedLoad } from "./played-load.js";
 
 const { values } = parseArgs({
