--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -4,8 +4,13 @@
 
 export const HOST = "127.0.0.1";
 
-/** Internal ports that the settings name: from the first to the second, both included. */
-const INTERNAL_PORTS = 16;
+/** Ports in a range; all are below those that the system takes for outgoing connections. */
+const PORTS_IN_A_RANGE = 20;
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000;
+
+/** First ports of the ranges that were given to somebody. */
+const taken = new Set();
 
 function listen(port) {
     return new Promise((resolve, reject) => {
@@ -19,35 +24,31 @@
     return new Promise(resolve => server.close(resolve));
 }
 
-/** Finds free ports that nobody has been given yet. */
-export async function findFreePorts(count) {
-    const servers = [];
-    for (let index = 0; index < count; index++) {
-        servers.push(await listen(0));
+/** Finds a range of free ports, for one entry or one machine. */
+export async function findFreePorts() {
+    const blocks = (LAST_PORT - FIRST_PORT) / PORTS_IN_A_RANGE;
+    const begin = Math.floor(Math.random() * blocks);
+    for (let index = 0; index < blocks; index++) {
+        const first = FIRST_PORT + (begin + index) % blocks * PORTS_IN_A_RANGE;
+        const ports = Array.from({ length: PORTS_IN_A_RANGE }, (_, offset) => first + offset);
+        if (!taken.has(first) && await areFree(ports)) {
+            taken.add(first);
+            return ports;
+        }
     }
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(closeServer));
-    return ports;
+    throw new Error("no free range of ports");
 }
 
-/** Finds a range of free ports for the messages between nodes. */
-export async function findFreeRange(taken) {
-    for (let first = 20_000 + Math.floor(Math.random() * 500) * 20; first < 32_000; first += 20) {
-        if (taken.has(first)) {
-            continue;
-        }
-        try {
-            for (let port = first; port < first + INTERNAL_PORTS; port++) {
-                await closeServer(await listen(port));
-            }
-            taken.add(first);
-            return [first, first + INTERNAL_PORTS - 1];
-        }
-        catch {
-            // A port of the range is in use: the next range is tried.
+async function areFree(ports) {
+    try {
+        for (const port of ports) {
+            await closeServer(await listen(port));
         }
+        return true;
+    }
+    catch {
+        return false;
     }
-    throw new Error("no free range of ports");
 }
 
 /**
--- a/review/lib/node.mjs
+++ b/review/lib/node.mjs
@@ -2,9 +2,7 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { callHttp, findFreePorts, findFreeRange, HOST } from "./http.mjs";
-
-const takenRanges = new Set();
+import { callHttp, findFreePorts, HOST } from "./http.mjs";
 
 /** Bounds of a small deployment: those of `sites/porte-aperte.toml`. */
 export const BOUNDS = {
@@ -58,8 +56,8 @@
     }
 
     async open() {
-        const [front, readiness, control] = await findFreePorts(3);
-        const internal = await findFreeRange(takenRanges);
+        const [front, readiness, control, ...others] = await findFreePorts();
+        const internal = [others[0], others.at(-1)];
         Object.assign(this, { front, readiness });
         const zone = "sala-a";
         this.settingsPath = join(this.folder, `${this.name}.json`);
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -1,5 +1,5 @@
 /** Stand-in for one machine with a worker on it, by PROTOCOL.md. It starts whatever it is told to start. */
-import { startJsonServer } from "./http.mjs";
+import { findFreePorts, startJsonServer } from "./http.mjs";
 
 const HEARTBEAT_MS = 1_500;
 /** An entry is removed after three check-in intervals of silence. */
@@ -25,8 +25,8 @@
     }
 
     async open() {
-        this.server = await startJsonServer(call => this.handle(call), this.port ?? 0);
-        this.port = this.server.port;
+        this.port ??= (await findFreePorts())[0];
+        this.server = await startJsonServer(call => this.handle(call), this.port);
         lastInstance += 1;
         this.life = new Life(this, `i-${this.options.name}-${lastInstance}`, this.server.address);
         this.options.recorder.write(this.life.id, "is up");
