--- a/review/1/scenario.mjs
+++ b/review/1/scenario.mjs
@@ -10,8 +10,8 @@
 
 const MACHINES = 8;
 const CAPACITY = { cpu: 64_000, "mem-mb": 131_072, gpu: 0 };
-const JOBS = 320;
-const SUBMIT_GAP_MS = 35;
+const JOBS = 400;
+const SUBMIT_GAP_MS = 30;
 const TASK_CPU = 32_000;
 const TASK_MS = 2_000;
 /** The limit of PROTOCOL.md. */
