--- a/review/lib/node.mjs
+++ b/review/lib/node.mjs
@@ -4,6 +4,13 @@
 import { join } from "node:path";
 import { callHttp, findFreePorts, HOST } from "./http.mjs";
 
+const running = new Set();
+
+/** Nothing that a script starts outlives it, however it ends. */
+process.on("exit", () => running.forEach(child => child.kill("SIGKILL")));
+process.once("SIGTERM", () => process.exit(2));
+process.once("SIGINT", () => process.exit(2));
+
 /** Bounds of a small deployment: those of `sites/porte-aperte.toml`. */
 export const BOUNDS = {
     "seed-lag-s": 3,
@@ -110,16 +117,19 @@
     start() {
         const [, ...words] = readCommand(this.root);
         const { PATH = "", HOME = "", LANG = "" } = process.env;
-        this.child = spawn(process.execPath, words, {
+        const child = spawn(process.execPath, words, {
             cwd: this.root,
             env: { PATH, HOME, LANG, CACTUSRACK_NODE_FILE: this.settingsPath },
             stdio: ["ignore", "pipe", "pipe"],
         });
+        this.child = child;
+        running.add(child);
+        child.once("exit", () => running.delete(child));
         const log = createWriteStream(join(this.folder, `${this.name}.log`), { flags: "a" });
-        this.child.stdout.pipe(log);
-        this.child.stderr.pipe(log);
-        this.exited = new Promise(resolve => this.child.once("exit", resolve));
-        this.recorder.write(this.name, `is started as process ${this.child.pid}`);
+        child.stdout.pipe(log);
+        child.stderr.pipe(log);
+        this.exited = new Promise(resolve => child.once("exit", resolve));
+        this.recorder.write(this.name, `is started as process ${child.pid}`);
     }
 
     /** Kills the process; resolves once it is gone. */
