--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -8,6 +8,7 @@
  * are not read back.
  */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
+import { splitUtf8 } from "../../common/utf8.js";
 import type { JobEvent } from "../jobs/job-events.js";
 import type { StoreCondition } from "../ports/index.js";
 import type { Log, Metrics } from "../telemetry.js";
@@ -45,10 +46,10 @@
 const RECORDS_TO_SNAPSHOT_RATIO = 2;
 const MIN_RECORDS_LENGTH = 131_072;
 /**
- * Characters of one part of a snapshot. Even over the narrowest link, a part and its repeated attempts can be
- * sent alongside records and reports within the timeout of an attempt.
+ * Bytes of one part of a snapshot. Even over the narrowest link, a part and its repeated attempts can be sent
+ * alongside records and reports within the timeout of an attempt.
  */
-const SNAPSHOT_PART_LENGTH = 60_000;
+const MAX_PART_BYTES = 60_000;
 /** Maximum number of events in one record. */
 const MAX_RECORD_EVENTS = 256;
 /**
@@ -340,7 +341,7 @@
     /** Writes the parts, then the head that makes the snapshot valid. */
     private async writeSnapshot(text: string, sequence: number): Promise<void> {
         const coveredLength = this.recordsLength;
-        const parts = splitText(text);
+        const parts = splitUtf8(text, MAX_PART_BYTES);
         const generation = this.generation + 1;
         for (const [part, value] of parts.entries()) {
             if (!await this.writePart(makeSnapshotKey(generation, part), value)) {
@@ -386,11 +387,3 @@
         return this.handleResult(result);
     }
 }
-
-function splitText(text: string): readonly string[] {
-    const parts: string[] = [];
-    for (let offset = 0; offset < text.length; offset += SNAPSHOT_PART_LENGTH) {
-        parts.push(text.slice(offset, offset + SNAPSHOT_PART_LENGTH));
-    }
-    return parts;
-}
--- a/src/stand-ins/store-model.ts
+++ b/src/stand-ins/store-model.ts
@@ -220,13 +220,15 @@
 
     private put(key: string, value: string | undefined, leaseId: string | undefined): number {
         const revision = ++this.revision;
-        if (value === undefined) {
+        // The store keeps bytes: text that is not valid Unicode does not come back as it was written.
+        const stored = value === undefined ? undefined : Buffer.from(value).toString();
+        if (stored === undefined) {
             this.entries.delete(key);
         }
         else {
-            this.entries.set(key, { record: { key, value, revision }, leaseId });
+            this.entries.set(key, { record: { key, value: stored, revision }, leaseId });
         }
-        this.history.push({ key, value, revision });
+        this.history.push({ key, value: stored, revision });
         while (this.history.length > this.historyLimit) {
             this.compactedRevision = this.history.shift()?.revision ?? this.compactedRevision;
         }
