--- a/src/process/journal/guarded-store.ts
+++ b/src/process/journal/guarded-store.ts
@@ -136,6 +136,11 @@
     private readonly pendingWrites = new Set<PendingWrite>();
     private answered = new Signal();
 
+    /** Largest value that the store accepts. */
+    get maxValueBytes(): number {
+        return this.options.port.maxValueBytes;
+    }
+
     constructor(private readonly options: GuardedStoreOptions) {
         this.lastContact = options.clock.now();
     }
@@ -242,6 +247,7 @@
         const openAttempts = new Set<Promise<EndedAttempt>>();
         let backoff = MIN_BACKOFF_MS;
         let timeout = INITIAL_ATTEMPT_TIMEOUT_MS;
+        let hasFailed = false;
         while (!this.closed) {
             if (openAttempts.size === 0 || this.mayHedge(pending, openAttempts.size)) {
                 this.observeSilence(pending);
@@ -256,6 +262,10 @@
             if (result !== undefined) {
                 return result;
             }
+            if (!hasFailed) {
+                hasFailed = true;
+                this.logFailure(ended);
+            }
             if (ended.answer.kind === "unavailable" || ended.answer.kind === "refused") {
                 request.observeAttempt?.("unwritten");
             }
@@ -354,6 +364,17 @@
         return { kind: "deposed" };
     }
 
+    private logFailure({ answer, write: { key, value } }: EndedAttempt): void {
+        const { kind } = answer;
+        const message = "message" in answer ? answer.message : undefined;
+        this.options.log.warn("CR1605", "guardedWriteFailed", {
+            key,
+            bytes: Buffer.byteLength(value),
+            kind,
+            message,
+        });
+    }
+
     private async call(send: () => Promise<StoreAnswer<number>>): Promise<StoreAnswer<number>> {
         const { clock, metrics } = this.options;
         const sentAt = clock.now();
--- a/src/process/journal/journal-reader.ts
+++ b/src/process/journal/journal-reader.ts
@@ -32,8 +32,6 @@
 export class JournalReader {
     /** Number of calls that the store has answered. */
     pieces = 0;
-    /** Total length of all values read, in characters. */
-    characters = 0;
     private readonly hedgeDelay = new AdaptiveTimeout(MIN_HEDGE_DELAY_MS);
     private inFlight = 0;
     private readonly waiters: (() => void)[] = [];
@@ -121,7 +119,6 @@
         if (answer.kind === "done") {
             this.hedgeDelay.observeAnswer(clock.now() - sentAt);
             this.pieces += 1;
-            this.characters += answer.value.reduce((sum, { value }) => sum + value.length, 0);
         }
         return answer;
     }
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -8,14 +8,14 @@
  * are not read back.
  */
 import type { Clock, Millis, Timer } from "../../common/clock.js";
-import { splitUtf8 } from "../../common/utf8.js";
 import type { JobEvent } from "../jobs/job-events.js";
-import type { StoreCondition } from "../ports/index.js";
 import type { Log, Metrics } from "../telemetry.js";
 import type { GuardedResult, GuardedStore } from "./guarded-store.js";
-import { makeRecordKey, makeSnapshotKey, RING_SLOTS, SNAPSHOT_HEAD_KEY } from "./keys.js";
+import { makeRecordKey, RING_SLOTS } from "./keys.js";
 import type { LoadedJournal } from "./load-journal.js";
-import { encodeJournalRecord, encodeSnapshotHead } from "./records.js";
+import { encodeJobEvent, joinJournalRecord } from "./records.js";
+import { SnapshotWriter } from "./snapshot-writer.js";
+import type { SnapshotResult } from "./snapshot-writer.js";
 
 /** Options of {@link Journal}. */
 export interface JournalOptions {
@@ -44,14 +44,18 @@
  * the minimum length. This bounds what a new leader has to read by the size of the state, not by its age.
  */
 const RECORDS_TO_SNAPSHOT_RATIO = 2;
-const MIN_RECORDS_LENGTH = 131_072;
-/**
- * Bytes of one part of a snapshot. Even over the narrowest link, a part and its repeated attempts can be sent
- * alongside records and reports within the timeout of an attempt.
- */
-const MAX_PART_BYTES = 60_000;
+const MIN_RECORDS_BYTES = 131_072;
 /** Maximum number of events in one record. */
 const MAX_RECORD_EVENTS = 256;
+/**
+ * Maximum size of a record of several events, unless the store's limit is lower: it can be sent over a narrow
+ * link within the timeout of an attempt.
+ */
+export const MAX_RECORD_BYTES = 262_144;
+/** Bytes of a record besides its events. */
+const RECORD_OVERHEAD_BYTES = 100;
+/** Bytes between two events of a record. */
+const SEPARATOR_BYTES = 1;
 /**
  * Maximum number of records in flight, so that a store in a slow period still accepts a record every
  * `MIN_RECORD_INTERVAL_MS`. With one at a time, an acceptance, an assignment and an end would wait for each
@@ -67,6 +71,9 @@
 /** An appended event and its callbacks. */
 interface Entry {
     readonly event: JobEvent;
+    /** The event as it is stored. */
+    readonly text: string;
+    readonly bytes: number;
     /** Called once the event is durable; never if it is withdrawn. */
     readonly handleCommitted: (() => void) | undefined;
     /** Called once all events up to this one are durable or withdrawn. */
@@ -95,14 +102,12 @@
     private lastStartedAt: Millis = -Infinity;
     /** Sequence number of the last record up to which all records are durable. */
     private sequence: number;
-    /** Revision of the snapshot head. */
-    private headRevision: number;
+    private readonly snapshots: SnapshotWriter;
     /** Sequence number of the last record that the newest snapshot covers. */
     private coveredSequence: number;
-    /** Length of the newest snapshot, and of the durable records that it does not cover, in characters. */
-    private snapshotLength: number;
-    private recordsLength: number;
-    private generation: number;
+    /** Size of the newest snapshot, and of the durable records that it does not cover. */
+    private snapshotBytes: number;
+    private recordsBytes: number;
     private isSnapshotting = false;
     /** Increases when an appended event is withdrawn: a snapshot that contains it must not be written. */
     private withdrawals = 0;
@@ -112,11 +117,15 @@
         const { loaded } = options;
         this.sequence = loaded.sequence;
         this.sentSequence = loaded.sequence;
-        this.headRevision = loaded.headRevision;
-        this.snapshotLength = loaded.snapshotLength;
-        this.recordsLength = loaded.recordsLength;
+        this.snapshotBytes = loaded.snapshotBytes;
+        this.recordsBytes = loaded.recordsBytes;
         this.coveredSequence = loaded.coveredSequence;
-        this.generation = loaded.generation;
+        this.snapshots = new SnapshotWriter({
+            store: options.store,
+            epoch: options.epoch,
+            headRevision: loaded.headRevision,
+            generation: loaded.generation,
+        });
         // Earlier leaders may have left the ring full, so that no record can be written before a snapshot.
         this.startSnapshotIfDue();
     }
@@ -126,7 +135,9 @@
      * @param handleCommitted - Called once the event is durable; never if it does not become durable.
      */
     append(event: JobEvent, handleCommitted?: () => void): void {
-        this.queue.push({ event, handleCommitted, waiters: [], endsRecord: false });
+        const text = encodeJobEvent(event);
+        const bytes = Buffer.byteLength(text);
+        this.queue.push({ event, text, bytes, handleCommitted, waiters: [], endsRecord: false });
         this.scheduleRecord();
     }
 
@@ -140,6 +151,12 @@
         last.waiters.push(notify);
     }
 
+    /** Returns whether the store accepts a record of an event alone. */
+    canStore(event: JobEvent): boolean {
+        const bytes = RECORD_OVERHEAD_BYTES + Buffer.byteLength(encodeJobEvent(event));
+        return bytes <= this.options.store.maxValueBytes;
+    }
+
     /** Returns whether the store has not answered for so long that new work should be refused. */
     isStalled(): boolean {
         return this.options.store.getStallMs() > STALL_MS;
@@ -218,15 +235,15 @@
         this.scheduleRecord();
         const { epoch } = this.options;
         const key = makeRecordKey(record.sequence);
-        let length = 0;
+        let bytes = 0;
         const result = await this.options.store.write({
             buildWrite: () => {
-                const events = record.entries.map(entry => entry.event);
-                const value = encodeJournalRecord({ epoch, sequence: record.sequence, events });
-                ({ length } = value);
+                const events = record.entries.map(entry => entry.text);
+                const value = joinJournalRecord(epoch, record.sequence, events);
+                bytes = Buffer.byteLength(value);
                 return { key, value };
             },
-            buildConditions: () => [this.buildHeadCondition()],
+            buildConditions: () => [this.snapshots.buildHeadCondition()],
             mayBeOutdated: true,
             observeAttempt: phase => record.openAttempts += phase === "sent" ? 1 : -1,
         });
@@ -234,7 +251,7 @@
             return;
         }
         if (result.kind === "done") {
-            this.recordsLength += length;
+            this.recordsBytes += bytes;
             record.isDurable = true;
             this.releaseDurable();
         }
@@ -242,10 +259,22 @@
         this.scheduleRecord();
     }
 
-    /** Removes the events of the next record from the queue. */
+    /** Removes the events of the next record from the queue; at least one, if there is any. */
     private takeEntries(): Entry[] {
-        const last = this.queue.findIndex(entry => entry.endsRecord);
-        return this.queue.splice(0, last === -1 ? MAX_RECORD_EVENTS : Math.min(last + 1, MAX_RECORD_EVENTS));
+        const maxBytes = Math.min(MAX_RECORD_BYTES, this.options.store.maxValueBytes);
+        let bytes = RECORD_OVERHEAD_BYTES;
+        let count = 0;
+        for (const entry of this.queue) {
+            bytes += entry.bytes + SEPARATOR_BYTES;
+            if (count === MAX_RECORD_EVENTS || count > 0 && bytes > maxBytes) {
+                break;
+            }
+            count += 1;
+            if (entry.endsRecord) {
+                break;
+            }
+        }
+        return this.queue.splice(0, count);
     }
 
     /**
@@ -258,17 +287,6 @@
         return this.sentSequence - this.coveredSequence >= RING_SLOTS;
     }
 
-    /**
-     * Builds the condition of every write to a slot or a part of a snapshot.
-     *
-     * @remarks It prevents an attempt that the store executes late from overwriting a newer value of its key.
-     * A slot is reused only after a later snapshot covers it, and a part only after a later head was written;
-     * both change the revision of the head, so the late attempt is refused.
-     */
-    private buildHeadCondition(): StoreCondition {
-        return { key: SNAPSHOT_HEAD_KEY, revision: this.headRevision };
-    }
-
     /** Performs the effects of durable records, in order, up to the first record that is not durable. */
     private releaseDurable(): void {
         for (let record = this.inFlight[0]; record?.isDurable === true; record = this.inFlight[0]) {
@@ -283,7 +301,7 @@
     }
 
     /** Handles the result of a write; returns whether the journal may continue. */
-    private handleResult(result: GuardedResult): boolean {
+    private handleResult(result: GuardedResult | SnapshotResult): boolean {
         if (result.kind === "deposed") {
             this.close();
             this.options.handleDeposed();
@@ -333,57 +351,24 @@
     }
 
     private isSnapshotDue(): boolean {
-        const longest = Math.max(MIN_RECORDS_LENGTH, this.snapshotLength * RECORDS_TO_SNAPSHOT_RATIO);
+        const maxBytes = Math.max(MIN_RECORDS_BYTES, this.snapshotBytes * RECORDS_TO_SNAPSHOT_RATIO);
         return this.sequence - this.coveredSequence >= SNAPSHOT_INTERVAL_RECORDS ||
-            this.recordsLength > longest;
+            this.recordsBytes > maxBytes;
     }
 
-    /** Writes the parts, then the head that makes the snapshot valid. */
     private async writeSnapshot(text: string, sequence: number): Promise<void> {
-        const coveredLength = this.recordsLength;
-        const parts = splitUtf8(text, MAX_PART_BYTES);
-        const generation = this.generation + 1;
-        for (const [part, value] of parts.entries()) {
-            if (!await this.writePart(makeSnapshotKey(generation, part), value)) {
-                return;
-            }
-        }
-        const { epoch } = this.options;
-        const head = encodeSnapshotHead({ generation, parts: parts.length, sequence, epoch });
-        if (!await this.writeHead(head)) {
+        const coveredBytes = this.recordsBytes;
+        const result = await this.snapshots.write(text, sequence);
+        if (!this.handleResult(result) || result.kind !== "done") {
             return;
         }
-        this.generation = generation;
+        const { parts, bytes } = result;
         this.coveredSequence = sequence;
-        this.snapshotLength = text.length;
-        this.recordsLength -= coveredLength;
-        const characters = text.length;
-        this.options.log.info("snapshotWritten", { sequence, parts: parts.length, characters });
+        this.snapshotBytes = bytes;
+        this.recordsBytes -= coveredBytes;
+        this.options.log.info("snapshotWritten", { sequence, parts, bytes });
         this.isSnapshotting = false;
         this.startSnapshotIfDue();
         this.scheduleRecord();
     }
-
-    /** Writes a part of a snapshot; returns whether the journal may continue. */
-    private async writePart(key: string, value: string): Promise<boolean> {
-        const result = await this.options.store.write({
-            buildWrite: () => ({ key, value }),
-            buildConditions: () => [this.buildHeadCondition()],
-            isBackground: true,
-        });
-        return this.handleResult(result);
-    }
-
-    /** Writes the head; returns whether the journal may continue. */
-    private async writeHead(value: string): Promise<boolean> {
-        const result = await this.options.store.write({
-            buildWrite: () => ({ key: SNAPSHOT_HEAD_KEY, value }),
-            buildConditions: () => [this.buildHeadCondition()],
-            isBackground: true,
-        });
-        if (result.kind === "done") {
-            this.headRevision = result.revision;
-        }
-        return this.handleResult(result);
-    }
 }
--- a/src/process/journal/load-journal.ts
+++ b/src/process/journal/load-journal.ts
@@ -27,10 +27,10 @@
     readonly generation: number;
     /** Revision of the snapshot head; 0 if there is none. */
     readonly headRevision: number;
-    /** Length of the newest snapshot, in characters. */
-    readonly snapshotLength: number;
-    /** Total length of the records after the snapshot, in characters. */
-    readonly recordsLength: number;
+    /** Size of the newest snapshot. */
+    readonly snapshotBytes: number;
+    /** Total size of the records after the snapshot. */
+    readonly recordsBytes: number;
     /** Number of calls to the store that reading took. */
     readonly pieces: number;
 }
@@ -43,8 +43,8 @@
 
 interface ReadRecord {
     readonly record: JournalRecord;
-    /** Length of its text, in characters. */
-    readonly length: number;
+    /** Size of its text. */
+    readonly bytes: number;
 }
 
 const EMPTY_HEAD: SnapshotHead = { generation: 0, parts: 0, sequence: 0 };
@@ -80,8 +80,8 @@
         coveredSequence: head.sequence,
         generation: head.generation,
         headRevision: headRecord?.revision ?? 0,
-        snapshotLength: text.length,
-        recordsLength: records.reduce((sum, { length }) => sum + length, 0),
+        snapshotBytes: Buffer.byteLength(text),
+        recordsBytes: records.reduce((sum, { bytes }) => sum + bytes, 0),
         pieces: reader.pieces,
     };
 }
@@ -136,7 +136,7 @@
         }
         for (const { key, value } of records) {
             const record = decodeWithKey(key, () => decodeJournalRecord(value));
-            found.set(record.sequence, { record, length: value.length });
+            found.set(record.sequence, { record, bytes: Buffer.byteLength(value) });
         }
         while (found.has(next)) {
             next += 1;
--- a/src/process/journal/records.ts
+++ b/src/process/journal/records.ts
@@ -19,8 +19,21 @@
     readonly epoch?: number;
 }
 
-export function encodeJournalRecord(record: JournalRecord): string {
-    return JSON.stringify(record);
+/** Encodes one event, as records contain it. */
+export function encodeJobEvent(event: JobEvent): string {
+    return JSON.stringify(event);
+}
+
+/**
+ * Joins events to a record.
+ * @param events - Results of {@link encodeJobEvent}.
+ */
+export function joinJournalRecord(epoch: number, sequence: number, events: readonly string[]): string {
+    return `{"epoch":${epoch},"sequence":${sequence},"events":[${events.join(",")}]}`;
+}
+
+export function encodeJournalRecord({ epoch, sequence, events }: JournalRecord): string {
+    return joinJournalRecord(epoch, sequence, events.map(encodeJobEvent));
 }
 
 /**
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -179,6 +179,18 @@
             reply(buildStoreUnavailable());
             return;
         }
+        const at = this.context.clock.wallNow();
+        const event = { type: "accepted", jobId, queue: queue.name, account, spec, at } as const;
+        if (!this.journal.canStore(event)) {
+            this.logDecision(
+                jobId,
+                queue.name,
+                "refused",
+                "the job is larger than a value of the store may be",
+            );
+            reply({ kind: "refused", reason: RefusalReason.jobTooLarge, retryAfterMs: 0 });
+            return;
+        }
         const settings = findAccount(this.context.getConfig(), account);
         const isBeyondRate = settings !== undefined && !this.rates.isEntitled(settings, jobId);
         if (
@@ -192,10 +204,8 @@
         if (settings !== undefined) {
             this.rates.take(settings, jobId);
         }
-        const at = this.context.clock.wallNow();
         this.queues.store(queue);
         this.ends.crashes.observeAccepted(queue.name, spec);
-        const event = { type: "accepted", jobId, queue: queue.name, account, spec, at } as const;
         this.context.record(isBeyondRate ? { ...event, isBeyondRate } : event, () => {
             this.logDecision(jobId, queue.name, "accepted", "durable");
             this.finishWaiting(jobId, { kind: "accepted" });
--- a/src/process/leader/requests.ts
+++ b/src/process/leader/requests.ts
@@ -36,6 +36,8 @@
     rateExceeded: "rateExceeded",
     /** The quota of its client account could never hold what has to run at once. */
     quotaTooSmall: "quotaTooSmall",
+    /** The job is larger than a value of the store may be. */
+    jobTooLarge: "jobTooLarge",
     /** No configuration has been received yet. */
     noConfig: "noConfig",
 } as const;
--- a/src/process/node/leadership-term.ts
+++ b/src/process/node/leadership-term.ts
@@ -249,7 +249,7 @@
             openJobs: loaded.jobs.countOpen(),
             sequence: loaded.sequence,
             pieces: loaded.pieces,
-            characters: loaded.snapshotLength + loaded.recordsLength,
+            bytes: loaded.snapshotBytes + loaded.recordsBytes,
             tookMs: Math.round(clock.now() - begin),
         });
         return leader;
--- a/src/process/platform/http-store-port.ts
+++ b/src/process/platform/http-store-port.ts
@@ -46,8 +46,12 @@
 
 type Call = Pick<HttpRequest, "method" | "path"> & { readonly body?: unknown; };
 
+/** Largest value that the platform's protocol allows. */
+const MAX_VALUE_BYTES = 1_048_576;
+
 /** Calls the store over pooled connections. */
 export class HttpStorePort implements StorePort {
+    readonly maxValueBytes = MAX_VALUE_BYTES;
     private readonly callPool: Pool;
     private readonly pollPool: Pool;
 
--- a/src/process/ports/store-port.ts
+++ b/src/process/ports/store-port.ts
@@ -7,7 +7,7 @@
 /** A record of the store. */
 export interface StoreRecord {
     readonly key: string;
-    /** UTF-8 text, at most 1 MB. */
+    /** Text of at most {@link StorePort.maxValueBytes} bytes in UTF-8. */
     readonly value: string;
     /**
      * Value of the store-wide write counter at the last write of this key. Increases with each write, never
@@ -86,6 +86,8 @@
 
 /** Calls to the store. Each counts as one call against the platform's budget, including a held poll. */
 export interface StorePort {
+    /** Largest value that the store accepts. */
+    readonly maxValueBytes: number;
     /** Reads one key. */
     read(key: string, timeout: Millis): Promise<StoreAnswer<StoreRecord | undefined>>;
     /** Reads all records under a prefix, together with the store's revision at that time. */
--- a/src/stand-ins/store-model.ts
+++ b/src/stand-ins/store-model.ts
@@ -57,7 +57,8 @@
     private readonly history: StoreEvent[] = [];
     private readonly counters: StoreCallCounters = { reads: 0, writes: 0, polls: 0, leases: 0 };
     private readonly historyLimit: number;
-    private readonly valueLimit: number;
+    /** Maximum size of a value in bytes. */
+    readonly valueLimit: number;
     private revision = 0;
     private compactedRevision = 0;
     private leaseCount = 0;
--- a/src/test/fakes/fake-store-port.ts
+++ b/src/test/fakes/fake-store-port.ts
@@ -38,6 +38,10 @@
      */
     constructor(private readonly model: StoreModel, readonly path: StorePath) {}
 
+    get maxValueBytes(): number {
+        return this.model.valueLimit;
+    }
+
     read(key: string, timeout: Millis): Promise<StoreAnswer<StoreRecord | undefined>> {
         return this.request(() => this.model.read(key), timeout);
     }
