Home slices: answers are cut between characters, and sizes count bytes

Callers saw: an answer of over 65,536 characters that was cut within a character ended with U+FFFD, which no worker had sent.

Cause: the same as of altered payloads: text was cut in UTF-16 units before it was encoded.

Measured: home-updates_test, one of two new cases failed before. Found by reading on a path related to the altered payloads.

--- a/src/common/utf8.ts
+++ b/src/common/utf8.ts
@@ -1,7 +1,9 @@
-/** Text measured in bytes of UTF-8, as stores and connections do. */
+/** Cutting text so that it can be encoded as UTF-8, in whose bytes stores and connections measure it. */
 
 /** The longest character. */
 const MAX_CHARACTER_BYTES = 4;
+/** The highest code point that takes one UTF-16 unit. */
+const MAX_UNIT = 0xFFFF;
 /** The bits that all bytes of a character after its first have in common. */
 const CONTINUATION_MASK = 0b1100_0000;
 const CONTINUATION = 0b1000_0000;
@@ -26,6 +28,15 @@
     return parts;
 }
 
+/**
+ * Returns the beginning of a text, without half of a character at its end.
+ * @param maxLength - Longest result, in UTF-16 units.
+ */
+export function truncateText(text: string, maxLength: number): string {
+    const isWithinCharacter = text.length > maxLength && (text.codePointAt(maxLength - 1) ?? 0) > MAX_UNIT;
+    return text.slice(0, isWithinCharacter ? maxLength - 1 : maxLength);
+}
+
 /** Finds the start of the character that contains a byte; the end of the text if there is none. */
 function findCharacterStart(bytes: Buffer, offset: number): number {
     let start = Math.min(offset, bytes.length);
--- a/src/process/home/log/open-log.ts
+++ b/src/process/home/log/open-log.ts
@@ -130,7 +130,7 @@
         slots: head.slots,
         slotRevisions,
         snapshots,
-        uncoveredBytes: image.uncoveredBytes + value.length,
+        uncoveredBytes: image.uncoveredBytes + Buffer.byteLength(value),
     };
 }
 
--- a/src/process/home/log/read-back.ts
+++ b/src/process/home/log/read-back.ts
@@ -152,7 +152,7 @@
         }
         if (decoded.value.sequence > head.covers) {
             records.push(decoded.value);
-            bytes += found.value.length;
+            bytes += Buffer.byteLength(found.value);
         }
     }
     records.sort((left, right) => left.sequence - right.sequence);
--- a/src/process/home/log/slice-log.ts
+++ b/src/process/home/log/slice-log.ts
@@ -230,7 +230,7 @@
                 this.scope.context.metrics.count("home.entries", entries.length);
                 this.unavailableUntil = -Infinity;
                 this.slotRevisions.set(key, result.revision);
-                this.uncoveredBytes += value.length;
+                this.uncoveredBytes += Buffer.byteLength(value);
                 this.commitBatch(batch, at);
                 this.startSnapshotIfDue();
                 break;
--- a/src/process/home/run/updates.ts
+++ b/src/process/home/run/updates.ts
@@ -1,5 +1,6 @@
 /** Handles updates about attempts from placers, with one handler for each state. */
 import type { Millis } from "../../../common/clock.js";
+import { truncateText } from "../../../common/utf8.js";
 import type { TaskUpdate, TaskUpdateState } from "../../../connection/messages.js";
 import type { JobRun, LiveAttempt } from "./job-run.js";
 import { AttemptPhase } from "./job-run.js";
@@ -62,7 +63,7 @@
         const isTruncated = text.length > MAX_ANSWER_CHARACTERS;
         engine.endTask(live, {
             kind: "done",
-            answer: new TextEncoder().encode(text.slice(0, MAX_ANSWER_CHARACTERS)),
+            answer: new TextEncoder().encode(truncateText(text, MAX_ANSWER_CHARACTERS)),
             contentType: isTruncated ? `${ANSWER_TYPE}; cut-from=${text.length}` : ANSWER_TYPE,
             workerId: live.workerId ?? "",
         });
--- a/src/test/common/utf8_test.ts
+++ b/src/test/common/utf8_test.ts
@@ -1,8 +1,8 @@
-/** Splitting of text by its size in UTF-8. */
+/** Cutting of text between characters. */
 import fc from "fast-check";
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { splitUtf8 } from "../../common/utf8.js";
+import { splitUtf8, truncateText } from "../../common/utf8.js";
 
 const CASES = [
     { name: "returns nothing for an empty text", text: "", maxBytes: 4, parts: [] },
@@ -34,3 +34,23 @@
         );
     });
 });
+
+describe("truncateText", () => {
+    const cases = [
+        { name: "keeps a text that fits", text: "abc", maxLength: 3, expected: "abc" },
+        { name: "cuts at the limit", text: "abcd", maxLength: 3, expected: "abc" },
+        { name: "keeps a character that ends at the limit", text: "a🏰b", maxLength: 3, expected: "a🏰" },
+        { name: "leaves out a character that it would cut", text: "ab🏰", maxLength: 3, expected: "ab" },
+        {
+            name: "keeps a whole text that ends with a long character",
+            text: "a🏰",
+            maxLength: 3,
+            expected: "a🏰",
+        },
+    ];
+    for (const { name, text, maxLength, expected } of cases) {
+        it(name, () => {
+            assert.equal(truncateText(text, maxLength), expected);
+        });
+    }
+});
--- a/src/test/process/home/home-updates_test.ts
+++ b/src/test/process/home/home-updates_test.ts
@@ -2,6 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { TaskUpdate } from "../../../connection/messages.js";
+import { MAX_ANSWER_CHARACTERS } from "../../../process/home/run/updates.js";
 import type { JobSpec } from "../../../request/work.js";
 import { HomeCell, makeSettings, makeSubmit, requireJob, SLICE } from "./home-cell.js";
 
@@ -173,6 +174,23 @@
     });
 });
 
+describe("an answer that is too long to be stored", () => {
+    for (const padding of ["", "a"]) {
+        it(`is cut between characters, ${padding.length} after the start`, async () => {
+            // Guards against answers that end with a character that no worker sent.
+            const { cell, entry } = await makeCell();
+            const answer = padding + "🏰".repeat(MAX_ANSWER_CHARACTERS);
+            cell.handleOrder = (at, order) => at.report(order, { state: "done", answer });
+            await cell.query(entry, makeSubmit("j"));
+            await cell.clock.step(100);
+            const outcome = requireJob(await cell.query(entry, show)).tasks[0]?.outcome;
+            assert(outcome?.kind === "done");
+            const stored = new TextDecoder().decode(outcome.answer);
+            assert.ok(stored.length >= MAX_ANSWER_CHARACTERS - 1 && answer.startsWith(stored));
+        });
+    }
+});
+
 describe("updates that are late, duplicated or for another attempt", () => {
     // A worker's slice moves, and the old owner's update "running" arrives after the new owner's. If the home then
     // took the old placer for the task's, a withdrawal would go to the wrong placer.
