Jobs: a job has started when a run of it has begun, not when one is assigned

Cause: applyAssigned set hasStarted and the phase before the order was sent, and nothing took them back when the worker refused it.

Change: a job has started once a worker accepts an order for it, reports a run of it or lists an end that proves one. The first start is a durable event, which is written together with the next one: an event of its own write would delay the records after it by up to 25 ms.

--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -25,6 +25,14 @@
 } as const;
 export type RunEnd = (typeof RunEnd)[keyof typeof RunEnd];
 
+/** Ends of runs that may never have begun. */
+const ENDS_WITHOUT_START: ReadonlySet<RunEnd> = new Set([RunEnd.notRun, RunEnd.lost]);
+
+/** Returns whether the end of a run proves that its worker had begun it. */
+export function hasCertainlyBegun(end: RunEnd): boolean {
+    return !ENDS_WITHOUT_START.has(end);
+}
+
 /** What is known about a worker that was lost while it had a run. */
 export const LossKind = {
     /**
@@ -76,6 +84,15 @@
     readonly address?: string;
 }
 
+/**
+ * A worker has begun a run of a job for the first time. Unknown to earlier versions, for which a job has
+ * started when a run is assigned.
+ */
+export interface JobStarted {
+    readonly type: "started";
+    readonly jobId: string;
+}
+
 /** A run ended. The event is durable before the end is acknowledged to the worker. */
 export interface RunEnded {
     readonly type: "ended";
@@ -174,6 +191,7 @@
 export type JobEvent =
     | JobAccepted
     | RunAssigned
+    | JobStarted
     | RunEnded
     | JobCancelled
     | JobClosed
--- a/src/process/jobs/job-registry.ts
+++ b/src/process/jobs/job-registry.ts
@@ -5,7 +5,7 @@
  */
 import { Adoptions } from "./adoptions.js";
 import { buildJob, buildOccurrence } from "./build-job.js";
-import { JobPhase, LossKind, RunEnd } from "./job-events.js";
+import { hasCertainlyBegun, JobPhase, LossKind, RunEnd } from "./job-events.js";
 import type {
     JobAccepted,
     JobClosed,
@@ -132,7 +132,7 @@
         }
     }
 
-    /** Counts a queue's open jobs of which no run was ever assigned. */
+    /** Counts a queue's open jobs of which no run is known to have begun. */
     countPending(queue: string): number {
         let count = 0;
         for (const job of this.open.values()) {
@@ -166,6 +166,8 @@
                 return this.applyAccepted(event);
             case "assigned":
                 return this.applyAssigned(event);
+            case "started":
+                return this.startJob(this.open.get(event.jobId));
             case "ended":
                 return this.applyEnded(event);
             case "cancelled":
@@ -259,8 +261,13 @@
         }
         step.waiting -= 1;
         step.assigned += 1;
-        job.hasStarted = true;
-        job.phase = JobPhase.running;
+    }
+
+    private startJob(job: Job | undefined): void {
+        if (job !== undefined) {
+            job.hasStarted = true;
+            job.phase = JobPhase.running;
+        }
     }
 
     private applyEnded(event: RunEnded): void {
@@ -269,6 +276,9 @@
             return;
         }
         const { step, task } = found;
+        if (hasCertainlyBegun(event.end)) {
+            this.startJob(step.job);
+        }
         if (event.end === RunEnd.done && !step.spec.isLongRunning) {
             this.finishTasks(step, step.spec.isGang ? step.tasks : [task]);
             return;
--- a/src/process/jobs/job.ts
+++ b/src/process/jobs/job.ts
@@ -86,7 +86,7 @@
     readonly occurrences: Map<number, Occurrence>;
     /** Number of the next occurrence to open. */
     nextOccurrence: number;
-    /** Whether any run was ever assigned. */
+    /** Whether a worker is known to have begun a run. */
     hasStarted: boolean;
     /** Runs that were assigned when the job ended, and that may go on until they are stopped. */
     leftRuns: readonly LeftRun[];
--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -11,6 +11,8 @@
 import type { JobEvent } from "../jobs/job-events.js";
 import type { Log, Metrics } from "../telemetry.js";
 import type { GuardedResult, GuardedStore } from "./guarded-store.js";
+import { addWaiter, buildEntry, isAwaited } from "./journal-entry.js";
+import type { Entry } from "./journal-entry.js";
 import { makeRecordKey, RING_SLOTS } from "./keys.js";
 import type { LoadedJournal } from "./load-journal.js";
 import { encodeJobEvent, joinJournalRecord } from "./records.js";
@@ -68,20 +70,6 @@
  */
 const STALL_MS: Millis = 800;
 
-/** An appended event and its callbacks. */
-interface Entry {
-    readonly event: JobEvent;
-    /** The event as it is stored. */
-    readonly text: string;
-    readonly bytes: number;
-    /** Called once the event is durable; never if it is withdrawn. */
-    readonly handleCommitted: (() => void) | undefined;
-    /** Called once all events up to this one are durable or withdrawn. */
-    readonly waiters: (() => void)[];
-    /** Whether a snapshot contains the state up to this event, so that the next goes into another record. */
-    endsRecord: boolean;
-}
-
 /** A record that was sent to the store. */
 interface SentRecord {
     readonly sequence: number;
@@ -135,20 +123,30 @@
      * @param handleCommitted - Called once the event is durable; never if it does not become durable.
      */
     append(event: JobEvent, handleCommitted?: () => void): void {
-        const text = encodeJobEvent(event);
-        const bytes = Buffer.byteLength(text);
-        this.queue.push({ event, text, bytes, handleCommitted, waiters: [], endsRecord: false });
+        this.queue.push(buildEntry(event, false, handleCommitted));
         this.scheduleRecord();
     }
 
-    /** Calls back once all events appended so far are durable or withdrawn; at once if none is pending. */
+    /**
+     * Appends an event that is already applied to the state and that no effect depends on. It costs no write of
+     * its own: the next record contains it.
+     */
+    appendDeferred(event: JobEvent): void {
+        this.queue.push(buildEntry(event, true));
+    }
+
+    /**
+     * Calls back once all events appended so far, but for deferred ones, are durable or withdrawn; at once if
+     * none is pending.
+     */
     runWhenCommitted(notify: () => void): void {
-        const last = this.queue.at(-1) ?? this.getLastInFlight();
-        if (last === undefined) {
-            notify();
-            return;
-        }
-        last.waiters.push(notify);
+        addWaiter(this.queue.findLast(isAwaited) ?? this.getLastInFlight(), notify);
+    }
+
+    /** Calls back once all events appended so far are durable or withdrawn. Writes the deferred ones. */
+    runWhenAllCommitted(notify: () => void): void {
+        addWaiter(this.queue.at(-1) ?? this.getLastInFlight(), notify);
+        this.scheduleRecord();
     }
 
     /** Returns whether the store accepts a record of an event alone. */
@@ -203,7 +201,7 @@
 
     private scheduleRecord(): void {
         const isBusy = this.timer !== undefined || this.inFlight.length >= MAX_IN_FLIGHT;
-        if (isBusy || this.isRingFull() || this.queue.length === 0 || this.closed) {
+        if (isBusy || this.isRingFull() || !this.queue.some(isAwaited) || this.closed) {
             return;
         }
         const now = this.options.clock.now();
@@ -336,7 +334,7 @@
         if (last !== undefined) {
             last.endsRecord = true;
         }
-        this.runWhenCommitted(() => {
+        this.runWhenAllCommitted(() => {
             // All events in the snapshot are durable now, so a later withdrawal cannot concern it and must
             // not discard it: if the ring is full by then, the next snapshot would wait for events that
             // cannot be written.
--- a/src/process/leader/context.ts
+++ b/src/process/leader/context.ts
@@ -51,6 +51,8 @@
      * Applies an event and appends it to the journal; `handleCommitted` is called once the event is durable.
      */
     readonly record: (event: JobEvent, handleCommitted?: () => void) => void;
+    /** Applies an event and appends it to the journal, to be written together with the next one. */
+    readonly recordDeferred: (event: JobEvent) => void;
     /** Calls `notify` once everything recorded so far is durable. */
     readonly runWhenCommitted: (notify: () => void) => void;
     /** Schedules a planning pass. */
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -44,8 +44,7 @@
 import { Starter } from "./starter.js";
 import { StateReport } from "./state-report.js";
 import { StepHistory } from "./step-history.js";
-import { computeUsedCpuShare, sumCapacity } from "./workers-by-pool.js";
-import type { WorkersByPool } from "./workers-by-pool.js";
+import { computeUsedCpuShare, countWorkers, sumCapacity } from "./workers-by-pool.js";
 
 /** Dependencies of a leader. */
 export interface LeaderOptions {
@@ -178,7 +177,7 @@
 
     /** Resolves once everything decided so far is durable. */
     flush(): Promise<void> {
-        return new Promise(resolve => this.journal.runWhenCommitted(resolve));
+        return new Promise(resolve => this.journal.runWhenAllCommitted(resolve));
     }
 
     /** Ends the leadership: nothing more is decided, ordered or written. */
@@ -220,6 +219,12 @@
                     this.journal.append(event, handleCommitted);
                 }
             },
+            recordDeferred: event => {
+                if (!this.closed) {
+                    options.loaded.jobs.apply(event);
+                    this.journal.appendDeferred(event);
+                }
+            },
             runWhenCommitted: notify => this.journal.runWhenCommitted(notify),
             requestPass: () => this.requestPass(),
             handleDeposed: options.handleDeposed,
@@ -392,7 +397,3 @@
         }
     }
 }
-
-function countWorkers(workersByPool: WorkersByPool): number {
-    return [...workersByPool.values()].reduce((sum, workers) => sum + workers.length, 0);
-}
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -16,6 +16,7 @@
 import type { Fleet } from "./fleet.js";
 import { OrderRefusals } from "./order-refusals.js";
 import type { RunEndHandler } from "./run-end-handler.js";
+import { recordRunStart } from "./started-runs.js";
 
 /**
  * Validity of an order on the worker's clock. It is short so that the first report after it settles an order
@@ -182,7 +183,7 @@
     private confirm(step: Step, record: RunRecord, workerNow: Millis): void {
         record.wasReported = true;
         this.ends.crashes.observeStart(record);
-        this.context.history.observeBegin(step, this.context.clock.now());
+        recordRunStart(this.context, step);
         if (record.phase === RunPhase.ordered) {
             record.phase = RunPhase.running;
             record.settledAfter = workerNow;
--- a/src/process/leader/worker-reports.ts
+++ b/src/process/leader/worker-reports.ts
@@ -10,6 +10,7 @@
 import type { LostRuns } from "./lost-runs.js";
 import type { RunEndHandler } from "./run-end-handler.js";
 import { RunLoss } from "./run-loss.js";
+import { recordRunStart } from "./started-runs.js";
 
 /** Derives the state of runs from the reports of their workers. */
 export class WorkerReports {
@@ -65,14 +66,14 @@
         if (record.phase === RunPhase.ordered) {
             record.phase = RunPhase.running;
             record.settledAfter = workerNow;
-            this.observeBegin(running.task);
+            this.observeStart(running.task);
         }
     }
 
-    private observeBegin(task: string): void {
+    private observeStart(task: string): void {
         const step = this.context.jobs.findTask(task)?.step;
         if (step !== undefined) {
-            this.context.history.observeBegin(step, this.context.clock.now());
+            recordRunStart(this.context, step);
         }
     }
 
--- a/src/process/leader/workers-by-pool.ts
+++ b/src/process/leader/workers-by-pool.ts
@@ -35,6 +35,11 @@
     return total === 0 ? 0 : 1 - free / total;
 }
 
+/** Counts the workers of all pools. */
+export function countWorkers(workersByPool: WorkersByPool): number {
+    return [...workersByPool.values()].reduce((sum, workers) => sum + workers.length, 0);
+}
+
 /** Sums the capacity of all workers. */
 export function sumCapacity(workersByPool: WorkersByPool): Resources {
     return [...workersByPool.values()].flat()
