Callers: 404, 401 and 403 after an unknown answer end as unknown

Callers would see: a job is rejected and runs all the same, if its acceptance became durable with a leader that was lost, and its queue was removed or its key revoked before the next leader answered.

Cause: after an attempt with an unknown outcome only `refused` counted as in doubt. A queue or key that is gone says no more about what an earlier leader did. Requests that change nothing keep the answer.

Found by the review by reading; no run on processes has shown it.

--- a/src/process/node/serve-caller.ts
+++ b/src/process/node/serve-caller.ts
@@ -64,8 +64,7 @@
         }
         const reply = await tryServe(route, request, limit - (clock.now() - begin));
         mayHaveRun ||= reply?.kind === "unknown";
-        // A refusal covers only its sender: a partitioned leader does not know what another leader did.
-        const isInDoubt = reply?.kind === "unknown" || reply?.kind === "refused" && mayHaveRun;
+        const isInDoubt = reply?.kind === "unknown" || mayHaveRun && isRejected(request, reply);
         if (reply !== undefined && !isInDoubt) {
             // The key may have been revoked while the leader answered. What was carried out is reported all the same.
             const isRead = reply.kind === "state" || reply.kind === "pending";
@@ -81,6 +80,16 @@
         { kind: "refused", reason: RefusalReason.noLeader, retryAfterMs: NO_LEADER_RETRY_MS };
 }
 
+/**
+ * Returns whether a leader has rejected a request. That covers only this leader: it may not know what another
+ * one did, or the queue or the key may have been removed since.
+ */
+function isRejected({ kind }: CallerRequest, reply: CallerReply | undefined): boolean {
+    const isDenial = reply?.kind === "noQueue" || reply?.kind === "unauthorized" ||
+        reply?.kind === "jobIdTaken";
+    return reply?.kind === "refused" || isDenial && kind !== "show";
+}
+
 /**
  * Makes one attempt.
  * @returns Undefined if no leader received the request, or if the leader's configuration is outdated.
--- a/src/test/node/refusals-in-doubt_test.ts
+++ b/src/test/node/refusals-in-doubt_test.ts
@@ -27,6 +27,23 @@
         answers: [LOST, REFUSED],
         expected: "unknown",
     },
+    {
+        name: "for a queue that was removed after another leader may have acted",
+        answers: [LOST, { kind: "noQueue" }],
+        expected: "unknown",
+    },
+    {
+        name: "with a key that was revoked after another leader may have acted",
+        answers: [LOST, { kind: "unauthorized", reason: "unknownKey" }],
+        expected: "unknown",
+    },
+    {
+        name: "with a key that changed its account after another leader may have acted",
+        answers: [LOST, { kind: "jobIdTaken" }],
+        expected: "unknown",
+    },
+    { name: "for a queue that does not exist", answers: [{ kind: "noQueue" }], expected: "noQueue" },
+    { name: "malformed", answers: [LOST, { kind: "malformed" }], expected: "malformed" },
     {
         name: "accepted by a leader after a refusal in doubt",
         answers: [LOST, REFUSED, { kind: "accepted" }],
