--- a/src/process/journal/journal.ts
+++ b/src/process/journal/journal.ts
@@ -129,7 +129,7 @@
 
     /**
      * Appends an event that is already applied to the state and that no effect depends on. It costs no write of
-     * its own: the next record contains it.
+     * its own: the next record contains it. It must be idempotent, as a snapshot may contain it before a record.
      */
     appendDeferred(event: JobEvent): void {
         this.queue.push(buildEntry(event, true));
@@ -320,8 +320,8 @@
      * Begins a snapshot of the current state if enough records have been written since the last one.
      *
      * @remarks If a snapshot contained events beyond the records that it covers, the next leader would apply
-     * them twice. The record of the last event in the state therefore ends with that event, and is the last
-     * one covered.
+     * them twice. The record of the last event in the state, deferred ones aside, therefore ends with that
+     * event, and is the last one covered.
      */
     private startSnapshotIfDue(): void {
         if (this.isSnapshotting || !this.isSnapshotDue()) {
@@ -330,11 +330,11 @@
         this.isSnapshotting = true;
         const text = this.options.encodeState();
         const { withdrawals } = this;
-        const last = this.queue.at(-1);
+        const last = this.queue.findLast(isAwaited);
         if (last !== undefined) {
             last.endsRecord = true;
         }
-        this.runWhenAllCommitted(() => {
+        this.runWhenCommitted(() => {
             // All events in the snapshot are durable now, so a later withdrawal cannot concern it and must
             // not discard it: if the ring is full by then, the next snapshot would wait for events that
             // cannot be written.
