--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -111,8 +111,11 @@
         this.heartbeat = setTimeout(() => this.writeEntry(), HEARTBEAT_MS);
     }
 
-    /** Ends the worker's process at once; another life begins at its address after some time, unless that is infinite. */
-    async crash(downMs) {
+    /**
+     * Ends the worker's process at once; another life begins after some time, unless that is infinite.
+     * @param isMoved - Whether the new life has another address.
+     */
+    async crash(downMs, isMoved = false) {
         const { life, options } = this;
         clearTimeout(this.heartbeat);
         clearTimeout(life.leaseTimer);
@@ -138,7 +141,7 @@
             setTimeout(resolve, downMs);
         });
         this.startLife();
-        await this.listen(port);
+        await this.listen(isMoved ? 0 : port);
         options.record("restart", { worker: this.life.id, address: this.address });
         this.writeEntry();
     }
