--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,54 +1,88 @@
-/** One task crashes each worker that starts it, 11.5 s after the start; the worker is back 1.5 s later. */
+/** Four of 33 workers crash once, a moment after three services were deployed there, and are back 1.5 s later. */
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { makeJobId, runCase } from "../lib-2/cluster.mjs";
 import { sleep } from "../lib-2/http.mjs";
 
-const PREFIX = "/lohu930/";
-const WORKERS = 8;
-const TASK_MS = 15_000;
-const CRASH_AFTER_MS = 11_500;
+const SERVICES = "/pule252/";
+const AGENTS = "/lohu930/";
+const WORKERS = 33;
+const CRASHES = 4;
+/** Services that are deployed together, each on as many workers. */
+const DEPLOYED = 3;
+const SERVICE_TASKS = 20;
+const CRASH_AFTER_MS = 250;
 const DOWN_MS = 1_500;
-/** After three workers have crashed under it, a task may be started twice more. */
-const MOST_STARTS = 5;
-const WATCH_MS = 100_000;
+const WATCH_MS = 45_000;
+/** The rule: from 6 s after the last run, for 3 s on end, where these and the 4 s before are calm. */
+const AFTER_RUN_MS = 6_000;
+const CALM_MS = 4_000;
+const AWAY_MS = 3_000;
+const SCHEDULE_MARGIN_MS = 300;
 
-let deadly = "";
-let isDeadly = false;
 const options = {
     record: join(dirname(fileURLToPath(import.meta.url)), "record.txt"),
     nodes: 3,
     workers: WORKERS,
-    routes: [{ name: "r-wrr6x73", prefix: PREFIX }],
-    behave: (task, _run, worker) => {
-        if (isDeadly && task.startsWith(deadly)) {
-            setTimeout(() => void worker.crash(DOWN_MS), CRASH_AFTER_MS);
-        }
-        return { ms: TASK_MS, end: "done" };
-    },
+    routes: [{ name: "r-73hh2b9", prefix: SERVICES, priority: 1 }, { name: "r-wrr6x73", prefix: AGENTS, priority: 1 }],
+    behave: () => ({ ms: Infinity }),
 };
 
-await runCase(options, async (cluster, isTroubled) => {
-    isDeadly = isTroubled;
-    deadly = makeJobId();
-    const step = { count: 1, cpu: 2_000, "mem-mb": 512, "estimated-ms": TASK_MS };
-    const { status } = await cluster.submit(PREFIX, deadly, { "task-spec": "one task", steps: [step] });
+async function submitService(cluster, prefix, count, cpu) {
+    const id = makeJobId();
+    const step = { count, cpu, "mem-mb": 512, "estimated-ms": 400, "long-running": true, "anti-affinity": 1 };
+    const { status } = await cluster.submit(prefix, id, { "task-spec": "service", steps: [step] });
     if (status !== 200) {
-        throw new Error(`the job was not accepted: ${status}`);
+        throw new Error(`a service was not accepted: ${status}`);
+    }
+    return id;
+}
+
+const countRuns = (cluster, ids) =>
+    cluster.workers.flatMap(({ life }) => [...life.runs.keys()]).filter(task => ids.includes(task.split(".")[0])).length;
+
+async function waitForRuns(cluster, ids, count) {
+    for (let tries = 0; countRuns(cluster, ids) < count; tries++) {
+        if (tries === 1_000) {
+            throw new Error("a service does not start");
+        }
+        await sleep(10);
+    }
+}
+
+function pickWorkers(workers, count) {
+    const left = [...workers];
+    return Array.from({ length: count }, () => left.splice(Math.floor(Math.random() * left.length), 1)[0]);
+}
+
+await runCase(options, async (cluster, isTroubled) => {
+    const agents = await submitService(cluster, AGENTS, WORKERS, 1_000);
+    await waitForRuns(cluster, [agents], WORKERS);
+    await sleep(2_000);
+    const services = await Promise.all(
+        Array.from({ length: DEPLOYED }, () => submitService(cluster, SERVICES, SERVICE_TASKS, 2_000)),
+    );
+    const tasks = DEPLOYED * SERVICE_TASKS;
+    await waitForRuns(cluster, services, tasks);
+    if (!isTroubled) {
+        await sleep(5_000);
+        return countRuns(cluster, services) === tasks ? [] : ["LOST: the services do not run"];
     }
-    const listStarts = () => cluster.events.filter(({ kind, task }) => kind === "start" && task.startsWith(deadly));
-    const begin = cluster.getMs();
-    let state = "queued";
-    while (cluster.getMs() - begin < WATCH_MS && listStarts().length <= MOST_STARTS && !/completed|failed/.test(state)) {
-        await sleep(250);
-        state = await cluster.show(PREFIX, deadly);
+    await sleep(CRASH_AFTER_MS);
+    const crashedAt = cluster.getMs();
+    const serving = cluster.workers.filter(({ life }) => [...life.runs.keys()].some(task => services.includes(task.split(".")[0])));
+    await Promise.all(pickWorkers(serving, CRASHES).map(worker => worker.crash(DOWN_MS)));
+    const calmFrom = cluster.getMs() + CALM_MS;
+    let judgedMissing = 0;
+    while (countRuns(cluster, services) < tasks && cluster.getMs() < crashedAt + WATCH_MS) {
+        judgedMissing = tasks - countRuns(cluster, services);
+        await sleep(50);
     }
-    // The last start counts once it has crashed its worker too.
-    await sleep(isTroubled ? CRASH_AFTER_MS + 500 : 0);
-    const starts = listStarts().map(({ at }) => at);
-    const crashes = cluster.events.filter(({ kind }) => kind === "crash").length;
-    console.log(`the job is ${state}; its task was started at ${starts.join(", ")} ms and crashed ${crashes} workers`);
-    return starts.length > MOST_STARTS ?
-        [`BUDGET: the task of ${deadly} was started ${starts.length} times and crashed ${crashes} workers`] :
+    const now = cluster.getMs();
+    const awayMs = now - Math.max(calmFrom, crashedAt + AFTER_RUN_MS);
+    console.log(`${judgedMissing} tasks were away for ${now - crashedAt} ms; runs on the workers: ${
+        cluster.workers.map(({ life }) => life.runs.size).join(" ")}`);
+    return awayMs > AWAY_MS + SCHEDULE_MARGIN_MS ?
+        [`LOST: ${judgedMissing} tasks that last had no run for ${now - crashedAt} ms beside workers with room`] :
         [];
 });
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -111,11 +111,8 @@
         this.heartbeat = setTimeout(() => this.writeEntry(), HEARTBEAT_MS);
     }
 
-    /**
-     * Ends the worker's process at once; another life begins after some time, unless that is infinite.
-     * @param isMoved - Whether the new life has another address.
-     */
-    async crash(downMs, isMoved = false) {
+    /** Ends the worker's process at once; another life begins at its address after some time, unless that is infinite. */
+    async crash(downMs) {
         const { life, options } = this;
         clearTimeout(this.heartbeat);
         clearTimeout(life.leaseTimer);
@@ -141,7 +138,7 @@
             setTimeout(resolve, downMs);
         });
         this.startLife();
-        await this.listen(isMoved ? 0 : port);
+        await this.listen(port);
         options.record("restart", { worker: this.life.id, address: this.address });
         this.writeEntry();
     }
