Logs: name the safeguard that keeps free capacity from a step

stepWaiting could not tell why tasks waited beside free workers.

Each pass now reports the steps that have been ready for half a second and could start on free capacity, but for a safeguard: probation, isolation, a gang's reservation, the gap for urgent tasks, deferral, or the backoff after losses. The leader logs stepWithheld after a second and stepReleased at the end, bounded to twenty steps, sets the gauge steps.withheld, and adds the safeguard to stepWaiting. Nothing is decided differently. Ranking the waiting steps moves out of leader.ts.

--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -7,6 +7,7 @@
 import type { StepPermits } from "./permits.js";
 import type { Preemption } from "./preemption.js";
 import type { ProbationInput, RiskyBacklog } from "./probation.js";
+import type { Safeguard } from "./safeguards.js";
 import type { Urgency } from "./urgency.js";
 import type { WorkerState } from "./worker-state.js";
 
@@ -70,6 +71,8 @@
     readonly preemptions: readonly Preemption[];
     /** Gangs without enough free capacity that reserve what they could use. */
     readonly reservingGangs: readonly Step[];
+    /** Steps that have been ready for a while and may not use capacity that is free, with the safeguard that keeps it. */
+    readonly withheld: ReadonlyMap<Step, Safeguard>;
     /** Waiting work of queues whose tasks crash workers. */
     readonly backlogs: ReadonlyMap<string, RiskyBacklog>;
 }
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -10,6 +10,7 @@
 import type { Step, Task } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
 import { computeDeferrableShare, isDeferred } from "./backfill.js";
+import { GangReservations } from "./gang-reservations.js";
 import { isGapLeft } from "./headroom.js";
 import { PermitPlanner } from "./permit-planner.js";
 import type { StepPermits } from "./permits.js";
@@ -21,10 +22,12 @@
 import type { Preemption } from "./preemption.js";
 import { Probation } from "./probation.js";
 import { canBecomeIdle, chooseReserved } from "./reserved-workers.js";
+import { Safeguard } from "./safeguards.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { listAllowed, sortSuspectsFirst } from "./waiting-step.js";
 import type { Placement, WaitingStep } from "./waiting-step.js";
+import { findSafeguard, MIN_READY_MS } from "./withholding.js";
 
 /**
  * Gangs without enough free capacity that reserve what they could use. One drains workers for the most urgent
@@ -44,6 +47,8 @@
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
     private readonly reservingGangs: Step[] = [];
+    private readonly reservations = new GangReservations();
+    private readonly withheld = new Map<Step, Safeguard>();
     /** Names of the pools in which a gang was already considered for reserved workers. */
     private readonly poolsWithGangs = new Set<string>();
     /** Tasks that should run exclusively, but for which no worker becomes idle soon. */
@@ -73,12 +78,14 @@
             permitRequests: this.permitPlanner.requests,
             preemptions,
             reservingGangs,
+            withheld: this.withheld,
             backlogs: this.probation.collectBacklogs(),
         };
     }
 
     private planStep(urgency: Urgency): void {
         if (!this.input.isAdviceOverloaded && isDeferred(urgency, this.blockedGangPriority)) {
+            this.recordWithheld(urgency, Safeguard.deferral);
             return;
         }
         const { step, queue } = urgency;
@@ -86,10 +93,13 @@
         const quotaPlaces = quotas.countPlaces(step.job.account, step.spec.demand);
         const startable = this.listStartable(step).slice(0, quotaPlaces);
         if (startable.length === 0 || isAllOrNothing(step) && startable.length < step.waiting) {
+            const isPaused = quotaPlaces >= countNeeded(step);
+            this.recordWithheld(urgency, isPaused ? Safeguard.lossBackoff : undefined);
             return;
         }
         const pool = this.getPool(queue.pool);
         if (!this.probation.hasBudget(urgency, pool)) {
+            this.recordWithheld(urgency, Safeguard.probation);
             return;
         }
         const requestsBefore = this.permitPlanner.requests.length;
@@ -105,12 +115,38 @@
         }
         if (!isWhole) {
             this.permitPlanner.requestUnknown(current);
+            this.findWithheld(current, placements);
         }
         if (placements.length > 0 || this.permitPlanner.requests.length > requestsBefore) {
             this.probation.useBudget(urgency, pool);
         }
     }
 
+    private findWithheld(current: WaitingStep, placements: readonly Placement[]): void {
+        const { urgency, step, pool, startable } = current;
+        const isKeeping = this.reservingGangs.includes(step);
+        if (isKeeping || !this.isReadyForLong(urgency) || !pool.mayFit(step.spec.demand)) {
+            return;
+        }
+        const { probation, reservations } = this;
+        const gap = this.input.headroom?.findGap(step, urgency.queue, this.input.now);
+        const placed = new Set(placements.map(({ task }) => task));
+        const isAlone = startable.some(task =>
+            !placed.has(task) && isSuspect(task) && !this.nonExclusive.has(task)
+        );
+        this.recordWithheld(urgency, findSafeguard(current, { probation, reservations, gap, isAlone }));
+    }
+
+    private recordWithheld(urgency: Urgency, safeguard: Safeguard | undefined): void {
+        if (safeguard !== undefined && this.isReadyForLong(urgency)) {
+            this.withheld.set(urgency.step, safeguard);
+        }
+    }
+
+    private isReadyForLong({ readyAt }: Urgency): boolean {
+        return readyAt !== undefined && this.input.now - readyAt >= MIN_READY_MS;
+    }
+
     private mayDeferOthers({ queue }: Urgency): boolean {
         const { freedCapacity, waiting } = this.input;
         return computeDeferrableShare(waiting, queue, this.getPool(queue.pool)) <=
@@ -131,7 +167,7 @@
         const refusing = this.input.listRefusing(step);
         const willing = refusing.size === 0 ? allowed : allowed.filter(slot => !refusing.has(slot.id));
         const candidates = this.probation.select(urgency, pool, willing);
-        return { urgency, step, pool, permits, candidates, startable };
+        return { urgency, step, pool, permits, willing, candidates, startable };
     }
 
     /** Reserves workers for tasks that must run exclusively, before others use their capacity. */
@@ -294,6 +330,7 @@
         }
         if (canHold && (this.preemptFor(current, placements) || isReserving)) {
             this.reservingGangs.push(step);
+            this.reservations.add(step, placements.map(({ slot }) => slot));
             step.tasks.forEach(() => this.input.quotas.take(step.job.account, step.spec.demand));
             if (permits !== undefined) {
                 // Its capacity may come free at any time and must not stand idle for the time of a request.
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -37,7 +37,7 @@
      * @param now - On the leader's clock.
      * @param mayStart - Whether anything may start on the worker in this pass.
      */
-    constructor(readonly worker: WorkerState, now: Millis, private readonly mayStart = true) {
+    constructor(readonly worker: WorkerState, now: Millis, readonly mayStart = true) {
         this.id = worker.id;
         this.capacity = worker.record.capacity;
         this.obtainable = computeObtainable(worker);
@@ -126,19 +126,25 @@
      * aside.
      */
     countPlacesLeft(step: Step): number {
-        if (!this.isOpenTo(step)) {
-            return 0;
-        }
-        const limit = step.spec.maxPerWorker;
-        return limit === undefined ?
-            Infinity :
-            limit - this.worker.countRunsOfStep(step.name) - this.countPlaced(step);
+        return this.isOpenTo(step) ? this.countUnderLimit(step) : 0;
+    }
+
+    /** Tells whether as many tasks of a step are here as its limit for each worker allows. */
+    isAtLimit(step: Step): boolean {
+        return this.countUnderLimit(step) <= 0;
     }
 
     /** Counts the tasks of a step that this pass has placed here. */
     countPlaced(step: Step): number {
         return this.placedTasks?.get(step) ?? 0;
     }
+
+    private countUnderLimit(step: Step): number {
+        const limit = step.spec.maxPerWorker;
+        return limit === undefined ?
+            Infinity :
+            limit - this.worker.countRunsOfStep(step.name) - this.countPlaced(step);
+    }
 }
 
 function computeObtainable({ record, runs }: WorkerState): Resources {
--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -22,6 +22,11 @@
     readonly dueAt: number;
     /** How much later the step could start and still meet the objective; negative if it is too late. */
     readonly slackMs: Millis;
+    /**
+     * Since when, on the leader's clock, the task that has waited longest could have started; undefined if it was not
+     * observed.
+     */
+    readonly readyAt?: Millis | undefined;
 }
 
 /** A job's result is of use to its caller until this many times its objective has passed. */
--- a/src/process/dispatch/waiting-step.ts
+++ b/src/process/dispatch/waiting-step.ts
@@ -19,6 +19,8 @@
     /** Undefined if the queue needs no permits. */
     readonly permits: StepPermits | undefined;
     /** Workers that may run it, including those whose permit has expired. */
+    readonly willing: readonly Slot[];
+    /** Those of them that it may use in this pass, as its queue or another one may be on probation. */
     readonly candidates: readonly Slot[];
     /** Its tasks that may start now. */
     readonly startable: readonly Task[];
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -20,8 +20,6 @@
 import { PREEMPTION_TIME_MS, PreemptionAttempts } from "../dispatch/preemption-attempts.js";
 import type { Preemption } from "../dispatch/preemption.js";
 import { RunTimeModel } from "../dispatch/run-time-model.js";
-import { rankStep } from "../dispatch/urgency.js";
-import type { Urgency } from "../dispatch/urgency.js";
 import type { Step } from "../jobs/job.js";
 import { encodeJobs } from "../jobs/snapshot.js";
 import type { GuardedStore } from "../journal/guarded-store.js";
@@ -44,6 +42,8 @@
 import { Starter } from "./starter.js";
 import { StateReport } from "./state-report.js";
 import { StepHistory } from "./step-history.js";
+import { StepRanker } from "./step-ranker.js";
+import { WithheldSteps } from "./withheld-steps.js";
 import { computeUsedCpuShare, countWorkers, sumCapacity } from "./workers-by-pool.js";
 
 /** Dependencies of a leader. */
@@ -98,6 +98,8 @@
     private readonly fleet: Fleet;
     private readonly jobRequests: JobRequestHandler;
     private readonly starter: Starter;
+    private readonly ranker: StepRanker;
+    private readonly withheld: WithheldSteps;
     private readonly runTimes = new RunTimeModel();
     private readonly freedCapacity: FreedCapacity;
     private readonly headroom: Headroom | undefined;
@@ -144,6 +146,8 @@
             this.ends,
             step => this.permits.getPermits(step),
         );
+        this.ranker = new StepRanker(this.context, this.runTimes);
+        this.withheld = new WithheldSteps(options.log, options.metrics);
         this.report = this.buildReport();
         for (const job of options.loaded.jobs.listAll()) {
             job.isEndDurable = job.endedAt !== 0;
@@ -265,8 +269,9 @@
             crashes: this.ends.crashes,
             advice: this.advice,
             isStalled: () => this.journal.isStalled(),
-            rankWaiting: () => this.rankWaiting(),
+            rankWaiting: () => this.ranker.rankAll(this.fairShares),
             getReservingGangs: () => this.reservingGangs,
+            findWithholding: step => this.withheld.find(step),
             getLastPassAt: () => this.lastPassAt,
         });
     }
@@ -295,7 +300,7 @@
         const use = this.fleet.collectAccountUse();
         this.fairShares = new FairShares(accounts, use, sumCapacity(workersByPool));
         const plan = planStarts({
-            waiting: this.rankWaiting(),
+            waiting: this.ranker.rankAll(this.fairShares),
             workersByPool,
             unreportedByPool: this.fleet.collectUnreported(),
             getPermits: step => this.permits.getPermits(step),
@@ -319,6 +324,7 @@
         this.lastPassAt = begin;
         this.usedCpuShare = computeUsedCpuShare(workersByPool);
         this.reservingGangs = plan.reservingGangs;
+        this.withheld.observe(plan.withheld, begin);
         this.passTookMs = clock.now() - begin;
         metrics.time("plan.took", this.passTookMs);
     }
@@ -356,20 +362,6 @@
         this.fleet.stopRun(worker, run);
     }
 
-    private rankWaiting(): readonly Urgency[] {
-        const wallNow = this.options.clock.wallNow();
-        const ranked: Urgency[] = [];
-        for (const step of this.options.loaded.jobs.listRunnable()) {
-            const queue = this.context.findQueueByName(step.job.queue);
-            if (queue !== undefined) {
-                const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
-                const isBeyondShare = this.fairShares.isBeyond(step.job.account);
-                ranked.push({ ...rankStep(step, queue, wallNow, predict), isBeyondShare });
-            }
-        }
-        return ranked;
-    }
-
     private sweep(): void {
         const { clock } = this.options;
         this.sweeps += 1;
--- /dev/null
+++ b/src/process/leader/step-ranker.ts
@@ -0,0 +1,34 @@
+/** Ranks the steps that have tasks to start. */
+import type { Millis } from "../../common/clock.js";
+import type { FairShares } from "../accounts/fair-shares.js";
+import { ReadyTimes } from "../dispatch/ready-times.js";
+import type { RunTimeModel } from "../dispatch/run-time-model.js";
+import { rankStep } from "../dispatch/urgency.js";
+import type { Urgency } from "../dispatch/urgency.js";
+import type { LeaderContext } from "./context.js";
+
+/** Ranks the waiting steps of one leader. */
+export class StepRanker {
+    private readonly readyTimes = new ReadyTimes();
+
+    constructor(private readonly context: LeaderContext, private readonly runTimes: RunTimeModel) {}
+
+    /** Ranks all steps with tasks to start; the order of the result does not matter. */
+    rankAll(fairShares: FairShares): readonly Urgency[] {
+        const { clock, jobs } = this.context;
+        const wallNow = clock.wallNow();
+        const ranked: Urgency[] = [];
+        for (const step of jobs.listRunnable()) {
+            const queue = this.context.findQueueByName(step.job.queue);
+            if (queue !== undefined) {
+                const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
+                ranked.push({
+                    ...rankStep(step, queue, wallNow, predict),
+                    isBeyondShare: fairShares.isBeyond(step.job.account),
+                    readyAt: this.readyTimes.observe(step, clock.now()),
+                });
+            }
+        }
+        return ranked;
+    }
+}
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -10,6 +10,7 @@
 import type { RunView } from "./run-view.js";
 import type { StepCapacity } from "./step-capacity.js";
 import type { StepRecord } from "./step-history.js";
+import type { Withholding } from "./withheld-steps.js";
 
 /** Why a step waits. */
 export const WaitReason = {
@@ -55,6 +56,8 @@
     probation: "probation",
     /** Its tasks are suspected of crashing workers, and no worker is idle that could run one alone. */
     noIdleWorker: "noIdleWorker",
+    /** Capacity is free, and a safeguard keeps it from the step. */
+    withheld: "withheld",
     /** Only more urgent steps go before it. */
     othersFirst: "othersFirst",
 } as const;
@@ -78,6 +81,8 @@
     readonly backlog: RiskyBacklog | undefined;
     /** A gang that reserved capacity in the last pass. */
     readonly reservingGang: Step | undefined;
+    /** What kept free capacity from the step in the last pass. */
+    readonly withholding: Withholding | undefined;
     /** Shows where a task's run is. */
     readonly showRun: (task: Task) => RunView;
     /** Whether a task must wait because it was lost with its workers repeatedly. */
@@ -121,6 +126,7 @@
     findLackOfPermits,
     findRefusals,
     findReservingGang,
+    findWithholding,
 ];
 
 /** Finds why a step waits; the cause is `othersFirst` if nothing else applies. */
@@ -139,7 +145,7 @@
 }
 
 function withCommonFields({ reason, fields }: WaitCause, state: WaitingState): WaitCause {
-    const { permits, capacity, record, storeAway, mayOrder, now } = state;
+    const { permits, capacity, record, withholding, storeAway, mayOrder, now } = state;
     return {
         reason,
         fields: {
@@ -147,6 +153,10 @@
             ...capacity && describeCapacity(capacity),
             ...permits && describePermits(permits, now),
             ...record && describeRefusals(record),
+            ...withholding && {
+                safeguard: withholding.safeguard,
+                withheldMs: Math.round(now - withholding.since),
+            },
             ...fields,
         },
     };
@@ -268,6 +278,10 @@
         buildCause(WaitReason.gangKeepsRoom, { keeper: reservingGang.name });
 }
 
+function findWithholding({ withholding }: WaitingState): WaitCause | undefined {
+    return withholding && buildCause(WaitReason.withheld);
+}
+
 function findRequestCause(permits: StepPermits): WaitCause | undefined {
     if (permits.countFailures() > 0) {
         return buildCause(WaitReason.questionFailed);
--- a/src/process/leader/waiting-report.ts
+++ b/src/process/leader/waiting-report.ts
@@ -15,6 +15,7 @@
 import type { WaitCause } from "./wait-cause.js";
 import { WaitingSteps } from "./waiting-steps.js";
 import type { Wait, WaitingScan } from "./waiting-steps.js";
+import type { Withholding } from "./withheld-steps.js";
 import type { WorkersByPool } from "./workers-by-pool.js";
 
 /** The state that the report reads. */
@@ -29,6 +30,8 @@
     readonly rankWaiting: () => readonly Urgency[];
     /** Returns the gangs that reserved capacity in the last pass. */
     readonly getReservingGangs: () => readonly Step[];
+    /** Finds the safeguard that kept free capacity from a step in the last pass. */
+    readonly findWithholding: (step: Step) => Withholding | undefined;
 }
 
 /** State that the log lines of one report share. */
@@ -90,7 +93,7 @@
     }
 
     private findCause(step: Step, { now, quotas, workersByPool }: ReportView): WaitCause {
-        const { context, fleet, permits: coordinator, crashes, isStalled, getReservingGangs } = this.options;
+        const { context, fleet, permits: coordinator, crashes } = this.options;
         const queue = context.findQueueByName(step.job.queue);
         const permits = queue?.advice === undefined ? undefined : coordinator.getPermits(step);
         const pool = queue && new PoolView(queue.pool, workersByPool.get(queue.pool) ?? [], [], now);
@@ -98,13 +101,14 @@
             step,
             hasQueue: queue !== undefined,
             quotaPlaces: quotas.countPlaces(step.job.account, step.spec.demand),
-            storeAway: isStalled(),
+            storeAway: this.options.isStalled(),
             mayOrder: context.authority.mayOrder(),
             permits,
             capacity: pool && computeStepCapacity(step, pool, permits, now),
             record: context.history.find(step),
             backlog: crashes.findBacklog(step.job.queue),
-            reservingGang: getReservingGangs()[0],
+            reservingGang: this.options.getReservingGangs()[0],
+            withholding: this.options.findWithholding(step),
             showRun: task => fleet.runs.showRun(task),
             isPaused: task => crashes.isPaused(task),
             now,
--- a/src/test/leader/wait-cause_test.ts
+++ b/src/test/leader/wait-cause_test.ts
@@ -231,6 +231,11 @@
             expected: { reason: "quotaUsed", quotaPlaces: 0 },
         },
         { name: "steps that are ranked ahead", state: {}, expected: { reason: "othersFirst" } },
+        {
+            name: "capacity that a safeguard keeps",
+            state: { withholding: { safeguard: "probation", since: NOW - 1_500 } },
+            expected: { reason: "withheld", safeguard: "probation", withheldMs: 1_500 },
+        },
     ];
     for (const { name, state, expected } of cases) {
         it(`reports ${name}`, () => {
@@ -245,6 +250,7 @@
                 quotaPlaces: Infinity,
                 backlog: undefined,
                 reservingGang: undefined,
+                withholding: undefined,
                 showRun: () => RUN,
                 isPaused: () => false,
                 now: NOW,
