--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -59,7 +59,8 @@
  * Crash rate from which a run must have gone on for {@link MAX_PROOF_MS} before its worker gets another one.
  */
 const HIGH_RATE = 0.05;
-const MAX_PROOF_MS: Millis = 500;
+/** Time after which a run is taken not to crash its worker, however many of its queue do. */
+export const MAX_PROOF_MS: Millis = 500;
 const MIN_PROOF_MS: Millis = 100;
 
 /** Recent starts and crashes of a queue. */
--- a/src/process/dispatch/plan.ts
+++ b/src/process/dispatch/plan.ts
@@ -43,6 +43,8 @@
     readonly probation: ProbationInput;
     /** Tells whether a task must wait because it was lost with its worker repeatedly. */
     readonly isPaused: (task: Task) => boolean;
+    /** Time since the last job arrived. */
+    readonly sinceSubmitMs: Millis;
     readonly now: Millis;
 }
 
@@ -54,6 +56,8 @@
     readonly permit: string | undefined;
     /** Whether a worker was lost just after it had started a task of the step, in a queue on probation. */
     readonly hasEarlyLoss: boolean;
+    /** Whether it may crash its worker and starts beside other runs, as it has waited for too long. */
+    readonly isShared: boolean;
 }
 
 /** A request to make to the advice service. */
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -22,12 +22,13 @@
 import type { Preemption } from "./preemption.js";
 import { Probation } from "./probation.js";
 import { canBecomeIdle, chooseReserved } from "./reserved-workers.js";
-import { Safeguard } from "./safeguards.js";
+import { isOverdue, Safeguard } from "./safeguards.js";
+import { SharedBudget } from "./shared-starts.js";
 import { compareUrgency } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
 import { listAllowed, sortSuspectsFirst } from "./waiting-step.js";
 import type { Placement, WaitingStep } from "./waiting-step.js";
-import { findSafeguard, MIN_READY_MS } from "./withholding.js";
+import { WithheldRecorder } from "./withholding.js";
 
 /**
  * Gangs without enough free capacity that reserve what they could use. One drains workers for the most urgent
@@ -48,7 +49,7 @@
     private readonly pools = new Map<string, PoolView>();
     private readonly reservingGangs: Step[] = [];
     private readonly reservations = new GangReservations();
-    private readonly withheld = new Map<Step, Safeguard>();
+    private readonly withheld: WithheldRecorder;
     /** Names of the pools in which a gang was already considered for reserved workers. */
     private readonly poolsWithGangs = new Set<string>();
     /** Tasks that should run exclusively, but for which no worker becomes idle soon. */
@@ -57,12 +58,20 @@
     /** Priority of the most urgent gang that lacks capacity and could be in time. */
     private blockedGangPriority = Infinity;
 
+    private readonly shared: SharedBudget;
     private readonly probation: Probation;
     private readonly permitPlanner: PermitPlanner;
 
     constructor(private readonly input: PlanInput) {
-        this.probation = new Probation(input.probation, input.now);
+        this.shared = new SharedBudget(input.probation);
+        this.probation = new Probation(
+            input.probation,
+            input.now,
+            this.shared,
+            urgency => this.isOverdue(urgency),
+        );
         this.permitPlanner = new PermitPlanner(input, this.probation);
+        this.withheld = new WithheldRecorder(input, this.probation, this.reservations);
         const pools = new Map(input.waiting.map(({ step, queue }) => [step, queue.pool]));
         input.freedCapacity.holdAll(pools, name => this.getPool(name), input.now);
         this.preemptingGangs = input.freedCapacity.count();
@@ -78,14 +87,14 @@
             permitRequests: this.permitPlanner.requests,
             preemptions,
             reservingGangs,
-            withheld: this.withheld,
+            withheld: this.withheld.safeguards,
             backlogs: this.probation.collectBacklogs(),
         };
     }
 
     private planStep(urgency: Urgency): void {
         if (!this.input.isAdviceOverloaded && isDeferred(urgency, this.blockedGangPriority)) {
-            this.recordWithheld(urgency, Safeguard.deferral);
+            this.withheld.record(urgency, Safeguard.deferral);
             return;
         }
         const { step, queue } = urgency;
@@ -94,12 +103,12 @@
         const startable = this.listStartable(step).slice(0, quotaPlaces);
         if (startable.length === 0 || isAllOrNothing(step) && startable.length < step.waiting) {
             const isPaused = quotaPlaces >= countNeeded(step);
-            this.recordWithheld(urgency, isPaused ? Safeguard.lossBackoff : undefined);
+            this.withheld.record(urgency, isPaused ? Safeguard.lossBackoff : undefined);
             return;
         }
         const pool = this.getPool(queue.pool);
         if (!this.probation.hasBudget(urgency, pool)) {
-            this.recordWithheld(urgency, Safeguard.probation);
+            this.withheld.record(urgency, Safeguard.probation);
             return;
         }
         const requestsBefore = this.permitPlanner.requests.length;
@@ -115,36 +124,18 @@
         }
         if (!isWhole) {
             this.permitPlanner.requestUnknown(current);
-            this.findWithheld(current, placements);
+            if (!this.reservingGangs.includes(step)) {
+                this.withheld.find(current, placements, this.nonExclusive);
+            }
         }
         if (placements.length > 0 || this.permitPlanner.requests.length > requestsBefore) {
             this.probation.useBudget(urgency, pool);
         }
     }
 
-    private findWithheld(current: WaitingStep, placements: readonly Placement[]): void {
-        const { urgency, step, pool, startable } = current;
-        const isKeeping = this.reservingGangs.includes(step);
-        if (isKeeping || !this.isReadyForLong(urgency) || !pool.mayFit(step.spec.demand)) {
-            return;
-        }
-        const { probation, reservations } = this;
-        const gap = this.input.headroom?.findGap(step, urgency.queue, this.input.now);
-        const placed = new Set(placements.map(({ task }) => task));
-        const isAlone = startable.some(task =>
-            !placed.has(task) && isSuspect(task) && !this.nonExclusive.has(task)
-        );
-        this.recordWithheld(urgency, findSafeguard(current, { probation, reservations, gap, isAlone }));
-    }
-
-    private recordWithheld(urgency: Urgency, safeguard: Safeguard | undefined): void {
-        if (safeguard !== undefined && this.isReadyForLong(urgency)) {
-            this.withheld.set(urgency.step, safeguard);
-        }
-    }
-
-    private isReadyForLong({ readyAt }: Urgency): boolean {
-        return readyAt !== undefined && this.input.now - readyAt >= MIN_READY_MS;
+    private isOverdue(urgency: Urgency): boolean {
+        const { usedShare } = this.getPool(urgency.queue.pool);
+        return isOverdue(urgency, { usedShare, sinceSubmitMs: this.input.sinceSubmitMs }, this.input.now);
     }
 
     private mayDeferOthers({ queue }: Urgency): boolean {
@@ -274,7 +265,11 @@
         const hasEarlyLoss = this.probation.isSuspect(current.urgency);
         const planned = placements.map(({ task, slot }): PlannedStart => {
             const permit = permits?.getUsable(slot.id, this.input.now);
-            return { step, task, worker: slot.worker, permit, hasEarlyLoss };
+            const isShared = this.probation.isShared(current.urgency, slot);
+            if (isShared) {
+                this.shared.use(current.pool, slot);
+            }
+            return { step, task, worker: slot.worker, permit, hasEarlyLoss, isShared };
         });
         if (permits === undefined) {
             this.starts.push(...planned);
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -161,6 +161,8 @@
     private readonly slotsById = new Map<string, Slot>();
     /** Largest free amount of any worker when the pass begins, in each dimension separately. */
     private readonly mostFree: Resources;
+    /** Share of the processors in use when the pass begins. */
+    readonly usedShare: number;
 
     /**
      * @param workers - Usable workers of the pool.
@@ -183,6 +185,9 @@
             memoryMib: this.findLargest(free => free.memoryMib),
             accelerators: this.findLargest(free => free.accelerators),
         };
+        const capacity = sumCpu(this.slots.map(slot => slot.capacity));
+        const free = sumCpu(this.slots.map(({ worker }) => worker.free));
+        this.usedShare = capacity === 0 ? 0 : 1 - free / capacity;
     }
 
     get(workerId: string): Slot | undefined {
@@ -204,6 +209,10 @@
     }
 }
 
+function sumCpu(amounts: readonly Resources[]): number {
+    return amounts.reduce((sum, { cpuMillis }) => sum + cpuMillis, 0);
+}
+
 /**
  * Tells whether all tasks of a step fit at once onto workers that run nothing else; for a gang, that run
  * nothing but open-ended runs.
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -8,13 +8,12 @@
 import type { Millis } from "../../common/clock.js";
 import type { Step } from "../jobs/job.js";
 import type { QueueRisk } from "./crash-risk.js";
-import { computeProofMs } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
 import type { PoolView, Slot } from "./pool-view.js";
+import { RiskyRuns } from "./risky-runs.js";
+import type { SharedBudget, SharedInput } from "./shared-starts.js";
 import { computeObjectiveMs } from "./urgency.js";
 import type { Urgency } from "./urgency.js";
-import { RunPhase } from "./worker-state.js";
-import type { RunRecord, WorkerState } from "./worker-state.js";
 
 /** Share of a pool that may be dedicated to risky queues, including workers that are down after a crash. */
 const DEDICATED_SHARE = 1 / 3;
@@ -35,12 +34,8 @@
 const MAX_EXTRA_WORKERS = 2;
 
 /** What is known about risky queues. */
-export interface ProbationInput {
+export interface ProbationInput extends SharedInput {
     readonly risky: ReadonlyMap<string, QueueRisk>;
-    /**
-     * Counts the workers of a pool that are down after a crash, by whether a suspect explains it.
-     */
-    readonly countCrashed: (pool: string, isExplained: boolean) => number;
 }
 
 /** The waiting work of a risky queue. */
@@ -65,6 +60,7 @@
 export const NO_PROBATION: ProbationInput = {
     risky: new Map(),
     countCrashed: () => 0,
+    countShared: () => ({ unproven: 0, proven: 0 }),
 };
 
 /** Preference of workers for a risky queue; lower is better. */
@@ -94,12 +90,15 @@
 
 /** Placement of risky queues in one pass. */
 export class Probation {
+    private readonly runs: RiskyRuns;
     private readonly budgets = new Map<PoolView, StepBudget>();
     private readonly dedicatedSlots = new Set<Slot>();
     /** Those of them that are kept for suspects. */
     private readonly suspectSlots = new Set<Slot>();
     /** Number of workers in each pool that risky queues may use, including those that are down. */
     private readonly shares = new Map<string, number>();
+    /** Workers that overdue steps may use beside other runs. */
+    private readonly sharedSlots = new Map<Urgency, ReadonlySet<Slot>>();
     private ordered: readonly Urgency[] = [];
     private hasTimely = false;
     /** Whether work of other queues waits. */
@@ -108,8 +107,17 @@
     /**
      * @param input - What is known about risky queues.
      * @param now - On the leader's clock.
+     * @param shared - Limits the starts beside other runs.
+     * @param isOverdue - Tells whether a step has waited for too long.
      */
-    constructor(private readonly input: ProbationInput, private readonly now: Millis) {}
+    constructor(
+        private readonly input: ProbationInput,
+        now: Millis,
+        private readonly shared: SharedBudget,
+        private readonly isOverdue: (urgency: Urgency) => boolean,
+    ) {
+        this.runs = new RiskyRuns(input.risky, now);
+    }
 
     isRisky(queue: string): boolean {
         return this.input.risky.has(queue);
@@ -173,6 +181,10 @@
         if (!this.isRisky(urgency.queue.name)) {
             return true;
         }
+        return this.hasOwnBudget(urgency, pool) || this.isOverdue(urgency) && this.shared.countLeft(pool) > 0;
+    }
+
+    private hasOwnBudget(urgency: Urgency, pool: PoolView): boolean {
         const { stepsLeft, suspectsLeft } = this.getBudget(pool);
         return (this.isSuspect(urgency) ? suspectsLeft : stepsLeft) > 0;
     }
@@ -199,6 +211,40 @@
         if (this.input.risky.size === 0) {
             return candidates;
         }
+        if (!this.isOverdue(urgency)) {
+            return this.selectByRisk(urgency, pool, candidates);
+        }
+        if (!this.isRisky(urgency.queue.name)) {
+            this.getBudget(pool);
+            return candidates.filter(slot =>
+                !this.dedicatedSlots.has(slot) || this.runs.isCalm(slot, urgency.step)
+            );
+        }
+        const own = this.hasOwnBudget(urgency, pool) ?
+            this.selectByRisk(urgency, pool, candidates).filter(slot => this.isReady(slot, urgency)) :
+            [];
+        const shared = this.selectShared(urgency.step, pool, candidates).filter(slot => !own.includes(slot));
+        this.sharedSlots.set(urgency, new Set(shared));
+        return [...own, ...shared];
+    }
+
+    /** Tells whether a step starts beside other runs on a worker, as it is overdue. */
+    isShared(urgency: Urgency, slot: Slot): boolean {
+        return this.sharedSlots.get(urgency)?.has(slot) === true;
+    }
+
+    /** Selects workers on which little is lost if a task crashes them. A gang needs its workers at once. */
+    private selectShared(step: Step, pool: PoolView, candidates: readonly Slot[]): readonly Slot[] {
+        const open = candidates.filter(slot => slot.canTake(step) && this.runs.isCalm(slot, step));
+        if (isAllOrNothing(step)) {
+            return this.shared.isUnused(pool) ? open : [];
+        }
+        return open
+            .sort((left, right) => left.worker.runs.size - right.worker.runs.size)
+            .slice(0, Math.max(0, this.shared.countLeft(pool)));
+    }
+
+    private selectByRisk(urgency: Urgency, pool: PoolView, candidates: readonly Slot[]): readonly Slot[] {
         const { step, queue } = urgency;
         const budget = this.getBudget(pool);
         if (this.isSuspect(urgency)) {
@@ -223,7 +269,8 @@
     /** Tells whether a step may start now on a worker selected for it. */
     isReady(slot: Slot, urgency: Urgency): boolean {
         const isOnProbation = this.isRisky(urgency.queue.name) && this.dedicatedSlots.has(slot);
-        return !isOnProbation || this.isSuspect(urgency) || this.isSafe(slot, urgency.step);
+        return !isOnProbation || this.isSuspect(urgency) || this.isShared(urgency, slot) ||
+            this.runs.isSafe(slot, urgency.step);
     }
 
     private getBudget(pool: PoolView): StepBudget {
@@ -247,7 +294,7 @@
      */
     private computeSuspectsLeft({ name, slots }: PoolView): number {
         const limit = Math.max(1, Math.floor((this.shares.get(name) ?? 0) * SUSPECT_SHARE));
-        const running = slots.filter(({ worker }) => hasSuspectRun(worker));
+        const running = slots.filter(({ worker }) => this.runs.hasSuspect(worker));
         const left = limit - this.input.countCrashed(name, true) - running.length;
         const idle = slots.filter(({ worker }) => worker.runs.size === 0).length;
         const reserved = slots.length * (IDLE_RESERVE_SHARE + (this.hasTimely ? DEDICATED_SHARE : 0));
@@ -263,9 +310,9 @@
             urgency.queue.pool === name && this.isSuspect(urgency)
         );
         const limit = Math.floor(dedicated.size * SUSPECT_SHARE);
-        const inUse = [...dedicated].filter(({ worker }) => hasSuspectRun(worker)).length;
+        const inUse = [...dedicated].filter(({ worker }) => this.runs.hasSuspect(worker)).length;
         [...dedicated]
-            .filter(({ worker }) => !hasSuspectRun(worker))
+            .filter(({ worker }) => !this.runs.hasSuspect(worker))
             .sort((left, right) => left.worker.runs.size - right.worker.runs.size)
             .slice(0, Math.max(0, Math.min(waiting.length, limit - inUse)))
             .forEach(slot => this.suspectSlots.add(slot));
@@ -297,14 +344,14 @@
      */
     private computeShare({ slots }: PoolView, crashed: number): number {
         const share = Math.max(1, Math.floor((slots.length + crashed) * DEDICATED_SHARE));
-        const unused = slots.filter(slot => this.countOtherRuns(slot) === 0).length;
+        const unused = slots.filter(slot => this.runs.countOthers(slot) === 0).length;
         const hasOthers = this.hasOthers || unused < slots.length;
         return Math.max(share, unused - (hasOthers ? share : 0));
     }
 
     private rankSlots(slots: readonly Slot[]): readonly { readonly slot: Slot; readonly rank: SlotRank; }[] {
         return slots
-            .map(slot => ({ slot, rank: this.rankSlot(slot), others: this.countOtherRuns(slot) }))
+            .map(slot => ({ slot, rank: this.rankSlot(slot), others: this.runs.countOthers(slot) }))
             .filter(({ slot, rank }) => rank === SlotRank.unproven || hasFreeCapacity(slot))
             .sort((left, right) => left.rank - right.rank || left.others - right.others);
     }
@@ -314,14 +361,10 @@
         if (runs.length === 0) {
             return SlotRank.idle;
         }
-        if (runs.some(run => this.isRisky(run.queue) && !this.isProven(run))) {
+        if (runs.some(run => !this.runs.isProven(run))) {
             return SlotRank.unproven;
         }
-        return this.countOtherRuns(slot) === 0 ? SlotRank.own : SlotRank.mixed;
-    }
-
-    private countOtherRuns({ worker }: Slot): number {
-        return [...worker.runs.values()].filter(run => !this.isRisky(run.queue)).length;
+        return this.runs.countOthers(slot) === 0 ? SlotRank.own : SlotRank.mixed;
     }
 
     private addExtraWorker(budget: StepBudget, others: readonly Slot[]): readonly Slot[] {
@@ -333,23 +376,6 @@
         this.dedicatedSlots.add(best.slot);
         return [best.slot];
     }
-
-    /**
-     * Tells whether only the step itself, and runs of risky queues that have proven harmless, are on a
-     * worker.
-     */
-    private isSafe(slot: Slot, step: Step): boolean {
-        return slot.isUntouchedExceptFor(step) &&
-            [...slot.worker.runs.values()].every(run =>
-                run.step === step.name || this.isRisky(run.queue) && this.isProven(run)
-            );
-    }
-
-    private isProven({ queue, phase, orderedAt }: RunRecord): boolean {
-        const risk = this.input.risky.get(queue);
-        const hasBegun = phase === RunPhase.running || phase === RunPhase.stopping;
-        return risk === undefined || hasBegun && this.now - orderedAt >= computeProofMs(risk);
-    }
 }
 
 function computeMean(values: readonly number[]): number {
@@ -360,10 +386,6 @@
     return tasks.some(({ losses }) => losses.some(({ isEarly }) => isEarly));
 }
 
-function hasSuspectRun({ runs }: WorkerState): boolean {
-    return [...runs.values()].some(run => run.hasEarlyLoss);
-}
-
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
     return free.cpuMillis >= capacity.cpuMillis * MIN_FREE_SHARE;
 }
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -4,6 +4,7 @@
 import { CRASH_WINDOW_MS, CrashRisk } from "../dispatch/crash-risk.js";
 import type { LostWorker, QueueRisk, RunAtLoss } from "../dispatch/crash-risk.js";
 import type { ProbationInput, RiskyBacklog } from "../dispatch/probation.js";
+import { SharedStarts } from "../dispatch/shared-starts.js";
 import { RunPhase } from "../dispatch/worker-state.js";
 import type { RunRecord, WorkerState } from "../dispatch/worker-state.js";
 import { LossKind } from "../jobs/job-events.js";
@@ -18,6 +19,7 @@
     EARLY_MS,
     isCrasher,
 } from "../jobs/worker-losses.js";
+import type { WorkerRecord } from "../ports/task-worker-port.js";
 import type { LeaderContext } from "./context.js";
 import { CrashReport } from "./crash-report.js";
 import { RunLoss } from "./run-loss.js";
@@ -42,6 +44,13 @@
     readonly isCommonLoss?: true;
 }
 
+/** A task that may crash its worker and starts beside other runs. */
+export interface SharedStartNotice {
+    readonly task: string;
+    /** The worker's registration. */
+    readonly record: WorkerRecord;
+}
+
 /** The loss of a worker that an earlier leader recorded. */
 interface RestoredLoss {
     readonly workerId: string;
@@ -79,6 +88,7 @@
     private readonly startedAtWall: number;
     private readonly risk: CrashRisk;
     private readonly report: CrashReport;
+    private readonly sharedStarts = new SharedStarts();
     private riskyQueues: ReadonlyMap<string, QueueRisk> = new Map();
     private backlogs = new Map<string, RiskyBacklog>();
     /** Number of workers whose losses earlier leaders recorded and this one counts. */
@@ -110,6 +120,13 @@
         }
     }
 
+    /** Records that a task which may crash its worker is started beside other runs. */
+    observeSharedStart({ task, record: { pool, workerId } }: SharedStartNotice): void {
+        this.context.log.info("sharedStart", { task, workerId });
+        this.context.metrics.count("runs.shared");
+        this.sharedStarts.observe(pool, workerId, this.context.clock.now());
+    }
+
     /**
      * Records that a worker does not answer. Missing contact alone is no evidence against its tasks, as the
      * worker may be partitioned.
@@ -198,6 +215,7 @@
         return {
             risky,
             countCrashed: (pool, isExplained) => this.risk.countCrashed(pool, isExplained, now),
+            countShared: pool => this.sharedStarts.count(pool, now),
         };
     }
 
--- a/src/process/leader/job-request-handler.ts
+++ b/src/process/leader/job-request-handler.ts
@@ -49,6 +49,7 @@
     /** All callers without a reply; they get one when this leader closes. */
     private readonly unanswered = new Set<Reply>();
     private readonly rates: JobRates;
+    private lastSubmittedAt: Millis;
 
     /**
      * @param journal - Knows whether the store is unavailable.
@@ -68,10 +69,19 @@
         private readonly measureContention: () => Contention,
     ) {
         this.rates = new JobRates(context.clock, context.jobs.listAll());
+        this.lastSubmittedAt = context.clock.now();
+    }
+
+    /** Returns when the last job arrived, accepted or not; when this leader started if none did. */
+    getLastSubmittedAt(): Millis {
+        return this.lastSubmittedAt;
     }
 
     /** Answers a request; the promise resolves once the answer is durable. */
     serve(request: CallerRequest): Promise<CallerReply> {
+        if (request.kind === "submit") {
+            this.lastSubmittedAt = this.context.clock.now();
+        }
         return new Promise(resolve => {
             const reply: Reply = answer => {
                 this.unanswered.delete(reply);
--- a/src/process/leader/leader.ts
+++ b/src/process/leader/leader.ts
@@ -313,6 +313,7 @@
             quotas: new QuotaLedger(accounts, use),
             probation: this.ends.crashes.getProbation(),
             isPaused: task => this.ends.crashes.isPaused(task),
+            sinceSubmitMs: begin - this.jobRequests.getLastSubmittedAt(),
             now: begin,
         });
         this.ends.crashes.setBacklogs(plan.backlogs);
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -81,6 +81,9 @@
             orderedAt: this.context.clock.now(),
         });
         worker.addRun(record);
+        if (start.isShared) {
+            this.ends.crashes.observeSharedStart({ task: task.name, record: worker.record });
+        }
         const { jobs, epoch } = this.context;
         const { workerId, address } = worker.record;
         const isAddressKept = jobs.adoptions.get(workerId)?.address === address;
--- a/src/test/dispatch/plan-input.ts
+++ b/src/test/dispatch/plan-input.ts
@@ -23,6 +23,7 @@
         listRefusing: () => new Set(),
         probation: NO_PROBATION,
         isPaused: () => false,
+        sinceSubmitMs: 0,
         ...change,
     };
 }
--- a/src/test/dispatch/probation_test.ts
+++ b/src/test/dispatch/probation_test.ts
@@ -3,6 +3,8 @@
 import { describe, it } from "node:test";
 import type { QueueRisk } from "../../process/dispatch/crash-risk.js";
 import { planStarts } from "../../process/dispatch/planner.js";
+import { MAX_WITHHOLD_MS } from "../../process/dispatch/safeguards.js";
+import type { SharedCounts } from "../../process/dispatch/shared-starts.js";
 import { rankStep } from "../../process/dispatch/urgency.js";
 import { WorkerState } from "../../process/dispatch/worker-state.js";
 import { JobRegistry } from "../../process/jobs/job-registry.js";
@@ -11,6 +13,7 @@
 import { makePlanInput } from "./plan-input.js";
 
 const NOW = 100_000;
+const NONE_SHARED: SharedCounts = { unproven: 0, proven: 0 };
 const RISK: QueueRisk = {
     starts: 50,
     crashes: 5,
@@ -34,13 +37,21 @@
         readonly isHarmless?: boolean;
         readonly isLate?: boolean;
         readonly wasLost?: boolean;
+        /** Whether it has been ready for as long as free capacity may be kept from it. */
+        readonly isOverdue?: boolean;
     })[];
     /** Number of workers that are down after a crash. */
     readonly crashed?: number;
+    /** Workers with recent starts beside other runs; none by default. */
+    readonly shared?: SharedCounts;
+    /** Whether no job has arrived for a while. */
+    readonly isQuiet?: boolean;
     /** Starts as `job>worker`, one for each task. */
     readonly starts: readonly string[];
 }
 
+const OVERDUE_SUSPECT = { wasLost: true, isLongRunning: true, isOverdue: true };
+
 const CASES: readonly Case[] = [
     {
         name: "starts a risky step on a worker of its own, and others elsewhere",
@@ -122,6 +133,83 @@
         jobs: [{}, {}, {}, {}],
         starts: ["0>w1", "1>w2", "2>w3", "3>w4"],
     },
+    {
+        name: "starts an overdue suspect beside the fewest runs",
+        workers: ["oo", "o", "oo"],
+        jobs: [OVERDUE_SUSPECT],
+        starts: ["0>w2"],
+    },
+    {
+        name: "starts overdue suspects beside other runs on one worker of a small pool at a time",
+        workers: ["o", "o", "oo"],
+        jobs: [OVERDUE_SUSPECT, OVERDUE_SUSPECT],
+        starts: ["0>w1"],
+    },
+    {
+        name: "starts no overdue suspect beside other runs while one that started so is unproven",
+        workers: ["o", "o", "oo"],
+        jobs: [OVERDUE_SUSPECT],
+        shared: { unproven: 1, proven: 0 },
+        starts: [],
+    },
+    {
+        name: "starts no overdue suspect beside other runs while a worker is down after a crash",
+        workers: ["o", "o", "oo"],
+        jobs: [OVERDUE_SUSPECT],
+        crashed: 1,
+        starts: [],
+    },
+    {
+        name: "starts more overdue suspects the more of them have proven harmless lately",
+        workers: ["o", "o", "o", "o"],
+        jobs: [OVERDUE_SUSPECT, OVERDUE_SUSPECT, OVERDUE_SUSPECT, OVERDUE_SUSPECT],
+        shared: { unproven: 0, proven: 2 },
+        starts: ["0>w1", "1>w2", "2>w3"],
+    },
+    {
+        name: "starts no overdue suspect beside what has just begun and may crash its worker",
+        workers: ["u", "ou"],
+        jobs: [OVERDUE_SUSPECT],
+        starts: [],
+    },
+    {
+        name: "starts an overdue gang that has probably crashed a worker beside other runs",
+        workers: ["o", "o", "oo"],
+        jobs: [{ ...OVERDUE_SUSPECT, isLongRunning: false, taskCount: 6, isGang: true }],
+        isQuiet: true,
+        starts: ["0>w1", "0>w1", "0>w1", "0>w2", "0>w3", "0>w3"],
+    },
+    {
+        name: "starts a suspect that ends by itself beside other runs only when no more jobs arrive",
+        workers: ["o", "o", "oo"],
+        jobs: [{ ...OVERDUE_SUSPECT, isLongRunning: false }],
+        starts: [],
+    },
+    {
+        name: "starts a suspect that ends by itself beside other runs when no more jobs arrive",
+        workers: ["o", "o", "o"],
+        jobs: [{ ...OVERDUE_SUSPECT, isLongRunning: false }],
+        isQuiet: true,
+        starts: ["0>w1"],
+    },
+    {
+        name: "starts an overdue task of another queue on a dedicated worker",
+        workers: ["p", "oooo", "oooo"],
+        jobs: [{ isHarmless: true, isLongRunning: true, isOverdue: true }],
+        starts: ["0>w1"],
+    },
+    {
+        name: "starts no overdue task of another queue beside what may crash its worker",
+        workers: ["u", "oooo", "oooo"],
+        jobs: [{ isHarmless: true, isLongRunning: true, isOverdue: true }],
+        starts: [],
+    },
+    {
+        name: "starts an overdue task of a risky queue that fits on none of the dedicated workers",
+        workers: ["pppp", "o", "oo"],
+        jobs: [{ isLongRunning: true, isOverdue: true }],
+        starts: ["0>w2"],
+    },
 ];
 
 function makeWorker(load: Load, index: number): WorkerState {
@@ -136,7 +224,7 @@
     return worker;
 }
 
-function listStarts({ workers, jobs, crashed = 0 }: Case): readonly string[] {
+function listStarts({ workers, jobs, crashed = 0, shared = NONE_SHARED, isQuiet }: Case): readonly string[] {
     const registry = new JobRegistry();
     const names = jobs.map(({ isHarmless = false }) => isHarmless ? "well" : "risky");
     jobs.forEach(({ isHarmless = false, isLate = false, wasLost = false, ...step }, index) => {
@@ -156,14 +244,17 @@
     });
     const nameJob = (task: string): number => Number.parseInt(task.split(".")[0] ?? "", 16);
     const plan = planStarts(makePlanInput({
-        waiting: [...registry.listRunnable()].map(step =>
-            rankStep(step, { ...QUEUE, name: names[nameJob(step.name)] ?? "" }, NOW)
-        ),
+        waiting: [...registry.listRunnable()].map(step => ({
+            ...rankStep(step, { ...QUEUE, name: names[nameJob(step.name)] ?? "" }, NOW),
+            readyAt: jobs[nameJob(step.name)]?.isOverdue === true ? NOW - MAX_WITHHOLD_MS : NOW,
+        })),
         workersByPool: new Map([["pool", workers.map(makeWorker)]]),
         probation: {
             risky: new Map([["risky", RISK]]),
             countCrashed: (_, isExplained) => isExplained ? 0 : crashed,
+            countShared: () => shared,
         },
+        sinceSubmitMs: isQuiet === true ? Infinity : 0,
         now: NOW,
     }));
     return plan.starts.map(({ task, worker }) => `${nameJob(task.name)}>${worker.id}`).sort();
--- a/src/test/dispatch/withholding_test.ts
+++ b/src/test/dispatch/withholding_test.ts
@@ -138,6 +138,7 @@
         probation: {
             risky: isRisky === true ? new Map([["risky", RISK]]) : new Map(),
             countCrashed: () => 0,
+            countShared: () => ({ unproven: 0, proven: 0 }),
         },
         isPaused: () => isPaused === true,
         now: NOW,
