--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -47,8 +47,7 @@
     private readonly starts: PlannedStart[] = [];
     private readonly preemptions: Preemption[] = [];
     private readonly pools = new Map<string, PoolView>();
-    private readonly reservingGangs: Step[] = [];
-    private readonly reservations = new GangReservations();
+    private readonly reservations: GangReservations;
     private readonly withheld: WithheldRecorder;
     /** Names of the pools in which a gang was already considered for reserved workers. */
     private readonly poolsWithGangs = new Set<string>();
@@ -63,6 +62,7 @@
     private readonly permitPlanner: PermitPlanner;
 
     constructor(private readonly input: PlanInput) {
+        this.reservations = new GangReservations(input.quotas);
         this.shared = new SharedBudget(input.probation);
         this.probation = new Probation(
             input.probation,
@@ -81,19 +81,29 @@
         const ordered = this.probation.order([...this.input.waiting].sort(compareUrgency));
         ordered.forEach(urgency => this.reserveWorkers(urgency));
         ordered.forEach(urgency => this.planStep(urgency));
-        const { starts, preemptions, reservingGangs } = this;
+        const { starts, preemptions } = this;
         return {
             starts,
             permitRequests: this.permitPlanner.requests,
             preemptions,
-            reservingGangs,
+            reservingGangs: this.reservations.listGangs(),
             withheld: this.withheld.safeguards,
             backlogs: this.probation.collectBacklogs(),
         };
     }
 
     private planStep(urgency: Urgency): void {
-        if (!this.input.isAdviceOverloaded && isDeferred(urgency, this.blockedGangPriority)) {
+        if (this.isOverdue(urgency)) {
+            this.reservations.runWithout(() => this.planTasks(urgency));
+        }
+        else {
+            this.planTasks(urgency);
+        }
+    }
+
+    private planTasks(urgency: Urgency): void {
+        const mayBeDeferred = !this.input.isAdviceOverloaded && !this.isOverdue(urgency);
+        if (mayBeDeferred && isDeferred(urgency, this.blockedGangPriority)) {
             this.withheld.record(urgency, Safeguard.deferral);
             return;
         }
@@ -124,7 +134,7 @@
         }
         if (!isWhole) {
             this.permitPlanner.requestUnknown(current);
-            if (!this.reservingGangs.includes(step)) {
+            if (!this.reservations.has(step)) {
                 this.withheld.find(current, placements, this.nonExclusive);
             }
         }
@@ -317,16 +327,15 @@
             placements.forEach(({ slot }) => slot.release(step));
             return;
         }
-        const isReserving = this.reservingGangs.length < MAX_RESERVING_GANGS && placements.length > 0 &&
-            urgency.isBeyondShare !== true;
+        const isReserving = this.reservations.listGangs().length < MAX_RESERVING_GANGS &&
+            placements.length > 0 && urgency.isBeyondShare !== true;
+        const isAssembled = this.input.freedCapacity.has(step);
         const canHold = canEverHold(step, candidates);
         if (canHold && urgency.lateness === 0 && this.mayDeferOthers(urgency)) {
             this.blockedGangPriority = Math.min(this.blockedGangPriority, urgency.queue.priority);
         }
         if (canHold && (this.preemptFor(current, placements) || isReserving)) {
-            this.reservingGangs.push(step);
-            this.reservations.add(step, placements.map(({ slot }) => slot));
-            step.tasks.forEach(() => this.input.quotas.take(step.job.account, step.spec.demand));
+            this.reservations.add(step, isAssembled ? [] : placements.map(({ slot }) => slot));
             if (permits !== undefined) {
                 // Its capacity may come free at any time and must not stand idle for the time of a request.
                 this.permitPlanner.renew(current, permits, placements, false);
