Overdue tasks: those that end by themselves wait until no job has arrived for 10 s

At 10 s, and 2 s of waiting, such a task still starts well before jobs are asked for, 14 s after the last one and 3 s more (waiting-gang_test.ts, "once no more jobs arrive").

--- a/src/process/dispatch/safeguards.ts
+++ b/src/process/dispatch/safeguards.ts
@@ -21,8 +21,8 @@
 
 /** Longest time for which free capacity may be kept from a task that could use it. */
 export const MAX_WITHHOLD_MS: Millis = 2_000;
-/** Time without new jobs after which the tasks that wait are a finite number. */
-const QUIET_MS: Millis = 5_000;
+/** Time without new jobs after which no more are expected and most gangs have started. */
+const QUIET_MS: Millis = 10_000;
 /** Share of a pool's processors in use from which tasks that end by themselves wait for each other anyway. */
 const BUSY_SHARE = 1 / 2;
 
