--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -16,8 +16,9 @@
 import type { StepPermits } from "./permits.js";
 import { computePlaceScore } from "./place-score.js";
 import type { Plan, PlanInput, PlannedStart } from "./plan.js";
-import { canEverHold, countNeeded, isAllOrNothing, PoolView } from "./pool-view.js";
+import { canEverHold, countNeeded, isAllOrNothing } from "./pool-view.js";
 import type { Slot } from "./pool-view.js";
+import { PoolViews } from "./pool-views.js";
 import { choosePreemptions } from "./preemption.js";
 import type { Preemption } from "./preemption.js";
 import { Probation } from "./probation.js";
@@ -46,7 +47,7 @@
 class Pass {
     private readonly starts: PlannedStart[] = [];
     private readonly preemptions: Preemption[] = [];
-    private readonly pools = new Map<string, PoolView>();
+    private readonly pools: PoolViews;
     private readonly reservations: GangReservations;
     private readonly withheld: WithheldRecorder;
     /** Names of the pools in which a gang was already considered for reserved workers. */
@@ -62,6 +63,7 @@
     private readonly permitPlanner: PermitPlanner;
 
     constructor(private readonly input: PlanInput) {
+        this.pools = new PoolViews(input);
         this.reservations = new GangReservations(input.quotas);
         this.shared = new SharedBudget(input.probation);
         this.probation = new Probation(
@@ -73,7 +75,7 @@
         this.permitPlanner = new PermitPlanner(input, this.probation);
         this.withheld = new WithheldRecorder(input, this.probation, this.reservations);
         const pools = new Map(input.waiting.map(({ step, queue }) => [step, queue.pool]));
-        input.freedCapacity.holdAll(pools, name => this.getPool(name), input.now);
+        input.freedCapacity.holdAll(pools, name => this.pools.get(name), input.now);
         this.preemptingGangs = input.freedCapacity.count();
     }
 
@@ -116,7 +118,7 @@
             this.withheld.record(urgency, isPaused ? Safeguard.lossBackoff : undefined);
             return;
         }
-        const pool = this.getPool(queue.pool);
+        const pool = this.pools.get(queue.pool);
         if (!this.probation.hasBudget(urgency, pool)) {
             this.withheld.record(urgency, Safeguard.probation);
             return;
@@ -135,7 +137,7 @@
         if (!isWhole) {
             this.permitPlanner.requestUnknown(current);
             if (!this.reservations.has(step)) {
-                this.withheld.find(current, placements, this.nonExclusive);
+                this.withheld.find(current, placements);
             }
         }
         if (placements.length > 0 || this.permitPlanner.requests.length > requestsBefore) {
@@ -144,13 +146,13 @@
     }
 
     private isOverdue(urgency: Urgency): boolean {
-        const { usedShare } = this.getPool(urgency.queue.pool);
+        const { usedShare } = this.pools.get(urgency.queue.pool);
         return isOverdue(urgency, { usedShare, sinceSubmitMs: this.input.sinceSubmitMs }, this.input.now);
     }
 
     private mayDeferOthers({ queue }: Urgency): boolean {
         const { freedCapacity, waiting } = this.input;
-        return computeDeferrableShare(waiting, queue, this.getPool(queue.pool)) <=
+        return computeDeferrableShare(waiting, queue, this.pools.get(queue.pool)) <=
             freedCapacity.maxDeferredShare;
     }
 
@@ -160,7 +162,7 @@
 
     private buildWaitingStep(urgency: Urgency, startable: readonly Task[]): WaitingStep {
         const { step, queue } = urgency;
-        const pool = this.getPool(queue.pool);
+        const pool = this.pools.get(queue.pool);
         const permits = queue.advice === undefined ? undefined : this.input.getPermits(step);
         const allowed = permits === undefined ?
             pool.slots.filter(slot => slot.isSuitable(step)) :
@@ -187,8 +189,13 @@
         const suspects = this.listStartable(step).filter(isSuspect);
         const { pool, permits, candidates } = this.buildWaitingStep(urgency, suspects);
         const { now } = this.input;
-        if (!candidates.some(slot => canBecomeIdle(slot, now))) {
-            suspects.forEach(task => this.nonExclusive.add(task));
+        const isIdle = candidates.some(slot => slot.canTakeAlone(step));
+        const isWorthWaiting = !this.isOverdue(urgency) && candidates.some(slot => canBecomeIdle(slot, now));
+        if (!isIdle && !isWorthWaiting) {
+            // The members of a gang start at once, so that only one gang may be tried out at a time.
+            if (!isAllOrNothing(step) || this.shared.isUnused(pool)) {
+                suspects.forEach(task => this.nonExclusive.add(task));
+            }
             return;
         }
         // Two gangs that each reserve a worker which the other needs would wait forever.
@@ -201,22 +208,6 @@
         }
     }
 
-    private getPool(name: string): PoolView {
-        const known = this.pools.get(name);
-        if (known !== undefined) {
-            return known;
-        }
-        const { workersByPool, unreportedByPool, now } = this.input;
-        const created = new PoolView(
-            name,
-            workersByPool.get(name) ?? [],
-            unreportedByPool.get(name) ?? [],
-            now,
-        );
-        this.pools.set(name, created);
-        return created;
-    }
-
     /** Finds places for as many tasks as possible and deducts their capacity. */
     private placeTasks(current: WaitingStep): readonly Placement[] {
         const { step, pool, startable } = current;
@@ -234,27 +225,40 @@
                 isExhausted[kind] = true;
                 continue;
             }
+            if (this.isShared(current, task, slot)) {
+                this.shared.use(pool, slot);
+            }
             slot.take(step, isSuspect(task));
             placements.push({ task, slot });
         }
         return placements;
     }
 
+    /** Tells whether a task that may crash its worker starts beside other runs. */
+    private isShared({ urgency }: WaitingStep, task: Task, slot: Slot): boolean {
+        const isBesideRuns = this.nonExclusive.has(task) && slot.worker.runs.size > 0;
+        return isBesideRuns || this.probation.isShared(urgency, slot);
+    }
+
     /** Chooses the fullest worker that still fits, so that large gaps remain for gangs. */
     private chooseSlot(
-        { urgency, step, candidates, permits }: WaitingStep,
+        { urgency, step, pool, candidates, permits }: WaitingStep,
         task: Task,
         isAlone: boolean,
     ): Slot | undefined {
         const isPermitted = ({ id }: Slot): boolean =>
             permits === undefined || permits.getUsable(id, this.input.now) !== undefined;
         const isBesideOthers = this.nonExclusive.has(task);
-        const gap = this.input.headroom?.findGap(step, urgency.queue, this.input.now);
+        const isOverdue = this.isOverdue(urgency);
+        const gap = isOverdue ?
+            undefined :
+            this.input.headroom?.findGap(step, urgency.queue, this.input.now);
         let best: Slot | undefined;
         let bestScore = Infinity;
         for (const slot of candidates) {
-            const isPossible = (isAlone ? slot.canTakeAlone(step) : slot.canTake(step)) &&
-                isGapLeft(slot.id, slot.free, step.spec.demand, gap);
+            const isPossible = (isAlone ? slot.canTakeAlone(step) : slot.canTake(step, isOverdue)) &&
+                isGapLeft(slot.id, slot.free, step.spec.demand, gap) &&
+                (!isBesideOthers || isAllOrNothing(step) || this.shared.mayUse(pool, slot));
             if (!isPossible || !this.probation.isReady(slot, urgency)) {
                 continue;
             }
@@ -275,10 +279,7 @@
         const hasEarlyLoss = this.probation.isSuspect(current.urgency);
         const planned = placements.map(({ task, slot }): PlannedStart => {
             const permit = permits?.getUsable(slot.id, this.input.now);
-            const isShared = this.probation.isShared(current.urgency, slot);
-            if (isShared) {
-                this.shared.use(current.pool, slot);
-            }
+            const isShared = this.isShared(current, task, slot);
             return { step, task, worker: slot.worker, permit, hasEarlyLoss, isShared };
         });
         if (permits === undefined) {
--- a/src/process/dispatch/pool-view.ts
+++ b/src/process/dispatch/pool-view.ts
@@ -15,7 +15,9 @@
 } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { Step } from "../jobs/job.js";
-import type { WorkerState } from "./worker-state.js";
+import { MAX_PROOF_MS } from "./crash-risk.js";
+import { RunPhase } from "./worker-state.js";
+import type { RunRecord, WorkerState } from "./worker-state.js";
 
 /** A worker and the capacity that the current pass has not used yet. */
 export class Slot {
@@ -30,6 +32,8 @@
     private placedTasks: Map<Step, number> | undefined;
     /** Name of the step that has the worker to itself. */
     private exclusiveStep: string | undefined;
+    /** Whether its exclusive run has shown that it does not crash the worker by starting. */
+    private readonly isExclusiveRunProven: boolean;
     /** Step for which the worker is reserved. */
     private reservedFor: Step | undefined;
 
@@ -44,13 +48,19 @@
         this.free = mayStart ? worker.free : NO_RESOURCES;
         this.slowness = worker.getSlowness(now);
         this.exclusiveStep = worker.exclusiveRun?.step;
+        this.isExclusiveRunProven = isProven(worker.exclusiveRun, now);
     }
 
-    /** Tells whether tasks of a step may start here in this pass, capacity aside. */
-    isOpenTo(step: Step): boolean {
-        return this.mayStart &&
-            (this.exclusiveStep === undefined || this.exclusiveStep === step.name) &&
-            (this.reservedFor === undefined || this.reservedFor === step);
+    /**
+     * Tells whether tasks of a step may start here in this pass, capacity aside.
+     * @param isOverdue - Whether it has waited for too long: it may then join an exclusive run that has proven harmless, and use
+     * a worker that is reserved for another step.
+     */
+    isOpenTo(step: Step, isOverdue = false): boolean {
+        const isExclusive = this.exclusiveStep !== undefined && this.exclusiveStep !== step.name;
+        const isReserved = this.reservedFor !== undefined && this.reservedFor !== step;
+        const mayJoin = isOverdue && this.isExclusiveRunProven;
+        return this.mayStart && (!isExclusive || mayJoin) && (!isReserved || isOverdue);
     }
 
     /** Tells whether only tasks of a step run here or were placed here by this pass. */
@@ -102,9 +112,10 @@
         }
     }
 
-    /** Tells whether one more task of a step fits here now. */
-    canTake(step: Step): boolean {
-        return isWithin(step.spec.demand, this.free) && this.countPlacesLeft(step) > 0;
+    /** Tells whether one more task of a step, which may be overdue, fits here now. */
+    canTake(step: Step, isOverdue = false): boolean {
+        return isWithin(step.spec.demand, this.free) && this.isOpenTo(step, isOverdue) &&
+            !this.isAtLimit(step);
     }
 
     /**
@@ -147,6 +158,10 @@
     }
 }
 
+function isProven(run: RunRecord | undefined, now: Millis): boolean {
+    return run?.phase === RunPhase.running && now - run.orderedAt >= MAX_PROOF_MS;
+}
+
 function computeObtainable({ record, runs }: WorkerState): Resources {
     let obtainable = record.capacity;
     for (const run of runs.values()) {
--- a/src/process/dispatch/shared-starts.ts
+++ b/src/process/dispatch/shared-starts.ts
@@ -73,6 +73,11 @@
             !this.used.has(pool);
     }
 
+    /** Tells whether a task may start beside others on a worker. */
+    mayUse(pool: PoolView, slot: Slot): boolean {
+        return this.used.get(pool)?.has(slot) === true || this.countLeft(pool) > 0;
+    }
+
     /** Records a start of this pass. */
     use(pool: PoolView, slot: Slot): void {
         this.used.set(pool, (this.used.get(pool) ?? new Set()).add(slot));
--- a/src/process/dispatch/withholding.ts
+++ b/src/process/dispatch/withholding.ts
@@ -1,7 +1,7 @@
 /** Finds which safeguards keep free capacity from waiting steps. */
 import type { Millis } from "../../common/clock.js";
 import { isWithin } from "../../common/resources.js";
-import type { Step, Task } from "../jobs/job.js";
+import type { Step } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
 import type { GangReservations } from "./gang-reservations.js";
 import { isGapLeft } from "./headroom.js";
@@ -22,8 +22,8 @@
     readonly reservations: GangReservations;
     /** Gap that the step has to leave. */
     readonly gap: Gap | undefined;
-    /** Whether the step's tasks that are left may start only where nothing else runs. */
-    readonly isAlone: boolean;
+    /** Whether a task of the step without a place may crash its worker. */
+    readonly isSuspect: boolean;
     /** The workers that the step may use in this pass. */
     readonly candidates: ReadonlySet<Slot>;
 }
@@ -46,15 +46,8 @@
         }
     }
 
-    /**
-     * Looks for free capacity that the tasks without a place may not use, and records the step if there is any.
-     * @param nonExclusive - Suspects that may start beside others.
-     */
-    find(
-        current: WaitingStep,
-        placements: readonly Placement[],
-        nonExclusive: ReadonlySet<Task>,
-    ): void {
+    /** Looks for free capacity that the tasks without a place may not use, and records the step if there is any. */
+    find(current: WaitingStep, placements: readonly Placement[]): void {
         const { urgency, step, pool, startable } = current;
         if (!this.hasBeenReady(urgency) || !pool.mayFit(step.spec.demand)) {
             return;
@@ -65,7 +58,7 @@
             probation,
             reservations,
             gap: this.input.headroom?.findGap(step, urgency.queue, this.input.now),
-            isAlone: startable.some(task => !placed.has(task) && isSuspect(task) && !nonExclusive.has(task)),
+            isSuspect: startable.some(task => !placed.has(task) && isSuspect(task)),
             candidates: new Set(current.candidates),
         };
         for (const slot of current.willing) {
@@ -86,7 +79,7 @@
 function findSafeguard(
     slot: Slot,
     { step, urgency }: WaitingStep,
-    { probation, reservations, gap, isAlone, candidates }: SafeguardContext,
+    { probation, reservations, gap, isSuspect: isStepSuspect, candidates }: SafeguardContext,
 ): Safeguard | undefined {
     if (!slot.mayStart || slot.isAtLimit(step)) {
         return undefined;
@@ -97,7 +90,7 @@
     if (!candidates.has(slot) || !probation.isReady(slot, urgency)) {
         return Safeguard.probation;
     }
-    if (!slot.isOpenTo(step) || isAlone && !slot.isIdleExceptFor(step)) {
+    if (!slot.isOpenTo(step) || isStepSuspect && !slot.isIdleExceptFor(step)) {
         return Safeguard.isolation;
     }
     return isGapLeft(slot.id, slot.free, step.spec.demand, gap) ? undefined : Safeguard.urgentGap;
--- a/src/test/dispatch/suspects_test.ts
+++ b/src/test/dispatch/suspects_test.ts
@@ -2,6 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { planStarts } from "../../process/dispatch/planner.js";
+import { NO_PROBATION } from "../../process/dispatch/probation.js";
+import { MAX_WITHHOLD_MS } from "../../process/dispatch/safeguards.js";
+import type { SharedCounts } from "../../process/dispatch/shared-starts.js";
 import { rankStep } from "../../process/dispatch/urgency.js";
 import { WorkerState } from "../../process/dispatch/worker-state.js";
 import { JobRegistry } from "../../process/jobs/job-registry.js";
@@ -11,14 +14,20 @@
 
 const NOW = 10_000;
 
-/** Runs on a worker: `a` exclusive, `l` open-ended, `r` any other. */
+/** Runs on a worker: `a` exclusive, `n` exclusive and just begun, `l` open-ended, `r` any other. */
 type Load = string;
 
 interface Case {
     readonly name: string;
     readonly workers: readonly Load[];
-    /** Steps of one job each; `losses` counts the workers lost with the first task of the step. */
-    readonly jobs: readonly (Partial<StepSpec> & { readonly losses?: number; })[];
+    /**
+     * Steps of one job each; `losses` counts the workers lost with the first task of the step. An overdue one lasts, and has
+     * been ready for as long as free capacity may be kept from it.
+     */
+    readonly jobs:
+        readonly (Partial<StepSpec> & { readonly losses?: number; readonly isOverdue?: boolean; })[];
+    /** Workers with recent starts beside other runs; none by default. */
+    readonly shared?: SharedCounts;
     /** Tasks that are paused, as `job.index`. */
     readonly paused?: readonly string[];
     /** Starts as `job.index>worker`. */
@@ -117,6 +126,49 @@
         jobs: [{ losses: 1 }],
         starts: ["0.0>w1"],
     },
+    {
+        name: "starts an overdue suspect beside the fewest runs, although all runs of a worker end soon",
+        workers: ["rr", "l"],
+        jobs: [{ losses: 2, isOverdue: true }],
+        starts: ["0.0>w2"],
+    },
+    {
+        name: "starts an overdue suspect on an idle worker if there is one",
+        workers: ["l", "", "l"],
+        jobs: [{ losses: 2, isOverdue: true }],
+        starts: ["0.0>w2"],
+    },
+    {
+        name: "starts suspects beside other runs on one worker of a small pool at a time",
+        workers: ["l", "l", "l"],
+        jobs: [{ losses: 2 }, { losses: 2, isOverdue: true }],
+        starts: ["0.0>w1"],
+    },
+    {
+        name: "starts no suspect beside other runs while another one that started so is unproven",
+        workers: ["l", "l"],
+        jobs: [{ losses: 2, isOverdue: true }],
+        shared: { unproven: 1, proven: 0 },
+        starts: [],
+    },
+    {
+        name: "starts an overdue task beside a suspect that has run for a while",
+        workers: ["a"],
+        jobs: [{ isOverdue: true }],
+        starts: ["0.0>w1"],
+    },
+    {
+        name: "starts no overdue task beside a suspect that has just begun",
+        workers: ["n"],
+        jobs: [{ isOverdue: true }],
+        starts: [],
+    },
+    {
+        name: "starts an overdue task on a worker that is drained for a suspect",
+        workers: ["r"],
+        jobs: [{ losses: 2 }, { isOverdue: true }],
+        starts: ["1.0>w1"],
+    },
 ];
 
 function makeWorker(load: Load, index: number): WorkerState {
@@ -124,16 +176,20 @@
     [...load].forEach((kind, number) =>
         worker.addRun(makeRunRecord(`other-${index}-${number}`, {
             isOpenEnded: kind === "l",
-            isExclusive: kind === "a",
+            isExclusive: kind === "a" || kind === "n",
+            orderedAt: kind === "n" ? NOW - 20 : 0,
         }))
     );
     return worker;
 }
 
-function listStarts({ workers, jobs, paused = [] }: Case): readonly string[] {
+function listStarts(
+    { workers, jobs, paused = [], shared = { unproven: 0, proven: 0 } }: Case,
+): readonly string[] {
     const registry = new JobRegistry();
-    jobs.forEach(({ losses = 0, ...step }, index) => {
+    jobs.forEach(({ losses = 0, isOverdue = false, ...change }, index) => {
         const jobId = makeJobId(index);
+        const step = { ...change, isLongRunning: isOverdue };
         registry.apply({ type: "accepted", jobId, queue: "batch", spec: makeSpec(step), at: NOW });
         const task = registry.findTask(`${jobId}.0.0.0`)?.task;
         for (let run = 1; run <= losses; run++) {
@@ -145,7 +201,11 @@
         return `${Number.parseInt(jobId, 16)}.${taskIndex}`;
     };
     const plan = planStarts(makePlanInput({
-        waiting: [...registry.listRunnable()].map(step => rankStep(step, QUEUE, NOW)),
+        waiting: [...registry.listRunnable()].map((step, index) => ({
+            ...rankStep(step, QUEUE, NOW),
+            readyAt: jobs[index]?.isOverdue === true ? NOW - MAX_WITHHOLD_MS : NOW,
+        })),
+        probation: { ...NO_PROBATION, countShared: () => shared },
         workersByPool: new Map([["pool", workers.map(makeWorker)]]),
         isPaused: task => paused.includes(nameTask(task.name)),
         now: NOW,
--- a/src/test/dispatch/withholding_test.ts
+++ b/src/test/dispatch/withholding_test.ts
@@ -1,6 +1,7 @@
 /** Which safeguard a pass reports for a step that may not use free capacity. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
 import { Headroom } from "../../process/dispatch/headroom.js";
 import { planStarts } from "../../process/dispatch/planner.js";
 import { rankStep } from "../../process/dispatch/urgency.js";
@@ -32,6 +33,8 @@
     readonly isPaused?: boolean;
     readonly isRisky?: boolean;
     readonly hasUrgentQueue?: boolean;
+    /** How long the steps have been ready; a second by default. */
+    readonly readyMs?: Millis;
     /** Safeguard for each job that is withheld, as `job:safeguard`. */
     readonly withheld: readonly string[];
 }
@@ -78,6 +81,14 @@
         hasUrgentQueue: true,
         withheld: ["0:urgentGap"],
     },
+    {
+        name: "no gap for an urgent queue that is kept from an overdue task",
+        workers: ["ooo"],
+        jobs: [{ priority: 2, step: { isLongRunning: true } }],
+        hasUrgentQueue: true,
+        readyMs: 2_000,
+        withheld: [],
+    },
     {
         name: "the backoff of a task that was lost repeatedly",
         workers: [""],
@@ -109,7 +120,9 @@
     return worker;
 }
 
-function listWithheld({ workers, jobs, isPaused, isRisky, hasUrgentQueue }: Case): readonly string[] {
+function listWithheld(
+    { workers, jobs, isPaused, isRisky, hasUrgentQueue, readyMs }: Case,
+): readonly string[] {
     const registry = new JobRegistry();
     jobs.forEach(({ step, queue = "batch", losses = 0 }, index) => {
         const jobId = makeJobId(index);
@@ -131,7 +144,7 @@
                 { ...QUEUE, name: step.job.queue, priority: jobs[index]?.priority ?? 1 },
                 NOW,
             ),
-            readyAt: NOW - READY_MS,
+            readyAt: NOW - (readyMs ?? READY_MS),
         })),
         workersByPool: new Map([["pool", workers.map(makeWorker)]]),
         headroom,
--- a/src/test/leader/withheld-restarts_test.ts
+++ b/src/test/leader/withheld-restarts_test.ts
@@ -11,6 +11,8 @@
 const FIRST_SERVICE = 10;
 const SERVICE_PREFIX = "/services/";
 const LASTING_MS: Millis = 3_600_000;
+/** The same for a worker that does not come back, whose loss is an impairment of 4.5 s: its lease has to expire first. */
+const MAX_AWAY_AFTER_LOSS_MS: Millis = 11_500;
 /** A lost task runs again at the latest this long after its last run. */
 const MAX_AWAY_MS: Millis = 9_000;
 
@@ -125,3 +127,42 @@
         assert.equal(agents?.assigned, WORKERS);
     });
 });
+
+describe("a task that lasts and was lost with two workers", () => {
+    // It waits for a worker to become idle, and the runs there go on for longer than estimated.
+    it("starts again in time beside workers that run tasks which last", async () => {
+        const batchMs = 14_000;
+        const crashCell = new CrashCell({ workers: 8, downMs: LASTING_MS, isCrashing: () => false });
+        const { cell } = crashCell;
+        const batchJob = 100;
+        cell.getBehavior = task => ({
+            demand: CORE,
+            runMs: readJobNumber(task) >= batchJob ? batchMs : LASTING_MS,
+            end: "done",
+        });
+        for (const { workerId, address } of [...cell.records.values()]) {
+            cell.restoreToList(workerId, address, { labels: [workerId === "w8" ? "batch" : "agents"] });
+        }
+        await crashCell.startLeader();
+        const { leader } = crashCell;
+        await cell.submit(leader, AGENTS, makeSpec({ ...SERVICE, taskCount: 7, requiredLabel: "agents" }));
+        await cell.clock.step(1_000);
+        let jobs = 0;
+        const sendBatch = (): void => {
+            jobs += 1;
+            void cell.send(leader, batchJob + jobs, makeSpec({ estimateMs: 9_000, requiredLabel: "batch" }));
+            cell.clock.schedule(3_500, sendBatch);
+        };
+        sendBatch();
+        await cell.clock.step(14_000);
+        await cell.submit(leader, FIRST_SERVICE, makeSpec({ ...SERVICE, taskCount: 1 }));
+        for (let losses = 0; losses < 2; losses++) {
+            await cell.clock.step(1_500);
+            const start = cell.starts.filter(({ task }) => readJobNumber(task) === FIRST_SERVICE).at(-1);
+            crashCell.killWorker(start?.workerId ?? "");
+            await cell.clock.step(losses === 0 ? 6_000 : MAX_AWAY_AFTER_LOSS_MS);
+        }
+        assert.equal(cell.countStarts(FIRST_SERVICE), 3);
+        assert.deepEqual(cell.faults, []);
+    });
+});
