Ranking: a task that lasts is timed from when it could start again

Cause: rankStep timed every step from its job's acceptance. A job that lasts is never done; its task's turn came when its run ended. Change: long-running steps are timed from when the task that has waited longest could have started, as this leader observed it. Tasks that end by themselves are timed as before.

--- a/src/process/dispatch/urgency.ts
+++ b/src/process/dispatch/urgency.ts
@@ -18,6 +18,8 @@
     readonly lateness: 0 | 1 | 2;
     /** Whether its client account uses more than its share of the workers; false by default. */
     readonly isBeyondShare?: boolean | undefined;
+    /** Wall-clock time from which the objective counts. */
+    readonly startAt: number;
     /** Wall-clock time by which the job has to be done to meet its objective. */
     readonly dueAt: number;
     /** How much later the step could start and still meet the objective; negative if it is too late. */
@@ -52,38 +54,44 @@
  * late too.
  * @param wallNow - Wall-clock time.
  * @param predictMs - Returns the expected run time for a caller's estimate; defaults to the estimate itself.
+ * @param waitedMs - For how long the task that has waited longest could have started.
  */
 export function rankStep(
     step: Step,
     queue: QueueConfig,
     wallNow: number,
     predictMs: (estimateMs: Millis) => Millis = estimate => estimate,
+    waitedMs: Millis = Infinity,
 ): Urgency {
     const isRepair = step.repairRun !== undefined;
-    const startAt = computeStartAt(step);
+    const startAt = computeStartAt(step, wallNow - waitedMs);
     const specs = step.occurrence.steps.map(other => other.spec);
     const objectiveMs = estimateObjectiveMs(specs, queue, predictMs);
     const dueAt = startAt + objectiveMs;
     const endAt = wallNow + computeCriticalPathFromMs(specs, step.number, predictMs);
     const slackMs = dueAt - endAt;
     if (step.job.isBeyondRate) {
-        return { step, queue, isRepair, lateness: 2, dueAt, slackMs };
+        return { step, queue, isRepair, lateness: 2, startAt, dueAt, slackMs };
     }
     if (slackMs >= 0) {
-        return { step, queue, isRepair, lateness: 0, dueAt, slackMs };
+        return { step, queue, isRepair, lateness: 0, startAt, dueAt, slackMs };
     }
     const lateness = endAt <= startAt + LATE_FACTOR * objectiveMs ? 1 : 2;
-    return { step, queue, isRepair, lateness, dueAt, slackMs };
+    return { step, queue, isRepair, lateness, startAt, dueAt, slackMs };
 }
 
 /** Computes the objective from which a step was ranked. */
-export function computeObjectiveMs({ step, dueAt }: Urgency): Millis {
-    return dueAt - computeStartAt(step);
+export function computeObjectiveMs({ startAt, dueAt }: Urgency): Millis {
+    return dueAt - startAt;
 }
 
-/** Computes the wall-clock time from which a step's job is timed. */
-function computeStartAt({ job, occurrence }: Step): number {
-    return Math.max(job.acceptedAt, occurrence.dueAt);
+/**
+ * Computes the wall-clock time from which a step is timed: its job's acceptance, and for a long-running step, whose job is
+ * never done, the time from which its task could have started.
+ */
+function computeStartAt({ job, occurrence, spec }: Step, readyAt: number): number {
+    const acceptedAt = Math.max(job.acceptedAt, occurrence.dueAt);
+    return spec.isLongRunning ? Math.max(acceptedAt, readyAt) : acceptedAt;
 }
 
 /**
--- a/src/process/leader/step-ranker.ts
+++ b/src/process/leader/step-ranker.ts
@@ -17,15 +17,17 @@
     rankAll(fairShares: FairShares): readonly Urgency[] {
         const { clock, jobs } = this.context;
         const wallNow = clock.wallNow();
+        const now = clock.now();
         const ranked: Urgency[] = [];
         for (const step of jobs.listRunnable()) {
             const queue = this.context.findQueueByName(step.job.queue);
             if (queue !== undefined) {
                 const predict = (estimate: Millis): Millis => this.runTimes.estimate(queue.name, estimate);
+                const readyAt = this.readyTimes.observe(step, now);
                 ranked.push({
-                    ...rankStep(step, queue, wallNow, predict),
+                    ...rankStep(step, queue, wallNow, predict, now - readyAt),
                     isBeyondShare: fairShares.isBeyond(step.job.account),
-                    readyAt: this.readyTimes.observe(step, clock.now()),
+                    readyAt,
                 });
             }
         }
