--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -215,6 +215,7 @@
             return this.selectByRisk(urgency, pool, candidates);
         }
         if (!this.isRisky(urgency.queue.name)) {
+            // Without a budget the pool's dedicated workers are not chosen yet.
             this.getBudget(pool);
             return candidates.filter(slot =>
                 !this.dedicatedSlots.has(slot) || this.runs.isCalm(slot, urgency.step)
--- a/src/test/leader/withheld-restarts_test.ts
+++ b/src/test/leader/withheld-restarts_test.ts
@@ -4,6 +4,7 @@
 import type { Millis } from "../../common/clock.js";
 import type { StepSpec } from "../../process/jobs/job-spec.js";
 import { CrashCell } from "./crash-cell.js";
+import type { LeaderCell } from "./leader-cell.js";
 import { CORE, HOST, makeJobId, makeSpec, QUEUE, readJobNumber } from "./leader-cell.js";
 
 const WORKERS = 12;
@@ -48,14 +49,16 @@
     },
 ];
 
+function addServiceQueue(cell: LeaderCell): void {
+    const services = { ...QUEUE, name: "services", pathPrefix: SERVICE_PREFIX };
+    cell.config = { ...cell.config, queues: [QUEUE, services] };
+}
+
 /** Loses some workers at once, and lists the tasks that run nowhere later on. */
 async function listAway({ jobs, crashAfterMs, crashes, hasNewLeader }: Case): Promise<readonly string[]> {
     const crashCell = new CrashCell({ workers: WORKERS, downMs: 1_500, isCrashing: () => false });
     const { cell } = crashCell;
-    cell.config = {
-        ...cell.config,
-        queues: [QUEUE, { ...QUEUE, name: "services", pathPrefix: SERVICE_PREFIX }],
-    };
+    addServiceQueue(cell);
     cell.getBehavior = () => ({ demand: CORE, runMs: LASTING_MS, end: "done" });
     const { leader } = await crashCell.startLeader();
     await cell.submit(crashCell.leader, AGENTS, makeSpec({ ...SERVICE, taskCount: WORKERS }));
@@ -99,10 +102,7 @@
             isCrashing: task => services.includes(readJobNumber(task)),
         });
         const { cell, crashes } = crashCell;
-        cell.config = {
-            ...cell.config,
-            queues: [QUEUE, { ...QUEUE, name: "services", pathPrefix: SERVICE_PREFIX }],
-        };
+        addServiceQueue(cell);
         cell.getBehavior = () => ({ demand: CORE, runMs: LASTING_MS, end: "done" });
         const { leader } = await crashCell.startLeader();
         await cell.submit(crashCell.leader, AGENTS, makeSpec({ ...SERVICE, taskCount: WORKERS }));
