--- a/bench/faults/entry-child.ts
+++ b/bench/faults/entry-child.ts
@@ -27,23 +27,31 @@
     readonly ended: Promise<number | string>;
 }
 
+/**
+ * Bundles the program.
+ * @param path - Output file.
+ */
+export function buildEntryProgram(path: string): void {
+    buildSync({
+        entryPoints: ["src/main.ts"],
+        bundle: true,
+        platform: "node",
+        target: "node20",
+        format: "cjs",
+        outfile: path,
+        logLevel: "error",
+        external: ["cbor-extract", "unix-dgram"],
+        define: { "import.meta.url": "undefined" },
+    });
+}
+
 /** The program bundled once for a run, in a folder of its own. */
 export class EntryProgram {
     private readonly folder = mkdtempSync(join(tmpdir(), "cactusrack-faults-"));
     private readonly children: ChildProcess[] = [];
 
     constructor(private readonly setup: EntrySetup) {
-        buildSync({
-            entryPoints: ["src/main.ts"],
-            bundle: true,
-            platform: "node",
-            target: "node20",
-            format: "cjs",
-            outfile: this.getProgramPath(),
-            logLevel: "error",
-            external: ["cbor-extract", "unix-dgram"],
-            define: { "import.meta.url": "undefined" },
-        });
+        buildEntryProgram(this.getProgramPath());
     }
 
     /** Starts an entry and waits until it serves. */
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -59,6 +59,11 @@
         files: ["src/test/**/*.ts", "platform/test/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off", "max-lines": ["error", { max: 600 }] },
     },
+    {
+        // These tests start the product's processes; the product itself never starts any.
+        files: ["src/test/alone/**/*.ts", "platform/test/alone/**/*.ts"],
+        rules: { "no-restricted-imports": "off" },
+    },
     {
         // Benches start several real processes; the product itself never does.
         files: ["bench/**/*.ts"],
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -3,8 +3,10 @@
  *
  * @remarks Arguments, if any, are substrings: only files whose path contains one of them run. Files listed in
  * `KNOWN-RED.txt` are excluded, unless `--known-red` is given, with which only they run; `.ci/run` runs them separately.
+ * Files in folders named `alone` run one at a time, after all others: they press on processes of their own.
  */
 import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { finished } from "node:stream/promises";
 import { run } from "node:test";
 import { spec } from "node:test/reporters";
 
@@ -39,8 +41,21 @@
     console.log("no test file matches");
     process.exit(wantsKnownRed ? 0 : 1);
 }
-const stream = run({ files, concurrency: 6 });
-stream.on("test:fail", () => {
-    process.exitCode = 1;
-});
-stream.compose(new spec()).pipe(process.stdout);
+
+/** Runs test files and prints their results. */
+async function runFiles(chosen, concurrency) {
+    if (chosen.length === 0) {
+        return;
+    }
+    const stream = run({ files: chosen, concurrency });
+    stream.on("test:fail", () => {
+        process.exitCode = 1;
+    });
+    const report = stream.compose(new spec());
+    report.pipe(process.stdout, { end: false });
+    await finished(report);
+}
+
+const isAlone = file => file.includes("/alone/");
+await runFiles(files.filter(file => !isAlone(file)), 6);
+await runFiles(files.filter(isAlone), 1);
