HTTP: what clients may hold is bounded by the VM, on all ports

Callers saw processes end, or time out, while clients sent many bodies in tiny chunks, many requests ahead, or only held connections.

Cause, by trace of the crowds: what a connection may cost was not bounded, or counted in the wrong unit. BodyBudget counted the bytes of a body and not its chunk objects (200 x 98,000 chunks of one byte: out of heap). Node's parser builds all requests that one read brought, over a thousand of 64 KB, before it pauses the connection; 200 connections filled the heap and took the turns of the event loop from ordinary callers. The three servers of a node had no limit on connections: 634 to 636 descriptors where the settings say 400.

Change: one policy for all HTTP servers of both programs. - HttpConnection stands between socket and parser. It passes on one request at a time and at most 4 KB a turn; what is sent ahead waits, its socket paused, and its rest is parsed in later turns, 16 slices in each. - A body is copied into one growing buffer, charged as allocated until the response is sent; the steps of a decoded job are charged as well. - ConnectionTable closes connections that let the server wait: first those without a completed request, then those that wait longest. A request that is handled is never cut off; a single one in calm is served at any size. - Limits come from memory-mb and max-fds of the settings (heap limit and ulimit -n where they are not given).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,8 @@
                 { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
                 { selector: ["function", "classMethod"], format: ["camelCase"], leadingUnderscore: "forbid" },
                 { selector: "classProperty", format: null, leadingUnderscore: "forbid" },
+                // The names of overridden methods, such as those of Node's streams, are not ours.
+                { selector: "classMethod", modifiers: ["override"], format: null },
             ],
             "no-restricted-syntax": [
                 "error",
--- a/src/connection/http/arrival-timeouts.ts
+++ b/src/connection/http/arrival-timeouts.ts
@@ -1,22 +1,22 @@
 /** Finds connections whose requests do not arrive within the time limits. */
 import type { IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
 import { scheduleTimeout } from "../../common/clock.js";
 import type { Clock, Millis, Timer } from "../../common/clock.js";
 import { LatenessMeter } from "../../common/lateness.js";
 import { hasBody } from "./body-reader.js";
+import type { HttpConnection } from "./http-connection.js";
 import type { HttpLimits } from "./http-limits.js";
 
 /** Options of {@link ArrivalTimeouts}. */
 export interface ArrivalTimeoutsOptions {
     readonly clock: Clock;
     readonly limits: Pick<HttpLimits, "headersTimeoutMs" | "requestTimeoutMs">;
-    /** Called once for a connection whose request is overdue. */
-    readonly onTimeout: (socket: Socket) => void;
 }
 
 /** What is known of the request that a connection is receiving. */
 interface Arrival {
+    /** Called once if the request is overdue. */
+    readonly onTimeout: () => void;
     /** The last request whose headers are complete. */
     request: IncomingMessage | undefined;
     /** Bytes that the connection had received when the last request was complete. */
@@ -32,12 +32,12 @@
 const CHECKS_PER_TIMEOUT = 4;
 
 /**
- * Applies the timeouts of arriving requests to all connections of a server.
+ * Applies the timeouts of arriving requests to all connections of a process.
  *
  * @remarks Unlike Node's own timeouts they count responsive time, and what has arrived is read before they expire.
  */
 export class ArrivalTimeouts {
-    private readonly arrivals = new Map<Socket, Arrival>();
+    private readonly arrivals = new Map<HttpConnection, Arrival>();
     private readonly meter: LatenessMeter;
     private readonly intervalMs: Millis;
     /** Node, too, counts the headers as a part of the request. */
@@ -53,21 +53,24 @@
         this.timer = this.scheduleCheck();
     }
 
-    /** Adds a connection on which a client is expected to send a request. */
-    addConnection(socket: Socket): void {
-        this.arrivals.set(socket, {
+    /**
+     * Adds a connection on which a client is expected to send a request.
+     * @param onTimeout - Called once if a request is overdue.
+     */
+    addConnection(connection: HttpConnection, onTimeout: () => void): void {
+        this.arrivals.set(connection, {
+            onTimeout,
             request: undefined,
             bytesBefore: 0,
             hasBegun: false,
             startedAt: this.meter.getResponsiveMs(),
         });
-        socket.once("close", () => this.arrivals.delete(socket));
+        connection.once("close", () => this.arrivals.delete(connection));
     }
 
     /** Records that the headers of a request are complete. */
-    observeHeaders(request: IncomingMessage): void {
-        const { socket } = request;
-        const arrival = this.arrivals.get(socket);
+    observeHeaders(request: IncomingMessage, connection: HttpConnection): void {
+        const arrival = this.arrivals.get(connection);
         if (arrival === undefined) {
             return;
         }
@@ -77,10 +80,10 @@
             arrival.startedAt = this.meter.getResponsiveMs();
         }
         arrival.request = request;
-        arrival.bytesBefore = socket.bytesRead;
+        arrival.bytesBefore = connection.bytesRead;
         if (hasBody(request)) {
             request.once("end", () => {
-                arrival.bytesBefore = socket.bytesRead;
+                arrival.bytesBefore = connection.bytesRead;
             });
         }
     }
@@ -101,9 +104,9 @@
 
     private checkAll(): void {
         const now = this.meter.getResponsiveMs();
-        for (const [socket, arrival] of this.arrivals) {
+        for (const [connection, arrival] of this.arrivals) {
             resetIfComplete(arrival);
-            if (!arrival.hasBegun && socket.bytesRead !== arrival.bytesBefore) {
+            if (!arrival.hasBegun && connection.bytesRead !== arrival.bytesBefore) {
                 arrival.hasBegun = true;
                 arrival.startedAt = now;
             }
@@ -111,8 +114,8 @@
                 this.options.limits.headersTimeoutMs :
                 this.requestTimeoutMs;
             if (now - arrival.startedAt >= limit) {
-                this.arrivals.delete(socket);
-                this.options.onTimeout(socket);
+                this.arrivals.delete(connection);
+                arrival.onTimeout();
             }
         }
     }
--- a/src/connection/http/body-reader.ts
+++ b/src/connection/http/body-reader.ts
@@ -1,42 +1,24 @@
-/** Reads request bodies within a limit for each body and a limit for all bodies together. */
+/** Reads request bodies within a limit for each body and a limit for what all clients hold. */
 import type { IncomingMessage } from "node:http";
 
 /** Result of reading a body. */
 export type BodyResult =
     | { readonly kind: "whole"; readonly body: Uint8Array; }
     | { readonly kind: "tooLarge"; }
-    /** The limit for the bodies of all requests together is reached. */
+    /** The process has no memory for the body. */
     | { readonly kind: "noRoom"; }
     /** The client disconnected, or the request timed out, before the body was complete. */
     | { readonly kind: "truncated"; };
 
-/** Limits the total size of the bodies that are being received. */
-export class BodyBudget {
-    private reservedBytes = 0;
-
-    constructor(private readonly maxBytes: number) {}
-
-    /** Reserves bytes if the budget has that many left; returns whether it did. */
-    tryReserve(bytes: number): boolean {
-        if (this.reservedBytes + bytes > this.maxBytes) {
-            return false;
-        }
-        this.reservedBytes += bytes;
-        return true;
-    }
-
-    /** Releases reserved bytes. */
-    release(bytes: number): void {
-        this.reservedBytes -= bytes;
-    }
-
-    /** Returns the number of bytes that are reserved. */
-    getReservedBytes(): number {
-        return this.reservedBytes;
-    }
+/** Accounts for the memory of a body until its request is answered. */
+export interface BodyHolder {
+    /** Holds more bytes; returns whether the process has memory for them. */
+    tryHold(bytes: number): boolean;
 }
 
 const NO_BODY = new Uint8Array(0);
+/** Size of the first buffer of a body whose length is unknown or greater. */
+const FIRST_BUFFER_BYTES = 4_096;
 
 /** Returns whether the headers of a request announce a body. */
 export function hasBody(request: IncomingMessage): boolean {
@@ -49,48 +31,74 @@
  * @param request - A request whose stream has not been read yet.
  * @param maxBytes - Limit for this body. A body that declares a larger size is refused before anything is
  * read.
- * @param budget - The received bytes are reserved here until the body is complete or reading stops.
+ * @param holder - Holds the memory of the body as it is allocated.
  * @returns The result; never rejects.
  */
 export function readBody(
     request: IncomingMessage,
     maxBytes: number,
-    budget: BodyBudget,
+    holder: BodyHolder,
 ): Promise<BodyResult> {
     if (!hasBody(request)) {
         return Promise.resolve({ kind: "whole", body: NO_BODY });
     }
-    if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+    const declaredBytes = Number(request.headers["content-length"] ?? maxBytes);
+    if (declaredBytes > maxBytes) {
         return Promise.resolve({ kind: "tooLarge" });
     }
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
+        const body = new BodyBuffer(declaredBytes, holder);
         function finish(result: BodyResult): void {
             request.removeAllListeners("data");
-            budget.release(bytes);
-            bytes = 0;
             resolve(result);
         }
         request.on("data", (chunk: Buffer) => {
-            if (bytes + chunk.length > maxBytes) {
-                finish({ kind: "tooLarge" });
-            }
-            else if (!budget.tryReserve(chunk.length)) {
-                finish({ kind: "noRoom" });
-            }
-            else {
-                bytes += chunk.length;
-                chunks.push(chunk);
+            const kind = body.append(chunk);
+            if (kind !== "appended") {
+                finish({ kind });
             }
         });
-        request.on("end", () => finish({ kind: "whole", body: packChunks(chunks) }));
+        request.on("end", () => finish({ kind: "whole", body: body.getBytes() }));
         request.on("error", () => finish({ kind: "truncated" }));
         request.on("close", () => finish({ kind: "truncated" }));
     });
 }
 
-function packChunks(chunks: readonly Buffer[]): Uint8Array {
-    const [first] = chunks;
-    return chunks.length === 1 && first !== undefined ? first : Buffer.concat(chunks);
+/** A body in one growing buffer: chunks of a few bytes would each take far more memory than they bring. */
+class BodyBuffer {
+    private buffer = Buffer.alloc(0);
+    private length = 0;
+
+    constructor(private readonly maxBytes: number, private readonly holder: BodyHolder) {}
+
+    append(chunk: Buffer): "appended" | "tooLarge" | "noRoom" {
+        const length = this.length + chunk.length;
+        if (length > this.maxBytes) {
+            return "tooLarge";
+        }
+        if (length > this.buffer.length && !this.tryGrow(length)) {
+            return "noRoom";
+        }
+        chunk.copy(this.buffer, this.length);
+        this.length = length;
+        return "appended";
+    }
+
+    getBytes(): Uint8Array {
+        return this.buffer.subarray(0, this.length);
+    }
+
+    private tryGrow(length: number): boolean {
+        const capacity = Math.min(
+            this.maxBytes,
+            Math.max(length, 2 * this.buffer.length, FIRST_BUFFER_BYTES),
+        );
+        if (!this.holder.tryHold(capacity - this.buffer.length)) {
+            return false;
+        }
+        const larger = Buffer.allocUnsafe(capacity);
+        this.buffer.copy(larger, 0, 0, this.length);
+        this.buffer = larger;
+        return true;
+    }
 }
--- a/src/connection/http/http-answers.ts
+++ b/src/connection/http/http-answers.ts
@@ -2,7 +2,7 @@
  * Replies of the server itself: to requests that it refuses before a handler runs, and after a handler
  * failed.
  */
-import type { Socket } from "node:net";
+import type { Writable } from "node:stream";
 import { buildError } from "../../request/http/index.js";
 import type { HttpReply } from "../../request/http/index.js";
 
@@ -120,10 +120,10 @@
 /**
  * Replies to input that the HTTP parser could not read, and ends the connection, since it is unknown where
  * the next request begins.
- * @param socket - Its previous replies must be complete.
+ * @param connection - Its previous replies must be complete.
  * @param code - Code of the parser's error.
  */
-export function writeParseErrorReply(socket: Socket, code: string | undefined): void {
+export function writeParseErrorReply(connection: Writable, code: string | undefined): void {
     const { status, reply } = parseErrorReplies[code ?? ""] ?? MALFORMED;
     const head = [
         `HTTP/1.1 ${status}`,
@@ -132,5 +132,5 @@
         ...Object.entries(reply.headers ?? {}).map(([name, value]) => `${name}: ${value}`),
         "connection: close",
     ];
-    socket.end(`${head.join("\r\n")}\r\n\r\n${String(reply.body)}`);
+    connection.end(`${head.join("\r\n")}\r\n\r\n${String(reply.body)}`);
 }
--- a/src/connection/http/http-limits.ts
+++ b/src/connection/http/http-limits.ts
@@ -3,7 +3,7 @@
 import { DEFAULT_REQUEST_LIMITS } from "../../request/http/index.js";
 import type { RequestLimits } from "../../request/http/index.js";
 
-/** Limits of one HTTP server. */
+/** Limits of one HTTP server. The resources of the process may set lower ones: see `connection-limits.ts`. */
 export interface HttpLimits extends RequestLimits {
     readonly maxHeaderBytes: number;
     /** Time within which all headers of a request must arrive. */
@@ -22,7 +22,7 @@
     readonly maxConnections: number;
     /** Most concurrent requests; further ones are refused immediately. */
     readonly maxInFlight: number;
-    /** Most bytes of bodies that are being received, over all requests. */
+    /** Most bytes that are buffered for clients, over all connections. */
     readonly maxBufferedBytes: number;
 }
 
--- a/src/connection/http/http-server.ts
+++ b/src/connection/http/http-server.ts
@@ -2,18 +2,17 @@
  * The HTTP server of an entry. It owns the connections of callers and operators and enforces their limits.
  * Single requests are handled in `request-runner.ts`.
  */
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { sleep } from "../../common/clock.js";
 import type { Millis, Timer } from "../../common/clock.js";
+import { readProcessResources } from "../../common/process-resources.js";
+import type { ProcessResources } from "../../common/process-resources.js";
 import type { Random } from "../../common/random.js";
 import type { OperatorToken, RouteContext } from "../../request/http/index.js";
-import { openPort } from "../open-port.js";
-import { ArrivalTimeouts } from "./arrival-timeouts.js";
-import { REQUEST_TIMEOUT_CODE, writeParseErrorReply } from "./http-answers.js";
+import { ClientConnections } from "./client-connections.js";
+import { computeConnectionLimits } from "./connection-limits.js";
 import { DEFAULT_HTTP_LIMITS } from "./http-limits.js";
 import type { HttpLimits } from "./http-limits.js";
+import { HttpListener } from "./http-listener.js";
 import { RequestRunner } from "./request-runner.js";
 
 /** Options of {@link HttpServer}. */
@@ -24,13 +23,11 @@
     readonly port: number;
     readonly random: Random;
     readonly operatorTokens: readonly OperatorToken[];
+    /** Resources of the process; detected if omitted. */
+    readonly resources?: ProcessResources;
     readonly limits?: Partial<HttpLimits>;
 }
 
-/** Time that a client has to read the reply to a malformed request. */
-const LINGER_MS: Millis = 1_000;
-const EXPECTATION_FAILED = 417;
-const DROP_REPORT_INTERVAL_MS: Millis = 1_000;
 const LOAD_REPORT_INTERVAL_MS: Millis = 1_000;
 const SHUTDOWN_POLL_INTERVAL_MS: Millis = 10;
 
@@ -40,11 +37,10 @@
     port = 0;
 
     private readonly limits: HttpLimits;
-    private readonly server: Server;
+    private readonly clients: ClientConnections;
+    private readonly listener: HttpListener;
     private readonly runner: RequestRunner;
-    private timeouts: ArrivalTimeouts | undefined;
     private draining = false;
-    private lastDropReportAt: Millis | undefined;
     private gaugeTimer: Timer | undefined;
 
     constructor(private readonly options: HttpServerOptions) {
@@ -55,17 +51,22 @@
             random: options.random,
             operatorTokens: options.operatorTokens,
         });
-        this.server = this.buildServer();
+        const { clock, log, metrics, resources = readProcessResources() } = options;
+        const derived = computeConnectionLimits(resources);
+        this.clients = new ClientConnections({
+            clock,
+            log,
+            metrics,
+            maxHeldBytes: Math.min(this.limits.maxBufferedBytes, derived.maxHeldBytes),
+            timeouts: this.limits,
+        });
+        this.listener = this.createListener(Math.min(this.limits.maxConnections, derived.maxConnections));
     }
 
     /** Starts to listen; rejects if the port cannot be opened. */
     async open(): Promise<void> {
-        this.port = await openPort(this.server, this.options.host, this.options.port);
-        this.timeouts = new ArrivalTimeouts({
-            clock: this.options.clock,
-            limits: this.limits,
-            onTimeout: socket => this.refuseUnread(socket, REQUEST_TIMEOUT_CODE),
-        });
+        await this.listener.open(this.options.host, this.options.port);
+        this.port = this.listener.port;
         this.reportLoad();
     }
 
@@ -84,10 +85,7 @@
     async close(graceMs: Millis): Promise<void> {
         const { clock, log } = this.options;
         this.draining = true;
-        const closed = new Promise<void>(resolve => {
-            this.server.close(() => resolve());
-        });
-        this.server.closeIdleConnections();
+        this.listener.stopAccepting();
         const deadline = clock.now() + graceMs;
         while (this.countInFlight() > 0 && clock.now() < deadline) {
             await sleep(clock, SHUTDOWN_POLL_INTERVAL_MS);
@@ -95,10 +93,9 @@
         if (this.countInFlight() > 0) {
             log.error("CR1405", "shutdownCut", { requests: this.countInFlight() });
         }
-        this.server.closeAllConnections();
+        this.listener.close();
+        this.clients.close();
         this.gaugeTimer?.cancel();
-        this.timeouts?.close();
-        await closed;
     }
 
     /** Returns the number of requests whose reply is not finished. */
@@ -106,83 +103,20 @@
         return this.runner.countInFlight();
     }
 
-    private buildServer(): Server {
-        const { limits } = this;
-        const server = createServer(
-            {
-                maxHeaderSize: limits.maxHeaderBytes,
-                // `ArrivalTimeouts` applies both limits.
-                headersTimeout: 0,
-                requestTimeout: 0,
-                keepAliveTimeout: limits.keepAliveMs,
-                noDelay: true,
-            },
-            (request, response) => this.acceptRequest(request, response, false),
-        );
-        server.maxConnections = limits.maxConnections;
-        server.on("connection", socket => this.timeouts?.addConnection(socket));
-        server.on("checkContinue", (request, response) => this.acceptRequest(request, response, true));
-        server.on("checkExpectation", (request, response) => {
-            this.timeouts?.observeHeaders(request);
-            response.writeHead(EXPECTATION_FAILED).end();
-        });
-        server.on(
-            "clientError",
-            (error: NodeJS.ErrnoException, socket) => this.refuseMalformed(error, socket as Socket),
-        );
-        // Without this listener Node closes idle connections before it reads what has arrived on them.
-        server.on("timeout", socket => this.closeIdle(socket));
-        server.on("drop", () => this.reportDrop());
-        return server;
-    }
-
-    private acceptRequest(request: IncomingMessage, response: ServerResponse, needsContinue: boolean): void {
-        this.timeouts?.observeHeaders(request);
-        this.runner.acceptRequest(request, response, needsContinue);
-    }
-
-    private closeIdle(socket: Socket): void {
-        const { bytesRead } = socket;
-        this.options.clock.schedule(0, () => {
-            if (socket.bytesRead === bytesRead) {
-                socket.destroy();
-            }
+    private createListener(maxConnections: number): HttpListener {
+        const { clients, limits, runner } = this;
+        return new HttpListener({
+            clients,
+            group: { name: "http", maxConnections },
+            limits,
+            handleRequest: (request, response, needsContinue) =>
+                runner.acceptRequest(request, response, needsContinue),
+            handleMalformed: code => this.options.metrics.count("http.refused", 1, { code }),
         });
     }
 
-    private refuseMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-        if (error.code === "ECONNRESET") {
-            socket.destroy();
-            return;
-        }
-        this.refuseUnread(socket, error.code);
-    }
-
-    /** Refuses a request that was not received completely, and ends its connection. */
-    private refuseUnread(socket: Socket, code: string | undefined): void {
-        if (!socket.writable) {
-            socket.destroy();
-            return;
-        }
-        this.options.metrics.count("http.refused", 1, { code: code ?? "malformed" });
-        writeParseErrorReply(socket, code);
-        // A client that neither reads nor closes must not keep the socket open.
-        this.options.clock.schedule(LINGER_MS, () => socket.destroy());
-    }
-
     private reportLoad(): void {
         this.options.metrics.gauge("http.inFlight", this.countInFlight());
         this.gaugeTimer = this.options.clock.schedule(LOAD_REPORT_INTERVAL_MS, () => this.reportLoad());
     }
-
-    private reportDrop(): void {
-        const now = this.options.clock.now();
-        this.options.metrics.count("http.refused", 1, { code: "CR1404" });
-        if (this.lastDropReportAt === undefined || now - this.lastDropReportAt >= DROP_REPORT_INTERVAL_MS) {
-            this.lastDropReportAt = now;
-            this.options.log.warn("CR1404", "connectionLimit", {
-                maxConnections: this.limits.maxConnections,
-            });
-        }
-    }
 }
--- a/src/connection/http/request-runner.ts
+++ b/src/connection/http/request-runner.ts
@@ -16,7 +16,7 @@
     Route,
     RouteContext,
 } from "../../request/http/index.js";
-import { BodyBudget, hasBody, readBody } from "./body-reader.js";
+import { hasBody, readBody } from "./body-reader.js";
 import type { BodyResult } from "./body-reader.js";
 import {
     buildBusy,
@@ -27,6 +27,7 @@
     buildWrongMethod,
 } from "./http-answers.js";
 import type { HttpLimits } from "./http-limits.js";
+import { getConnection } from "./http-listener.js";
 
 /** Options of {@link RequestRunner}. */
 export interface RequestRunnerOptions {
@@ -62,14 +63,12 @@
 /** Runs the requests of one server. */
 export class RequestRunner {
     private readonly router = findMyWay({ ignoreTrailingSlash: true, maxParamLength: MAX_PARAM_LENGTH });
-    private readonly budget: BodyBudget;
     private readonly tokens: TokenTable;
     private readonly idPrefix: string;
     private lastId = 0;
     private inFlight = 0;
 
     constructor(private readonly options: RequestRunnerOptions) {
-        this.budget = new BodyBudget(options.limits.maxBufferedBytes);
         this.tokens = new TokenTable(options.operatorTokens);
         this.idPrefix = makeUniqueId(options.random);
         for (const route of ROUTES) {
@@ -208,7 +207,7 @@
         if (state.needsContinue && declared <= this.options.limits.maxBodyBytes) {
             state.response.writeContinue();
         }
-        return readBody(state.request, this.options.limits.maxBodyBytes, this.budget);
+        return readBody(state.request, this.options.limits.maxBodyBytes, getConnection(state.request));
     }
 
     private buildExchange(state: RequestState, match: RouteMatch, body: Uint8Array): Exchange {
