Links: unknown peers give way, and send no large frames

Other nodes' port accepted any number of connections (634 descriptors of 400 under 600 silent peers), and an unknown peer could make a node keep the start of frames of 8 MiB (60 peers: 546,148 KiB of 210 MiB). The first frame of a node is its status, below a kilobyte.

Until an end has sent its status, frames are limited to 16 KiB.

--- a/src/connection/node-link.ts
+++ b/src/connection/node-link.ts
@@ -58,6 +58,8 @@
  * queues.
  */
 const MAX_FRAME_BYTES = 8 * 1_048_576;
+/** Largest frame of an end that has not sent its status yet. */
+const MAX_FIRST_FRAME_BYTES = 16_384;
 /** Unsent bytes above which the link is closed, since the other end does not read. */
 const MAX_BUFFERED_BYTES = 16 * 1_048_576;
 type Frame =
@@ -72,7 +74,7 @@
 
 /** One end of a link between two nodes. */
 export class NodeLink {
-    private readonly decoder = new FrameDecoder(MAX_FRAME_BYTES);
+    private readonly decoder = new FrameDecoder(MAX_FIRST_FRAME_BYTES);
     private readonly pending = new Map<number, PendingCall>();
     private lastId = 0;
     private lastReceivedAt: Millis;
@@ -135,6 +137,11 @@
         this.owner.handleClosed(message);
     }
 
+    /** Accepts frames of full size from now on, since the other end has identified itself as a node. */
+    acceptLargeFrames(): void {
+        this.decoder.setLimit(MAX_FRAME_BYTES);
+    }
+
     /** Returns whether the link is closed, whichever end closed it. */
     isClosed(): boolean {
         return this.closed;
--- a/src/process/node/cluster-node.ts
+++ b/src/process/node/cluster-node.ts
@@ -28,6 +28,8 @@
 import { serveCaller } from "./serve-caller.js";
 import type { LeaderRoute } from "./serve-caller.js";
 
+const DEFAULT_MAX_INBOUND_LINKS = 1_000;
+
 /** Dependencies and settings of a node. */
 export interface ClusterNodeOptions extends Omit<LeadershipOptions, "epochs" | "confirmConfig"> {
     readonly name: string;
@@ -39,6 +41,8 @@
     readonly advicePort: AdvicePort;
     /** Processor time of the VM, in cores. Larger nodes are preferred as leader. */
     readonly cores: number;
+    /** Most links that other nodes may have opened. */
+    readonly maxInboundLinks?: number;
 }
 
 /** A leader that stepped down claims the leadership back if its successor has not claimed it by then. */
@@ -93,7 +97,7 @@
             handleCall: body => this.handleCall(body),
             handleNotification: (inbound, note) => this.handleInboundNotification(inbound, note),
             handleClosed: inbound => this.handleInboundClosed(inbound),
-        });
+        }, options.maxInboundLinks ?? DEFAULT_MAX_INBOUND_LINKS);
     }
 
     /** Opens the node's port and starts the search for a leader. */
--- a/src/process/node/link-peer.ts
+++ b/src/process/node/link-peer.ts
@@ -23,6 +23,7 @@
     const notification = body as NodeNotification;
     if (notification.kind === "status") {
         peer.status = notification;
+        peer.link.acceptLargeFrames();
     }
     return notification;
 }
--- a/src/process/node/link-server.ts
+++ b/src/process/node/link-server.ts
@@ -1,5 +1,5 @@
 /** Accepts links from other nodes and keeps those that are open. */
-import type { Clock, Timer } from "../../common/clock.js";
+import type { Clock, Millis, Timer } from "../../common/clock.js";
 import type { LinkListener, LinkNetwork, LinkSocket } from "../../connection/link-network.js";
 import { encodeHeartbeatFrame, LINK_TICK_MS, LinkSide, NodeLink } from "../../connection/node-link.js";
 import type { Log } from "../telemetry.js";
@@ -18,22 +18,27 @@
     handleClosed(inbound: InboundLink): void;
 }
 
+const FULL_REPORT_INTERVAL_MS: Millis = 1_000;
+
 /** Listens for links from other nodes and sends heartbeats over them. */
 export class LinkServer {
     /** The open links. */
     readonly links = new Set<InboundLink>();
     private listener: LinkListener | undefined;
     private timer: Timer | undefined;
+    private lastFullAt: Millis = -Infinity;
 
     /**
      * @param clock - Drives heartbeats and timeouts of the links.
      * @param owner - Receives calls and notifications, and is notified of closed links.
+     * @param maxLinks - Above this, links whose other end has not identified itself give way to new ones.
      */
     constructor(
         private readonly network: LinkNetwork,
         private readonly clock: Clock,
         private readonly log: Log,
         private readonly owner: LinkServerOwner,
+        private readonly maxLinks: number,
     ) {}
 
     /**
@@ -76,6 +81,11 @@
     }
 
     private acceptSocket(socket: LinkSocket): void {
+        if (this.links.size >= this.maxLinks && !this.closeUnidentified()) {
+            this.reportFull();
+            socket.destroy();
+            return;
+        }
         const link = new NodeLink(socket, this.clock, {
             buildHeartbeat: () => this.owner.buildStatus(),
             handleCall: body => this.owner.handleCall(body),
@@ -90,6 +100,25 @@
         this.links.add(inbound);
     }
 
+    private reportFull(): void {
+        const now = this.clock.now();
+        if (now - this.lastFullAt >= FULL_REPORT_INTERVAL_MS) {
+            this.lastFullAt = now;
+            this.log.warn("CR1633", "linkPortFailed", { message: `all ${this.maxLinks} links are in use` });
+        }
+    }
+
+    /** Closes the oldest link whose other end has not identified itself; returns whether there was one. */
+    private closeUnidentified(): boolean {
+        for (const { link, status } of this.links) {
+            if (status === undefined) {
+                link.close("gave way to a newer link");
+                return true;
+            }
+        }
+        return false;
+    }
+
     private receiveNotification(inbound: InboundLink, body: unknown): void {
         const notification = acceptNotification(inbound, body);
         if (notification !== undefined) {
