Shutdown: connections on which a request is arriving are kept

With the new listener a shutdown closed connections whose request head had arrived in part: the caller's request broke off, though it would have been served within the grace period. A connection counts as idle only if nothing has arrived since its last response.

--- a/src/connection/http/http-connection.ts
+++ b/src/connection/http/http-connection.ts
@@ -48,6 +48,8 @@
     private waitingHeld = 0;
     /** Bytes that are held for the pending requests. */
     private requestHeld = 0;
+    /** Value of {@link bytesRead} when the last response was finished. */
+    private bytesServed = 0;
     private readonly exchanges = new Set<ServerResponse>();
     private lastRequest: IncomingMessage | undefined;
     /** Whether the parser is attached. */
@@ -80,7 +82,7 @@
 
     /** Returns whether no request has begun to arrive, nor waits for its response. */
     isIdle(): boolean {
-        return this.exchanges.size === 0 && this.waiting === undefined;
+        return this.exchanges.size === 0 && this.waiting === undefined && this.bytesRead === this.bytesServed;
     }
 
     /** As `net.Socket.setTimeout`, which the HTTP server uses for idle connections. */
@@ -260,6 +262,7 @@
         }
         this.record.hasBeenServed = true;
         if (this.exchanges.size === 0) {
+            this.bytesServed = this.bytesRead;
             this.table.release(this.record, this.requestHeld);
             this.requestHeld = 0;
         }
--- a/src/test/connection/http/http-server_test.ts
+++ b/src/test/connection/http/http-server_test.ts
@@ -282,6 +282,29 @@
         assert.deepEqual(listCodes(log), []);
     });
 
+    it("keeps connections on which a request is arriving", async () => {
+        const { server, gateway, send } = await openHttp();
+        let finish: (outcome: Outcome) => void = () => undefined;
+        gateway.serve = () =>
+            new Promise<Outcome>(resolve => {
+                finish = resolve;
+            });
+        const slow = send("POST", BRANCH_PATH, { body: "a" });
+        const { socket, state, countRead } = openSocket(server.port);
+        const head = buildHead("GET", "/healthz");
+        socket.write(head.slice(0, 20));
+        await waitUntil(
+            () => countRead() === 20 && gateway.serviceRequests.length === 1,
+            "a part of the head",
+        );
+        const closed = server.close(5_000);
+        socket.write(head.slice(20));
+        await waitUntil(() => state.received.includes("ok"), "an answer");
+        finish(DONE);
+        await slow;
+        await closed;
+    });
+
     it("aborts requests that outlast the grace period, and logs that", async () => {
         const { server, gateway, send, log } = await openHttp();
         gateway.serve = () => new Promise(() => undefined);
