Peers: the oldest unfinished handshake gives way to a new connection

128 silent connections at the port for other entries kept members out for as long as their senders came back: new connections were closed at once, whoever opened them (new test: the member's connection was closed before its welcome).

--- a/src/connection/peer-mesh.ts
+++ b/src/connection/peer-mesh.ts
@@ -241,11 +241,15 @@
     }
 
     private acceptSocket(socket: Socket): void {
-        if (this.closed || this.handshakes.size >= this.limits.maxHandshakes) {
-            this.options.metrics.count("peer.handshakeShed");
+        if (this.closed) {
             socket.destroy();
             return;
         }
+        const [oldest] = this.handshakes;
+        if (oldest !== undefined && this.handshakes.size >= this.limits.maxHandshakes) {
+            this.options.metrics.count("peer.handshakeShed");
+            oldest.close({ message: "gave way to a newer connection" });
+        }
         this.handshakes.add(this.createLink(socket, undefined));
     }
 
--- a/src/test/connection/peer-mesh_test.ts
+++ b/src/test/connection/peer-mesh_test.ts
@@ -255,4 +255,17 @@
         // Two messages are buffered; at the third one the limit is exceeded already.
         assert.equal(queued, 2);
     });
+
+    it("gives the place of the oldest unfinished handshake to a new link", async () => {
+        // Guards against silent connections that keep members out.
+        const z = await openMember("z", { limits: { maxHandshakes: 2 } });
+        z.mesh.setPeers([{ memberId: "b", host: HOST, port: 1 }]);
+        const silent = [openRaw(z.mesh), openRaw(z.mesh)];
+        await Promise.all(
+            silent.map(peer => waitUntil(() => !peer.socket.connecting, "a silent connection")),
+        );
+        await openRaw(z.mesh).connectAs("b", SECRET, 1);
+        await waitUntil(() => z.up.has("b"), "the link of a member");
+        assert.deepEqual(silent.map(peer => peer.ended), [true, false]);
+    });
 });
