--- a/src/common/process-resources.ts
+++ b/src/common/process-resources.ts
@@ -14,11 +14,11 @@
 const DEFAULT_DESCRIPTORS = 1_024;
 const LIMITS_FILE = "/proc/self/limits";
 
-/** Reads the resources of this process: its heap limit and its VM's memory, whichever is less. */
-export function readProcessResources(): ProcessResources {
+/** Reads the resources of this process; values that are known already are taken as they are. */
+export function readProcessResources(known: Partial<ProcessResources> = {}): ProcessResources {
     return {
-        memoryBytes: Math.min(totalmem(), getHeapStatistics().heap_size_limit),
-        maxDescriptors: readDescriptorLimit(),
+        memoryBytes: known.memoryBytes ?? Math.min(totalmem(), getHeapStatistics().heap_size_limit),
+        maxDescriptors: known.maxDescriptors ?? readDescriptorLimit(),
     };
 }
 
--- a/src/connection/http/client-connections.ts
+++ b/src/connection/http/client-connections.ts
@@ -26,6 +26,7 @@
     readonly turns = new TurnQueue();
     readonly clock: Clock;
     private timeouts: ArrivalTimeouts | undefined;
+    /** Decisions that were not logged yet, by port and reason, while a report of them is scheduled. */
     private readonly reports = new Map<string, number>();
 
     constructor(private readonly options: ClientConnectionsOptions) {
@@ -50,13 +51,14 @@
         const { metrics, clock } = this.options;
         metrics.count("http.shed", 1, { port: group.name, reason });
         const key = `${group.name} ${reason}`;
-        const count = this.reports.get(key);
-        this.reports.set(key, (count ?? 0) + 1);
-        if (count === undefined) {
-            this.logShed(group, reason, 1);
-            this.reports.set(key, 0);
-            clock.schedule(REPORT_INTERVAL_MS, () => this.reportShed(group, reason, key));
+        const unreported = this.reports.get(key);
+        if (unreported !== undefined) {
+            this.reports.set(key, unreported + 1);
+            return;
         }
+        this.reports.set(key, 0);
+        this.logShed(group, reason, 1);
+        clock.schedule(REPORT_INTERVAL_MS, () => this.reportShed(group, reason, key));
     }
 
     private reportShed(group: ConnectionGroup, reason: ShedReason, key: string): void {
--- a/src/connection/http/connection-table.ts
+++ b/src/connection/http/connection-table.ts
@@ -34,7 +34,7 @@
 
 /** Receives each decision of a {@link ConnectionTable}. */
 export interface ConnectionObserver {
-    /** A connection of the group was closed or, if none could be, a new one was not accepted. */
+    /** A client of the group needed more than there was: another connection was closed or, if none could be, its own. */
     handleShed(group: ConnectionGroup, reason: ShedReason): void;
 }
 
--- a/src/connection/http/http-listener.ts
+++ b/src/connection/http/http-listener.ts
@@ -52,7 +52,7 @@
     private readonly parser: HttpParser;
     private readonly connections = new Set<HttpConnection>();
     private timeouts: ArrivalTimeouts | undefined;
-    private lingers = new Set<Timer>();
+    private readonly lingers = new Set<Timer>();
 
     constructor(private readonly options: HttpListenerOptions) {
         // As HTTP requires: a client may end its side before it has read the response.
