Tests: crowds on a node and on an entry share their start and their table

Both files had the same launcher, polling, request and table runner; they stand once now, in crowd-subject.ts and crowd-check.ts. Cases, crowds and bounds are the same, line by line.

The logs of a failed case are kept now: a later case that passed removed them.

--- a/src/test/alone/crowd-check.ts
+++ b/src/test/alone/crowd-check.ts
@@ -1,10 +1,14 @@
 /** Checks what a process holds, and whom it serves, under a crowd of misbehaving clients. */
 import assert from "node:assert/strict";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
 import { sleep, systemClock } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import type { ClientEnd } from "./crowd-order.js";
 import type { PayloadName, PayloadTarget } from "./crowd-payloads.js";
-import { startCrowd, watchProcess } from "./crowd.js";
+import { HOST, startCrowd, watchProcess } from "./crowd.js";
 
 /** A row of a table of crowds. */
 export interface CrowdCase<Port extends string> {
@@ -33,7 +37,25 @@
     getExit(): string | undefined;
 }
 
-const HOST = "127.0.0.1";
+/** A table of crowds against one program. */
+export interface CrowdTable<Port extends string> {
+    readonly name: string;
+    readonly cases: readonly CrowdCase<Port>[];
+    /** Builds the program that all cases start. */
+    readonly buildProgram: (path: string) => void;
+    /**
+     * Checks one case.
+     * @param folder - For settings and logs; it is kept if a case fails.
+     * @param name - Unique within the folder.
+     */
+    readonly checkCase: (
+        crowd: CrowdCase<Port>,
+        program: string,
+        folder: string,
+        name: string,
+    ) => Promise<void>;
+}
+
 /** How long a crowd presses before anything is checked. */
 const PRESS_MS: Millis = 4_000;
 
@@ -57,3 +79,29 @@
     assert.ok(peak.memoryKib <= maxMemoryMib * 1_024, `${peak.memoryKib} KiB of ${maxMemoryMib} MiB`);
     assert.ok(peak.descriptors <= maxDescriptors, `${peak.descriptors} of ${maxDescriptors} descriptors`);
 }
+
+/** Declares the tests of a table. */
+export function installCrowdTests<Port extends string>(table: CrowdTable<Port>): void {
+    let folder: string;
+    let program: string;
+    let passed = 0;
+    before(() => {
+        folder = mkdtempSync(join(tmpdir(), "cactusrack-crowds-"));
+        program = join(folder, "program.cjs");
+        table.buildProgram(program);
+    });
+    after(() => {
+        if (passed === table.cases.length) {
+            rmSync(folder, { recursive: true, force: true });
+        }
+    });
+    describe(table.name, () => {
+        for (const [index, crowd] of table.cases.entries()) {
+            const { connections, payload, port, path, host = HOST, end, guards } = crowd;
+            it(`${connections} x ${payload} at ${port} ${host}${path}, ${end}: not that ${guards}`, async () => {
+                await table.checkCase(crowd, program, folder, `case-${index}`);
+                passed += 1;
+            });
+        }
+    });
+}
--- a/src/test/alone/crowd.ts
+++ b/src/test/alone/crowd.ts
@@ -21,6 +21,7 @@
     readonly descriptors: number;
 }
 
+export const HOST = "127.0.0.1";
 const PROGRAM = fileURLToPath(new URL("crowd-process.ts", import.meta.url));
 const SAMPLE_INTERVAL_MS: Millis = 20;
 const POLL_INTERVAL_MS: Millis = 100;
--- a/src/test/alone/entry-crowds_test.ts
+++ b/src/test/alone/entry-crowds_test.ts
@@ -1,23 +1,17 @@
 /** Clients that do not behave, against one entry as a real process. */
-import assert from "node:assert/strict";
-import { spawn } from "node:child_process";
-import type { ChildProcess } from "node:child_process";
-import { createWriteStream, mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
+import { writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { createInterface } from "node:readline";
-import { after, before, describe, it } from "node:test";
-import { Agent, request } from "undici";
 import { buildEntryProgram } from "../../../bench/faults/entry-child.js";
 import { systemClock } from "../../common/clock.js";
 import type { Millis } from "../../common/clock.js";
 import { startStoreStandIn, startVmListStandIn } from "../../stand-ins/index.js";
-import { checkCrowd } from "./crowd-check.js";
-import type { CrowdCase, ProcessUnderTest } from "./crowd-check.js";
+import { checkCrowd, installCrowdTests } from "./crowd-check.js";
+import type { CrowdCase } from "./crowd-check.js";
 import { ClientEnd } from "./crowd-order.js";
-import { endProcess, waitFor } from "./crowd.js";
+import { requestStatus, startSubject } from "./crowd-subject.js";
+import type { Subject } from "./crowd-subject.js";
+import { HOST } from "./crowd.js";
 
-const HOST = "127.0.0.1";
 /** Memory of the VM; the heap has the same share of it as on the users' VMs. */
 const MEMORY_MIB = 210;
 const ENTRY_ARGUMENTS = ["--max-old-space-size=200"];
@@ -25,18 +19,19 @@
 const MAX_CONNECTIONS = 200;
 /** Connections of callers and operators, and as many for everything else. */
 const MAX_DESCRIPTORS = 2 * MAX_CONNECTIONS;
-/** After this an ordinary client asks again. */
-const PATIENCE_MS: Millis = 3_000;
 const VM_LIST_LAG_MS: Millis = 1_000;
 
-type Port = "http" | "peers";
+interface Ports {
+    readonly http: number;
+    readonly peers: number;
+}
 
 const HEALTH = { path: "/healthz" };
 const NOWHERE = { path: "/nowhere" };
 const JOBS = { path: "/v1/jobs" };
 const { stay, reset, halfClose } = ClientEnd;
 
-const cases: readonly CrowdCase<Port>[] = [
+const cases: readonly CrowdCase<keyof Ports>[] = [
     {
         port: "http",
         payload: "tinyChunks",
@@ -127,53 +122,28 @@
     },
 ];
 
-let folder: string;
-let program: string;
-let failed = false;
-before(() => {
-    folder = mkdtempSync(join(tmpdir(), "cactusrack-entry-crowds-"));
-    program = join(folder, "main.cjs");
-    buildEntryProgram(program);
-});
-after(() => {
-    if (!failed) {
-        rmSync(folder, { recursive: true, force: true });
-    }
-});
-
-describe("an entry under a crowd that does not behave", () => {
-    for (const [index, crowdCase] of cases.entries()) {
-        const { connections, payload, port, path, end, guards } = crowdCase;
-        it(`${connections} x ${payload} at ${port}${path}, ${end}: not that ${guards}`, async () => {
-            failed = true;
-            await checkCase(crowdCase, `case-${index}`);
-            failed = false;
-        });
-    }
+installCrowdTests({
+    name: "an entry under a crowd that does not behave",
+    cases,
+    buildProgram: buildEntryProgram,
+    async checkCase(crowd, program, folder, name) {
+        const entry = await startEntryProcess(program, folder, name);
+        try {
+            await checkCrowd(crowd, {
+                ...entry,
+                port: entry.ports[crowd.port],
+                target: { host: HOST, path: crowd.path, maxBodyBytes: MAX_BODY_BYTES },
+                maxMemoryMib: MEMORY_MIB,
+                maxDescriptors: MAX_DESCRIPTORS,
+            });
+        }
+        finally {
+            await entry.close();
+        }
+    },
 });
 
-async function checkCase(crowdCase: CrowdCase<Port>, name: string): Promise<void> {
-    const entry = await startEntryProcess(name);
-    try {
-        await checkCrowd(crowdCase, {
-            ...entry,
-            port: entry.ports[crowdCase.port],
-            target: { host: HOST, path: crowdCase.path, maxBodyBytes: MAX_BODY_BYTES },
-            maxMemoryMib: MEMORY_MIB,
-            maxDescriptors: MAX_DESCRIPTORS,
-        });
-    }
-    finally {
-        await entry.close();
-    }
-}
-
-interface StartedEntry extends Pick<ProcessUnderTest, "pid" | "isServing" | "getExit"> {
-    readonly ports: Readonly<Record<Port, number>>;
-    close(): Promise<void>;
-}
-
-async function startEntryProcess(name: string): Promise<StartedEntry> {
+async function startEntryProcess(program: string, folder: string, name: string): Promise<Subject<Ports>> {
     const store = await startStoreStandIn({ clock: systemClock });
     const vmList = await startVmListStandIn({ clock: systemClock, lagMs: VM_LIST_LAG_MS });
     const settingsPath = join(folder, `${name}.json`);
@@ -188,73 +158,28 @@
         limits: { maxBodyBytes: MAX_BODY_BYTES, maxConnections: MAX_CONNECTIONS },
     };
     writeFileSync(settingsPath, JSON.stringify(settings));
-    const log = createWriteStream(join(folder, `${name}.log`));
-    const child = spawn(
-        process.execPath,
-        [...ENTRY_ARGUMENTS, program, "entry", "--settings", settingsPath],
-        { stdio: ["ignore", "pipe", "pipe"] },
-    );
-    child.stderr.pipe(log, { end: false });
-    const ports = readPorts(child, line => log.write(`${line}\n`));
-    let exit: string | undefined;
-    child.once("exit", (code, signal) => exit = `code ${String(code)}, signal ${String(signal)}`);
-    const { http, peers } = await ports;
-    const isServing = async (): Promise<boolean> => {
-        try {
-            await waitFor(
-                "a health check",
-                async () => exit !== undefined || await requestStatus(http, HEALTH.path) === 200,
-            );
-            await waitFor(
-                "an ordinary request",
-                async () => exit !== undefined || await requestStatus(http, "/v1/jobs/unknown") === 401,
-            );
-            return exit === undefined;
-        }
-        catch {
-            return false;
-        }
-    };
-    assert.ok(await isServing(), "the entry does not serve before the crowd comes");
+    const entry = await startSubject<Ports>({
+        commandLine: [...ENTRY_ARGUMENTS, program, "entry", "--settings", settingsPath],
+        environment: {},
+        logPath: join(folder, `${name}.log`),
+        parsePorts,
+        buildRequests: ({ http }) => ({
+            "a health check": async () => await requestStatus(http, HEALTH.path) === 200,
+            "an ordinary request": async () => await requestStatus(http, "/v1/jobs/unknown") === 401,
+        }),
+    });
     return {
-        pid: child.pid ?? 0,
-        ports: { http, peers },
-        isServing,
-        getExit: () => exit,
+        ...entry,
         async close() {
-            await endProcess(child);
-            log.end();
+            await entry.close();
             await Promise.all([store.close(), vmList.close()]);
         },
     };
 }
 
-function readPorts(
-    child: ChildProcess,
-    writeLine: (line: string) => void,
-): Promise<Readonly<Record<Port, number>>> {
-    return new Promise((resolve, reject) => {
-        child.once("exit", () => reject(new Error(`the entry did not start; its log is in ${folder}`)));
-        createInterface({ input: child.stdout as NodeJS.ReadableStream }).on("line", line => {
-            writeLine(line);
-            const { httpUrl, peerPort } = JSON.parse(line) as { httpUrl?: string; peerPort?: number; };
-            if (httpUrl !== undefined && peerPort !== undefined) {
-                resolve({ http: Number(new URL(httpUrl).port), peers: peerPort });
-            }
-        });
-    });
-}
-
-/** Sends a request on a connection of its own. */
-async function requestStatus(port: number, path: string): Promise<number> {
-    const dispatcher = new Agent({ pipelining: 0 });
-    try {
-        const url = `http://${HOST}:${port}${path}`;
-        const { statusCode, body } = await request(url, { dispatcher, headersTimeout: PATIENCE_MS });
-        await body.dump();
-        return statusCode;
-    }
-    finally {
-        await dispatcher.destroy();
-    }
+function parsePorts(line: string): Ports | undefined {
+    const { httpUrl, peerPort } = JSON.parse(line) as { httpUrl?: string; peerPort?: number; };
+    return httpUrl === undefined || peerPort === undefined ?
+        undefined :
+        { http: Number(new URL(httpUrl).port), peers: peerPort };
 }
--- a/src/test/connection/http/http-server_test.ts
+++ b/src/test/connection/http/http-server_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import type { Outcome } from "../../../common/outcome.js";
 import { FakeClock } from "../../fakes/fake-clock.js";
+import type { FakeGateway } from "../../fakes/fake-gateway.js";
 import { listCodes } from "../../fakes/fake-telemetry.js";
 import { waitUntil } from "../../fakes/wait-until.js";
 import { buildHead, openHttp, openSocket } from "./http-harness.js";
@@ -11,6 +12,16 @@
 const BRANCH_PATH = "/v1/services/services/catalogo-beni";
 const DONE: Outcome = { kind: "done", answer: Buffer.from("late"), contentType: "text/plain", workerId: "w" };
 
+/** Makes requests of a service wait; returns a function that gives the last of them its outcome. */
+function holdService(gateway: FakeGateway): (outcome: Outcome) => void {
+    let finish: (outcome: Outcome) => void = () => undefined;
+    gateway.serve = () =>
+        new Promise<Outcome>(resolve => {
+            finish = resolve;
+        });
+    return outcome => finish(outcome);
+}
+
 function parseBody(received: string): Record<string, unknown> {
     return JSON.parse(received.slice(received.indexOf("\r\n\r\n") + 4));
 }
@@ -167,11 +178,7 @@
 
     it("immediately refuses requests over the limit of concurrent requests", async () => {
         const { server, gateway, send } = await openHttp({ maxInFlight: 1 });
-        let finish: (outcome: Outcome) => void = () => undefined;
-        gateway.serve = () =>
-            new Promise<Outcome>(resolve => {
-                finish = resolve;
-            });
+        const finish = holdService(gateway);
         const first = send("POST", BRANCH_PATH, { body: "a" });
         await waitUntil(() => gateway.serviceRequests.length === 1, "the first request");
         const second = await send("POST", BRANCH_PATH, { body: "b" });
@@ -196,11 +203,7 @@
 
     it("refuses a body over the limit while another request is served, and releases the bytes afterwards", async () => {
         const { gateway, send } = await openHttp({ maxBufferedBytes: 100 });
-        let finish: (outcome: Outcome) => void = () => undefined;
-        gateway.serve = () =>
-            new Promise<Outcome>(resolve => {
-                finish = resolve;
-            });
+        const finish = holdService(gateway);
         const first = send("POST", BRANCH_PATH, { body: "x".repeat(80) });
         await waitUntil(() => gateway.serviceRequests.length === 1, "the first request");
         const second = await send("POST", BRANCH_PATH, { body: "x".repeat(50) });
@@ -227,11 +230,7 @@
 
     it("closes new connections over the limit if all others are being served", async () => {
         const { server, gateway, send } = await openHttp({ maxConnections: 1 });
-        let finish: (outcome: Outcome) => void = () => undefined;
-        gateway.serve = () =>
-            new Promise<Outcome>(resolve => {
-                finish = resolve;
-            });
+        const finish = holdService(gateway);
         const first = send("POST", BRANCH_PATH, { body: "a" });
         await waitUntil(() => gateway.serviceRequests.length === 1, "the first request");
         const second = openSocket(server.port);
@@ -258,11 +257,7 @@
         // When an operator stops an entry, the load balancer still sends requests for a second or two, and
         // some replies take long. A caller whose connection is aborted does not know whether the work ran.
         const { server, gateway, send, log } = await openHttp();
-        let finish: (outcome: Outcome) => void = () => undefined;
-        gateway.serve = () =>
-            new Promise<Outcome>(resolve => {
-                finish = resolve;
-            });
+        const finish = holdService(gateway);
         const slow = send("POST", BRANCH_PATH, { body: "a" });
         const idle = openSocket(server.port);
         idle.socket.write(buildHead("GET", "/healthz"));
@@ -284,11 +279,7 @@
 
     it("keeps connections on which a request is arriving", async () => {
         const { server, gateway, send } = await openHttp();
-        let finish: (outcome: Outcome) => void = () => undefined;
-        gateway.serve = () =>
-            new Promise<Outcome>(resolve => {
-                finish = resolve;
-            });
+        const finish = holdService(gateway);
         const slow = send("POST", BRANCH_PATH, { body: "a" });
         const { socket, state, countRead } = openSocket(server.port);
         const head = buildHead("GET", "/healthz");
