--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -54,6 +54,7 @@
         longestS = Math.max(longestS, idleSince === undefined ? 0 : now - idleSince);
         await sleep(20);
     }
+    platform.checkPorts();
     recorder.write(`${countRunning()} of ${TASKS} tasks run; one did not for ${longestS.toFixed(1)} s of the time judged`);
     const isBroken = longestS >= IDLE_S;
     recorder.write(isBroken ? "LOST is broken" : "LOST has held");
--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -59,6 +59,7 @@
     await sleep(BOUNDS.finish_s * 1000);
     const states = await Promise.all(accepted.map(jobId => show(platform, recorder, jobId)));
     const lost = states.filter(state => state === undefined || state === "410").length;
+    platform.checkPorts();
     platform.nodes.forEach(({ name, exits }) =>
         recorder.write(`node ${name}: its process has ended by itself ${exits} times`)
     );
--- a/review/stand-ins-3/platform.mjs
+++ b/review/stand-ins-3/platform.mjs
@@ -86,10 +86,10 @@
     };
 }
 
-/** Finds free ports: `count` in a row. */
+/** Finds free ports, `count` in a row, below those that the system gives to connections and to other listeners. */
 async function findPorts(count) {
     for (let attempt = 0; attempt < 200; attempt++) {
-        const first = 20_000 + Math.floor(Math.random() * 40_000);
+        const first = 10_000 + Math.floor(Math.random() * 22_000);
         const servers = [];
         try {
             for (let port = first; port < first + count; port++) {
@@ -464,6 +464,7 @@
         });
         this.process.stderr.on("data", chunk => {
             const text = String(chunk).split("\n").find(line => line.includes("FATAL") || line.includes("Error"));
+            this.platform.hasPortConflict ||= text?.includes("EADDRINUSE") === true;
             if (text !== undefined) {
                 this.platform.recorder.write(`node ${this.name}: says: ${text.slice(0, 160)}`);
             }
@@ -536,6 +537,13 @@
         return this.nodes.find(node => node.name === name);
     }
 
+    /** Throws if another program has taken a node's port: its process then ends for no fault of the system. */
+    checkPorts() {
+        if (this.hasPortConflict) {
+            throw new Error("a port of a node is in use");
+        }
+    }
+
     close() {
         this.nodes.forEach(node => node.close());
         this.workers.forEach(worker => worker.close());
