Jobs: repeated earlier steps don't overflow the stack

What callers saw: one job whose second step names the first one 130,000 times is accepted, and ends the process of each leader that closes it.

Cause: computeCriticalPathMs spread all entries of `after` into the arguments of one call; arguments are on the stack.

Change: computeMax, computeMin and appendAll take lists of any length and replace every spread in a call outside tests; a lint rule keeps it so.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,6 +1,26 @@
 import tseslint from "typescript-eslint";
 import { functionVerbs } from "./scripts/function-verbs.js";
 
+const RESTRICTED_SYNTAX = [
+    {
+        selector: "TSEnumDeclaration",
+        message: "Use a constant object and a union of its values.",
+    },
+    { selector: "ExportDefaultDeclaration", message: "Use a named export." },
+    { selector: "Literal[raw='null']", message: "Use undefined." },
+    {
+        selector:
+            "CallExpression[callee.property.name=/^(skip|todo)$/][callee.object.name=/^(it|test|describe)$/]",
+        message: "A skipped test is a defect: list it in KNOWN-RED.txt.",
+    },
+];
+
+/** The arguments of a call are on the stack, which a list of unbounded length overflows. */
+const SPREAD_ARGUMENTS = {
+    selector: ":matches(CallExpression, NewExpression) > SpreadElement",
+    message: "Pass the list itself, or use computeMax, computeMin or appendAll of src/common/lists.ts.",
+};
+
 export default tseslint.config(
     { ignores: ["node_modules", "dist", "target"] },
     ...tseslint.configs.strict,
@@ -25,20 +45,7 @@
                 // The names of overridden methods, such as those of Node's streams, are not ours.
                 { selector: "classMethod", modifiers: ["override"], format: null },
             ],
-            "no-restricted-syntax": [
-                "error",
-                {
-                    selector: "TSEnumDeclaration",
-                    message: "Use a constant object and a union of its values.",
-                },
-                { selector: "ExportDefaultDeclaration", message: "Use a named export." },
-                { selector: "Literal[raw='null']", message: "Use undefined." },
-                {
-                    selector:
-                        "CallExpression[callee.property.name=/^(skip|todo)$/][callee.object.name=/^(it|test|describe)$/]",
-                    message: "A skipped test is a defect: list it in KNOWN-RED.txt.",
-                },
-            ],
+            "no-restricted-syntax": ["error", ...RESTRICTED_SYNTAX],
             "no-restricted-imports": [
                 "error",
                 {
@@ -57,6 +64,11 @@
             "eqeqeq": "error",
         },
     },
+    {
+        files: ["src/**/*.ts", "platform/**/*.ts"],
+        ignores: ["src/test/**", "platform/test/**"],
+        rules: { "no-restricted-syntax": ["error", ...RESTRICTED_SYNTAX, SPREAD_ARGUMENTS] },
+    },
     {
         files: ["src/test/**/*.ts", "platform/test/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off", "max-lines": ["error", { max: 600 }] },
--- a/src/common/lateness.ts
+++ b/src/common/lateness.ts
@@ -1,5 +1,6 @@
 /** Measures the timer delay of a process, so that it does not mistake its own delay for a silent peer. */
 import type { Clock, Millis, Timer } from "./clock.js";
+import { computeMax } from "./lists.js";
 
 const TICK_MS: Millis = 50;
 /** A tick that is delayed by more than this shows that the process was unresponsive for that time. */
@@ -54,7 +55,7 @@
 
     getLatenessMs(): Millis {
         const overdue = this.clock.now() - this.lastTickAt - TICK_MS;
-        return Math.max(0, overdue, ...this.recentLateness);
+        return computeMax(this.recentLateness, Math.max(0, overdue));
     }
 
     getMeanLatenessMs(): Millis {
--- a/src/process/dispatch/crash-risk.ts
+++ b/src/process/dispatch/crash-risk.ts
@@ -6,6 +6,7 @@
  * behavior of its further tasks before they have run.
  */
 import type { Millis } from "../../common/clock.js";
+import { computeMax, computeMin } from "../../common/lists.js";
 import { LossCauses } from "./loss-causes.js";
 import type { CommonLoss } from "./loss-causes.js";
 
@@ -119,7 +120,7 @@
     /** Records that a worker does not answer, which says nothing of its tasks but of other losses. */
     observeSilence(worker: LostWorker): void {
         const { workerId, runs, aliveAt, lostAt } = worker;
-        const lastOrderedAt = lostAt - Math.min(...runs.map(({ ageMs }) => ageMs));
+        const lastOrderedAt = lostAt - computeMin(runs.map(({ ageMs }) => ageMs));
         this.causes.observe({ workerId, aliveAt, lostAt, lastOrderedAt });
     }
 
@@ -212,7 +213,7 @@
             rate: crashes / (starts + PRIOR_STARTS),
             recentRate: recent.crashes / (recent.starts + PRIOR_STARTS),
             startsPerS: this.computeStartsPerS(recent.starts, now),
-            sinceCrashMs: now - Math.max(-Infinity, ...this.listCrashTimes(queue)),
+            sinceCrashMs: now - computeMax(this.listCrashTimes(queue)),
         };
     }
 
--- a/src/process/dispatch/loss-causes.ts
+++ b/src/process/dispatch/loss-causes.ts
@@ -5,6 +5,7 @@
  * workers that were lost at one moment, what had just started on the others was lost by coincidence.
  */
 import type { Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 
 /** The loss of a worker: its process has ended, or it does not answer. */
 export interface WorkerLossSpan {
@@ -95,7 +96,7 @@
     const near = losses.filter(({ lostAt, aliveAt }) =>
         Math.abs(lostAt - loss.lostAt) <= MAX_SPREAD_MS && aliveAt <= loss.lostAt
     );
-    const moment = Math.max(...near.map(({ aliveAt }) => aliveAt));
+    const moment = computeMax(near.map(({ aliveAt }) => aliveAt));
     return findCommon(near.filter(({ lostAt }) => lostAt >= moment), () => moment);
 }
 
--- a/src/process/dispatch/node-reservation.ts
+++ b/src/process/dispatch/node-reservation.ts
@@ -3,6 +3,7 @@
  * its whole slack.
  */
 import type { Clock, Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 import { LoadMeter } from "./load-meter.js";
 
 /** Longer requests are not sent by the nodes reserved for short ones. */
@@ -63,7 +64,7 @@
     count(priority: number, nodes: number, isOverloaded: boolean): number {
         const counted = [...this.requests].filter(([other]) => other <= priority);
         const load = counted.reduce((sum, [, short]) => sum + short.load.compute(), 0);
-        const lastAt = Math.max(-Infinity, ...counted.map(([, short]) => short.lastAt));
+        const lastAt = computeMax(counted.map(([, short]) => short.lastAt));
         const silenceMs = this.clock.now() - lastAt;
         // The mean load falls slowly, and would keep nodes idle for seconds after the last short request.
         if (isOverloaded && silenceMs >= OVERLOADED_MEMORY_MS) {
--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -6,6 +6,7 @@
  * could use, as otherwise smaller tasks would use all capacity that comes free and the gang would never
  * start.
  */
+import { appendAll } from "../../common/lists.js";
 import { TaskState } from "../jobs/job.js";
 import type { Step, Task } from "../jobs/job.js";
 import { isSuspect } from "../jobs/worker-losses.js";
@@ -283,12 +284,12 @@
             return { step, task, worker: slot.worker, permit, hasEarlyLoss, isShared };
         });
         if (permits === undefined) {
-            this.starts.push(...planned);
+            appendAll(this.starts, planned);
             return;
         }
         const unpermitted = planned.filter(start => start.permit === undefined);
         if (!isAllOrNothing(step) || unpermitted.length === 0) {
-            this.starts.push(...planned.filter(start => start.permit !== undefined));
+            appendAll(this.starts, planned.filter(start => start.permit !== undefined));
         }
         if (unpermitted.length > 0) {
             this.permitPlanner.renew(current, permits, placements, true);
@@ -386,7 +387,7 @@
         const placed = placements.map(({ slot }) => slot).filter(slot => leadMs === 0 || isUsable(slot));
         const missing = step.waiting - placed.length;
         const plan = choosePreemptions(step, missing, candidates.filter(isUsable), priority);
-        this.preemptions.push(...plan?.preemptions ?? []);
+        appendAll(this.preemptions, plan?.preemptions ?? []);
         return plan && [...placed, ...plan.slots];
     }
 }
--- a/src/process/dispatch/preemption.ts
+++ b/src/process/dispatch/preemption.ts
@@ -5,6 +5,7 @@
  * fill every gap there. Only runs that save their progress when they are stopped are chosen: they continue
  * elsewhere and lose only a restart. Nothing is stopped unless the whole gang fits afterwards.
  */
+import { appendAll } from "../../common/lists.js";
 import { addResources, isWithin, removeResources } from "../../common/resources.js";
 import type { Resources } from "../../common/resources.js";
 import type { Step } from "../jobs/job.js";
@@ -116,7 +117,7 @@
         ground.take(place);
         const { worker } = ground.slot;
         chosen.push(ground.slot);
-        preemptions.push(...place.victims.map(run => ({ worker, run, forStep: step.name })));
+        appendAll(preemptions, place.victims.map(run => ({ worker, run, forStep: step.name })));
     }
     return { preemptions, slots: chosen };
 }
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -6,6 +6,7 @@
  * each worker. A crash then has one cause, and its damage stays within the queue.
  */
 import type { Millis } from "../../common/clock.js";
+import { appendAll } from "../../common/lists.js";
 import type { Step } from "../jobs/job.js";
 import type { QueueRisk } from "./crash-risk.js";
 import { canEverHold, isAllOrNothing } from "./pool-view.js";
@@ -262,7 +263,7 @@
             return candidates;
         }
         if (dedicated.length === 0) {
-            dedicated.push(...this.addExtraWorker(budget, others));
+            appendAll(dedicated, this.addExtraWorker(budget, others));
         }
         return dedicated;
     }
--- a/src/process/home/run/dispatcher.ts
+++ b/src/process/home/run/dispatcher.ts
@@ -3,6 +3,7 @@
  * with a bounded number of orders queued at each placer.
  */
 import type { Millis } from "../../../common/clock.js";
+import { computeMin } from "../../../common/lists.js";
 import { isWithin } from "../../../common/resources.js";
 import type { Resources } from "../../../common/resources.js";
 import type { JobRun, LiveAttempt } from "./job-run.js";
@@ -109,7 +110,7 @@
     /** Starts a team that was idle at the lowest pass of the others, so that it gets no credit for its idle time. */
     private syncPasses(teams: ReadonlyMap<string, TeamQueue>): void {
         const knownPasses = [...teams.keys()].flatMap(team => this.passes.get(team) ?? []);
-        const lowestPass = knownPasses.length === 0 ? 0 : Math.min(...knownPasses);
+        const lowestPass = knownPasses.length === 0 ? 0 : computeMin(knownPasses);
         for (const team of this.passes.keys()) {
             if (!teams.has(team) && (this.passes.get(team) ?? 0) <= lowestPass) {
                 this.passes.delete(team);
--- a/src/process/home/run/explain.ts
+++ b/src/process/home/run/explain.ts
@@ -1,4 +1,5 @@
 /** Explains the state of a job in words. */
+import { appendAll } from "../../../common/lists.js";
 import type { HomeReply } from "../../../connection/messages.js";
 import { TaskCode } from "../state/index.js";
 import type { JobRecord } from "../state/index.js";
@@ -37,7 +38,7 @@
         lines.push(`Waiting tasks: ${run.reason}.`);
     }
     const shown = [...run.live.values()].slice(0, MAX_ATTEMPTS_SHOWN);
-    lines.push(...shown.map(describeAttempt));
+    appendAll(lines, shown.map(describeAttempt));
     return { kind: "explanation", lines };
 }
 
--- a/src/process/home/run/gang-coordinator.ts
+++ b/src/process/home/run/gang-coordinator.ts
@@ -6,6 +6,7 @@
  * holds capacity, so two gangs cannot deadlock by each holding what the other needs.
  */
 import type { Millis } from "../../../common/clock.js";
+import { appendAll } from "../../../common/lists.js";
 import { packRanges } from "../state/index.js";
 import { describeMisfit } from "./dispatcher.js";
 import type { JobRun } from "./job-run.js";
@@ -177,7 +178,7 @@
             }
             const answer = await this.reserveAt(run, plan.gangId, memberId, waiting);
             const accepted = waiting.slice(0, answer.held);
-            held.push(...accepted.map(task => ({ ...task, placer: memberId })));
+            appendAll(held, accepted.map(task => ({ ...task, placer: memberId })));
             waiting = waiting.slice(answer.held);
             if (answer.moreAfterMs !== undefined) {
                 moreAfterMs = Math.min(moreAfterMs ?? Infinity, answer.moreAfterMs);
--- a/src/process/home/state/snapshot-items.ts
+++ b/src/process/home/state/snapshot-items.ts
@@ -3,6 +3,7 @@
  * limit.
  */
 import type { Millis } from "../../../common/clock.js";
+import { appendAll } from "../../../common/lists.js";
 import type { Caller, JobSpec } from "../../../request/work.js";
 import type { StoredOutcome } from "./entries.js";
 import type { HomeState, RequestRecord } from "./home-state.js";
@@ -50,7 +51,7 @@
 export function listSnapshotItems(state: HomeState): string[] {
     const items: string[] = [];
     for (const job of state.jobs.values()) {
-        items.push(...listJobItems(job));
+        appendAll(items, listJobItems(job));
     }
     for (const request of state.requests.values()) {
         items.push(JSON.stringify({ kind: "request", request }));
--- a/src/process/jobs/job-spec.ts
+++ b/src/process/jobs/job-spec.ts
@@ -1,5 +1,6 @@
 /** The specification of a job as submitted: steps, each of identical tasks. */
 import type { Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 import type { Resources } from "../../common/resources.js";
 
 /** One step of a job. */
@@ -89,10 +90,10 @@
 ): Millis {
     const ends: Millis[] = [];
     for (const step of steps) {
-        const begin = Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
+        const begin = computeMax(step.after.map(earlier => ends[earlier] ?? 0), 0);
         ends.push(begin + predictMs(step.estimateMs));
     }
-    return Math.max(0, ...ends);
+    return computeMax(ends, 0);
 }
 
 /**
@@ -112,7 +113,7 @@
     for (const [number, step] of steps.entries()) {
         const earlier = step.after.flatMap(before => ends[before] ?? []);
         if (number === first || earlier.length > 0) {
-            const end = Math.max(0, ...earlier) + predictMs(step.estimateMs);
+            const end = computeMax(earlier, 0) + predictMs(step.estimateMs);
             ends[number] = end;
             longest = Math.max(longest, end);
         }
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -1,6 +1,7 @@
 /** Distinguishes tasks that crash their workers from tasks whose workers were lost for other reasons. */
 import type { Millis } from "../../common/clock.js";
 import { isLate } from "../../common/lateness.js";
+import { computeMin } from "../../common/lists.js";
 import { CRASH_WINDOW_MS, CrashRisk } from "../dispatch/crash-risk.js";
 import type { LostWorker, QueueRisk, RunAtLoss } from "../dispatch/crash-risk.js";
 import type { ProbationInput, RiskyBacklog } from "../dispatch/probation.js";
@@ -270,7 +271,7 @@
             return known;
         }
         const ages = task.losses.map(loss => computeLossAge(loss, this.startedAtWall));
-        const lostAt = this.startedAt - Math.min(...ages);
+        const lostAt = this.startedAt - computeMin(ages);
         this.lostAt.set(task, lostAt);
         return lostAt;
     }
--- a/src/process/leader/run-end-handler.ts
+++ b/src/process/leader/run-end-handler.ts
@@ -1,5 +1,6 @@
 /** Processes ends of runs: the consequences for the task, its gang, its job, and the worker that ran it. */
 import type { Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 import type { RunTimeModel } from "../dispatch/run-time-model.js";
 import { estimateObjectiveMs } from "../dispatch/urgency.js";
 import type { WorkerState } from "../dispatch/worker-state.js";
@@ -236,7 +237,7 @@
         const isGangAttemptPending = tasks.some(({ state, run }) =>
             state === TaskState.assigned && run > lastFailedRun
         );
-        const mostFailures = spec.isGang ? failures : Math.max(...idle.map(task => task.failures));
+        const mostFailures = spec.isGang ? failures : computeMax(idle.map(task => task.failures));
         return mostFailures >= maxAttempts && !spec.isLongRunning && !(spec.isGang && isGangAttemptPending);
     }
 
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -3,6 +3,7 @@
  * answer.
  */
 import type { Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 import type { StepPermits } from "../dispatch/permits.js";
 import type { PlannedStart } from "../dispatch/plan.js";
 import { buildRunRecord, RunPhase } from "../dispatch/worker-state.js";
@@ -217,5 +218,5 @@
 
 /** Returns the next run for a whole gang, and the current run for missing members that join the others. */
 function chooseGangRun(step: Step): number {
-    return step.repairRun ?? Math.max(...step.tasks.map(member => member.run)) + 1;
+    return step.repairRun ?? computeMax(step.tasks.map(member => member.run)) + 1;
 }
--- a/src/process/leader/waiting-report.ts
+++ b/src/process/leader/waiting-report.ts
@@ -1,5 +1,6 @@
 /** Logs each step that has been waiting for long, with the reason. */
 import type { Millis } from "../../common/clock.js";
+import { computeMax } from "../../common/lists.js";
 import { QuotaLedger } from "../accounts/quota-ledger.js";
 import { PoolView } from "../dispatch/pool-view.js";
 import { compareUrgency } from "../dispatch/urgency.js";
@@ -86,7 +87,7 @@
             waiting,
             assigned,
             done,
-            run: Math.max(...step.tasks.map(task => task.run)),
+            run: computeMax(step.tasks.map(task => task.run)),
             ...describeRank(step, view.ranked),
             ...fields,
         });
--- a/src/process/node/peer-registry.ts
+++ b/src/process/node/peer-registry.ts
@@ -1,6 +1,7 @@
 /** The nodes of the cluster, as last reported by the leader. */
 import { sleep } from "../../common/clock.js";
 import type { Clock, Millis } from "../../common/clock.js";
+import { appendAll } from "../../common/lists.js";
 import type { Random } from "../../common/random.js";
 import type { LinkNetwork } from "../../connection/link-network.js";
 import { connectToLeader } from "./leader-dialer.js";
@@ -94,7 +95,7 @@
     const remaining = [...elements];
     const picked: Element[] = [];
     while (picked.length < count && remaining.length > 0) {
-        picked.push(...remaining.splice(random.pickInt(remaining.length), 1));
+        appendAll(picked, remaining.splice(random.pickInt(remaining.length), 1));
     }
     return picked;
 }
--- a/src/process/placement/core.ts
+++ b/src/process/placement/core.ts
@@ -1,5 +1,6 @@
 /** The placement core: admits items, keeps the allocation ledger and runs the slot and task schedulers. */
 import type { Millis } from "../../common/clock.js";
+import { computeMin } from "../../common/lists.js";
 import { createRandom, type Random } from "../../common/random.js";
 import type { Resources } from "../../common/resources.js";
 import type { PlacerLoad } from "../../connection/messages.js";
@@ -207,7 +208,7 @@
             this.gangs.getNextExpiry(),
             this.preemption.getNextAt(),
         ].filter(instant => instant !== undefined);
-        return instants.length === 0 ? undefined : Math.max(now, Math.min(...instants));
+        return instants.length === 0 ? undefined : Math.max(now, computeMin(instants));
     }
 
     reserve(gangId: string, items: readonly WorkItem[], expiresAt: Millis, now: Millis): HoldResult {
--- a/src/process/placer/placer-role.ts
+++ b/src/process/placer/placer-role.ts
@@ -83,7 +83,7 @@
     constructor(private readonly context: RoleContext, private readonly options: PlacerOptions) {
         const { core } = options;
         const requestDecisions = (): void => this.scheduleDecisions(0);
-        const observeResult: Placer["observeResult"] = (...result) => this.observeResult(...result);
+        const observeResult: Placer["observeResult"] = this.observeResult.bind(this);
         const getCell = (): SettingsVersion["cell"] => context.settings.getCurrent()?.cell ?? DEFAULT_CELL;
         this.health = new WorkerHealth(context.clock, getCell);
         this.fleet = new WorkerFleet({
--- a/src/process/placer/worker-session.ts
+++ b/src/process/placer/worker-session.ts
@@ -1,5 +1,6 @@
 /** The session with one worker: attaching, lease renewals, orders, and detection of the worker's loss. */
 import { type Millis, sleep, type Timer } from "../../common/clock.js";
+import { appendAll } from "../../common/lists.js";
 import type { CellSettings } from "../../version/settings.js";
 import type { VmRecord } from "../ports/vm-list-port.js";
 import type {
@@ -250,7 +251,7 @@
             this.options.listener.handleReport(this, answer.value);
             return true;
         }
-        this.acknowledged.push(...acknowledged);
+        appendAll(this.acknowledged, acknowledged);
         if (answer.kind === "refused") {
             // The worker has restarted, or the fence expired on the way; the next attach gets its state and
             // clock.
--- a/src/process/sinks/text-metrics.ts
+++ b/src/process/sinks/text-metrics.ts
@@ -1,6 +1,7 @@
 /** Counters, gauges and latency histograms of one process, rendered as text on request. */
 import { build } from "hdr-histogram-js";
 import type { Histogram } from "hdr-histogram-js";
+import { appendAll } from "../../common/lists.js";
 import type { Metrics } from "../telemetry.js";
 
 /** Percentiles rendered for each histogram. */
@@ -66,7 +67,7 @@
 ): string {
     const lines = values.map(([key, value]) => `${key} ${value}`);
     for (const [key, histogram] of histograms) {
-        lines.push(...renderHistogram(key, histogram));
+        appendAll(lines, renderHistogram(key, histogram));
     }
     return `${lines.sort().join("\n")}\n`;
 }
--- a/src/version/apply-edit.ts
+++ b/src/version/apply-edit.ts
@@ -6,6 +6,7 @@
  * repeated edit that has left the history is never applied a second time.
  */
 import { isDeepStrictEqual } from "node:util";
+import { appendAll } from "../common/lists.js";
 import type {
     EditRecord,
     FieldChange,
@@ -148,8 +149,9 @@
             remedy: "name a field to change",
         });
     }
-    faults.push(
-        ...edit.changes.flatMap((change, index) => checkChange(document.root, edit.changes, change, index)),
+    appendAll(
+        faults,
+        edit.changes.flatMap((change, index) => checkChange(document.root, edit.changes, change, index)),
     );
     return faults;
 }
--- a/src/version/cross-field-rules.ts
+++ b/src/version/cross-field-rules.ts
@@ -1,4 +1,5 @@
 /** Rules across fields: values that are valid each by itself may still contradict one another. */
+import { appendAll, computeMax } from "../common/lists.js";
 import type { Resources } from "../common/resources.js";
 import type { SettingsFault } from "../process/operator-gateway.js";
 import { WorkKind } from "../request/work.js";
@@ -177,7 +178,7 @@
     const faults: SettingsFault[] = [];
     for (const { team, quota, tokenHashes } of teams.values()) {
         if (quota !== undefined) {
-            faults.push(...checkQuota(team, quota, branchesWithTasks));
+            appendAll(faults, checkQuota(team, quota, branchesWithTasks));
         }
         for (const hash of tokenHashes) {
             const otherTeam = teamByTokenHash.get(hash);
@@ -216,7 +217,7 @@
             })`,
             allowed: "0, or at least the largest default task",
             remedy: `raise the quota to ${
-                Math.max(...branches.map(candidate => candidate.defaultResources[name]))
+                computeMax(branches.map(candidate => candidate.defaultResources[name]))
             }, or lower defaultResources.${name} of the branch`,
         }];
     });
