Leases: an unreachable worker is released durably

Cause: a new leader waits, for a worker that it can't reach, for the longest time in which its predecessor might have extended leases: 8 s without the store and a lease, from the take-over. That the predecessor had lost the worker itself, and extended nothing, was not on record.

Change: a leader that can't reach a worker with runs extends no lease there any more, records this (workerReleased), and orders nothing there until the worker has reported and is adopted anew. It does so 0.3 s after it found the worker silent, and only once the store has answered a call sent since. A successor then waits for one lease.

Of the new tests of take-overs, the restart after one lease fails without the change; that no lease is extended on a released worker, that its runs are kept if it answers again, and that nobody is released while the store is away are counter-tests.

--- a/src/process/dispatch/worker-session.ts
+++ b/src/process/dispatch/worker-session.ts
@@ -20,6 +20,7 @@
 } from "../ports/task-worker-port.js";
 import type { Log, Metrics } from "../telemetry.js";
 import { callHedged } from "./hedged-call.js";
+import { computeLeaseBound } from "./lease-bound.js";
 
 /** Receives a session's events and supplies its parameters. */
 export interface SessionListener {
@@ -94,18 +95,6 @@
 const ORDER_TIMEOUT_MS: Millis = 600;
 /** If a worker's clock gains more than this between two reports, this process was suspended. */
 const SUSPENSION_MS: Millis = 1_000;
-/**
- * A worker's clock may be slower than the leader's by 2%; another 1% and the margin cover the estimate of its
- * time.
- */
-const CLOCK_FACTOR = 1.03;
-const CLOCK_MARGIN_MS: Millis = 300;
-
-/** Returns the time on the leader's clock after which a lease granted now has certainly expired. */
-export function computeLeaseBound(leaseMs: Millis): Millis {
-    return leaseMs * CLOCK_FACTOR + CLOCK_MARGIN_MS;
-}
-
 /** The leader's session with one incarnation of a worker. */
 export class WorkerSession {
     /** Number up to which ended runs are durable. */
@@ -124,7 +113,7 @@
     /** Whether a report has shown that the addressed incarnation is the one that answers. */
     private isConfirmed: boolean;
     private areLeasesAllowed = false;
-    private readonly leasesAllowed = new Signal();
+    private leasesAllowed = new Signal();
     /** Whether the last request extended the lease. */
     private didRequestLease = false;
     private isReachable = false;
@@ -175,6 +164,12 @@
         this.leasesAllowed.notify();
     }
 
+    /** Stops extending leases until they are granted again. */
+    revokeLeases(): void {
+        this.areLeasesAllowed = false;
+        this.leasesAllowed = new Signal();
+    }
+
     /** Records that ended runs up to a number are durable, so that the worker may forget them. */
     acknowledgeEnds(number: number): void {
         this.durableEnd = Math.max(this.durableEnd, number);
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -121,6 +121,8 @@
     isReachable = false;
     /** Whether the record that this leader extends leases on it is durable. */
     isAdopted = false;
+    /** Whether leases on it are not extended any more, as it did not answer; see {@link WorkerLeases}. */
+    isReleased = false;
     /** Whether it is in the worker list. */
     isListed = true;
     /** The run beside which nothing may start, if any. */
@@ -159,7 +161,8 @@
 
     /** Tells whether it may be given new work. */
     isUsable(now: Millis): boolean {
-        return this.isReachable && this.isAdopted && this.isListed && !this.isStalled(now) &&
+        return this.isReachable && this.isAdopted && !this.isReleased && this.isListed &&
+            !this.isStalled(now) &&
             !this.record.isDraining &&
             now >= this.avoidedUntil;
     }
--- a/src/process/jobs/adoptions.ts
+++ b/src/process/jobs/adoptions.ts
@@ -6,6 +6,8 @@
     readonly epoch: number;
     /** Address of the worker; undefined if only events of earlier versions mention the worker. */
     readonly address: string | undefined;
+    /** Whether that leader had stopped extending leases on it before it lost its leadership. */
+    readonly isReleased: boolean;
 }
 
 /** The last adoption of each worker. */
@@ -24,7 +26,16 @@
 
     /** Records an adoption; without an address, the one known before is kept. */
     record(workerId: string, epoch: number, address: string | undefined): void {
-        this.adoptions.set(workerId, { epoch, address: address ?? this.adoptions.get(workerId)?.address });
+        const known = this.adoptions.get(workerId)?.address;
+        this.adoptions.set(workerId, { epoch, address: address ?? known, isReleased: false });
+    }
+
+    /** Records that the leader that adopted a worker extends no leases there any more. */
+    release(workerId: string): void {
+        const adoption = this.adoptions.get(workerId);
+        if (adoption !== undefined) {
+            this.adoptions.set(workerId, { ...adoption, isReleased: true });
+        }
     }
 
     /** Drops the adoptions of all workers except the given ones. */
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -153,6 +153,15 @@
     readonly address?: string;
 }
 
+/**
+ * A leader cannot reach a worker that it has adopted: from before this event on it extends no leases there, until it
+ * adopts the worker again. Unknown to earlier versions, which wait longer for the leases to expire.
+ */
+export interface WorkerReleased {
+    readonly type: "workerReleased";
+    readonly workerId: string;
+}
+
 /** A worker that was lost with runs certainly crashed: another incarnation answers at its address. */
 export interface WorkerCrashed {
     readonly type: "workerCrashed";
@@ -197,6 +206,7 @@
     | JobClosed
     | JobForgotten
     | WorkerAdopted
+    | WorkerReleased
     | WorkerCrashed
     | WorkerSurvived
     | TaskCleared
--- a/src/process/jobs/job-registry.ts
+++ b/src/process/jobs/job-registry.ts
@@ -170,6 +170,9 @@
             case "adopted":
                 this.adoptions.record(event.workerId, event.epoch, event.address);
                 return;
+            case "workerReleased":
+                this.adoptions.release(event.workerId);
+                return;
             case "workerCrashed":
                 this.losses.confirm(event.workerId);
                 return;
--- a/src/process/jobs/snapshot.ts
+++ b/src/process/jobs/snapshot.ts
@@ -59,8 +59,11 @@
     readonly leftRuns?: readonly LeftRun[];
 }
 
-/** Worker, epoch of the leader that adopted it, and the worker's address if known. */
-type StoredAdoption = readonly [string, number, string?];
+/**
+ * Worker, epoch of the leader that adopted it, the worker's address if known, and whether that leader released it. The
+ * last is unknown to earlier versions.
+ */
+type StoredAdoption = readonly [string, number, string?, true?];
 
 interface StoredJobs {
     readonly open: readonly StoredOpenJob[];
@@ -104,8 +107,12 @@
         const job = buildJob({ type: "accepted", jobId: id, queue, account, spec, at });
         jobs.restore({ ...job, spec: undefined, phase, endedAt, leftRuns });
     }
-    for (const [workerId, epoch, address] of stored.adoptions ?? []) {
-        jobs.apply({ type: "adopted", workerId, epoch, address });
+    for (const [workerId, epoch, address, isReleased] of stored.adoptions ?? []) {
+        // An unknown address before another field is stored as null.
+        jobs.apply({ type: "adopted", workerId, epoch, address: address ?? undefined });
+        if (isReleased === true) {
+            jobs.apply({ type: "workerReleased", workerId });
+        }
     }
     stored.queues?.forEach(queue => jobs.apply(queue));
     for (const entry of stored.open) {
@@ -114,7 +121,12 @@
     return jobs;
 }
 
-function convertAdoption([workerId, { epoch, address }]: readonly [string, Adoption]): StoredAdoption {
+function convertAdoption(
+    [workerId, { epoch, address, isReleased }]: readonly [string, Adoption],
+): StoredAdoption {
+    if (isReleased) {
+        return [workerId, epoch, address, true];
+    }
     return address === undefined ? [workerId, epoch] : [workerId, epoch, address];
 }
 
--- a/src/process/leader/authority.ts
+++ b/src/process/leader/authority.ts
@@ -28,6 +28,11 @@
         return contact >= this.earliestContact && this.clock.now() - contact < MAX_UNCONFIRMED_MS;
     }
 
+    /** Whether the store has answered a request that was sent after a time. */
+    hasContactSince(time: Millis): boolean {
+        return this.store.getLastContact() > Math.max(time, this.earliestContact);
+    }
+
     /** Records that this process was suspended: earlier contact with the store does not count any more. */
     observeSuspension(): void {
         this.earliestContact = this.clock.now();
--- a/src/process/leader/fleet.ts
+++ b/src/process/leader/fleet.ts
@@ -14,6 +14,7 @@
 import { RunFinder } from "./run-finder.js";
 import { RunLoss } from "./run-loss.js";
 import { sendStops } from "./stop-orders.js";
+import { WorkerLeases } from "./worker-leases.js";
 import { WorkerReports } from "./worker-reports.js";
 import { WorkerSuccessions } from "./worker-successions.js";
 import { collectByPool } from "./workers-by-pool.js";
@@ -51,6 +52,7 @@
     readonly runs: RunFinder;
     private readonly members = new Map<string, FleetMember>();
     private readonly inherited: InheritedRuns;
+    private readonly leases: WorkerLeases;
     private readonly losses: LostRuns;
     private readonly reports: WorkerReports;
     private readonly repeats: CallRepeats;
@@ -63,6 +65,7 @@
     constructor(private readonly context: LeaderContext, private readonly ends: RunEndHandler) {
         this.repeats = new CallRepeats(context, () => this.members.size);
         this.inherited = new InheritedRuns(context, ends);
+        this.leases = new WorkerLeases(context);
         this.losses = new LostRuns(context, ends);
         this.reports = new WorkerReports(
             context,
@@ -254,6 +257,7 @@
 
     private handleReachable({ state, session }: FleetMember, isReachable: boolean): void {
         state.isReachable = isReachable;
+        this.leases.observeReachability(state, isReachable);
         if (!isReachable) {
             this.ends.crashes.observeSilence(state, session.getLastContactAt());
             return;
@@ -325,27 +329,17 @@
         if (isFirst) {
             this.inherited.observeReport(member.state.id);
             this.expirePredecessors(member);
-            this.adopt(member);
         }
+        this.leases.adopt(member);
         if (ended.length > 0) {
             this.context.requestPass();
         }
     }
 
-    /** Once the adoption is durable, this leader may extend leases on the worker and give it work. */
-    private adopt({ state, session }: FleetMember): void {
-        const { context } = this;
-        const { workerId, address } = state.record;
-        context.record({ type: "adopted", workerId, epoch: context.epoch, address }, () => {
-            session.grantLeases();
-            state.isAdopted = true;
-            context.requestPass();
-        });
-    }
-
     private sweepMember(member: FleetMember, now: Millis): void {
         const { state, session } = member;
         this.losses.endExclusiveness(member);
+        this.leases.releaseIfSilent(member, now);
         const lossAt = session.getLeaseEnd() + computeLossGrace(this.context.lateness);
         if (!state.isReachable && now > lossAt && state.runs.size > 0) {
             this.losses.expireAll(member, RunLoss.leaseOver);
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -148,7 +148,7 @@
 
     private computeEnd(workerId: string): Millis {
         const { jobs, inheritedLeases } = this.context;
-        return inheritedLeases.computeEnd(jobs.adoptions.get(workerId)?.epoch);
+        return inheritedLeases.computeEnd(jobs.adoptions.get(workerId));
     }
 
     private buildRun({ step, task }: FoundTask): RunRecord {
--- a/src/process/leader/left-runs.ts
+++ b/src/process/leader/left-runs.ts
@@ -26,7 +26,7 @@
         const oldest = clock.wallNow() - MAX_AGE_MS;
         for (const { endedAt, leftRuns, account } of jobs.listAll()) {
             for (const { workerId, demand } of endedAt > oldest ? leftRuns : []) {
-                const expiresAt = inheritedLeases.computeEnd(jobs.adoptions.get(workerId)?.epoch);
+                const expiresAt = inheritedLeases.computeEnd(jobs.adoptions.get(workerId));
                 const left = this.workers.get(workerId) ?? { runs: [], expiresAt };
                 left.runs.push({ account, demand });
                 this.workers.set(workerId, left);
--- a/src/process/leader/starter.ts
+++ b/src/process/leader/starter.ts
@@ -107,7 +107,9 @@
         const payload = step.job.spec?.payload;
         const isWanted = record.phase === RunPhase.reserved && payload !== undefined &&
             context.authority.mayOrder();
-        if (session === undefined || session.isClosed() || workerNow === undefined || !isWanted) {
+        // The order would extend the lease of a worker that was released in the meantime.
+        const isReachable = session?.isClosed() === false && workerNow !== undefined && !worker.isReleased;
+        if (!isReachable || !isWanted) {
             this.settleNotRun(start, record, "no longer wanted");
             return;
         }
--- a/src/process/leadership/inherited-leases.ts
+++ b/src/process/leadership/inherited-leases.ts
@@ -1,6 +1,7 @@
 /** Bounds the time until which leases that earlier leaders granted to workers may be valid. */
 import type { Millis } from "../../common/clock.js";
-import { computeLeaseBound } from "../dispatch/worker-session.js";
+import { computeLeaseBound } from "../dispatch/lease-bound.js";
+import type { Adoption } from "../jobs/adoptions.js";
 import type { EpochHistory } from "./epoch-history.js";
 
 /** What a leader knows about the leaderships before its own. */
@@ -33,14 +34,15 @@
     /**
      * Returns the time, on this process's monotonic clock, by which all leases on a worker have certainly
      * expired.
-     * @param adoptedBy - Epoch of the last leader that adopted the worker; undefined if unknown.
+     * @param adoption - The last adoption of the worker; undefined if unknown.
      */
-    computeEnd(adoptedBy: number | undefined): Millis {
+    computeEnd(adoption: Pick<Adoption, "epoch" | "isReleased"> | undefined): Millis {
         const { previousEpoch, wasHandedOver, begin, history, leaseMs, unconfirmedMs } = this.options;
-        const lastHolder = adoptedBy ?? previousEpoch;
+        const lastHolder = adoption?.epoch ?? previousEpoch;
         // Snapshots leave out adoptions of idle workers, so a worker without a known adoption may have been
         // adopted by any earlier leader.
-        const wasGivenUp = wasHandedOver && adoptedBy === previousEpoch;
+        const wasGivenUp = adoption?.isReleased === true ||
+            wasHandedOver && adoption?.epoch === previousEpoch;
         const lostAt = history.findLossTime(lastHolder, begin);
         return lostAt + (wasGivenUp ? 0 : unconfirmedMs) + computeLeaseBound(leaseMs);
     }
--- a/src/test/leader/inherited-leases_test.ts
+++ b/src/test/leader/inherited-leases_test.ts
@@ -1,7 +1,7 @@
 /** Until when a new leader must assume that leases granted by earlier leaders are in force. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { computeLeaseBound } from "../../process/dispatch/worker-session.js";
+import { computeLeaseBound } from "../../process/dispatch/lease-bound.js";
 import { EpochHistory } from "../../process/leadership/epoch-history.js";
 import { InheritedLeases } from "../../process/leadership/inherited-leases.js";
 
@@ -16,6 +16,7 @@
         /** Epochs and the times at which this process learned of them. */
         seen: readonly (readonly [number, number])[];
         adoptedBy: number | undefined;
+        isReleased?: boolean;
         wasHandedOver?: boolean;
         end: number;
     }[] = [
@@ -63,6 +64,21 @@
             wasHandedOver: true,
             end: BEGIN + UNCONFIRMED_MS + LEASE_BOUND,
         },
+        {
+            name: "counts only the lease for a worker that the previous leader released",
+            seen: [[4, 10_000], [5, BEGIN]],
+            adoptedBy: 4,
+            isReleased: true,
+            end: BEGIN + LEASE_BOUND,
+        },
+        {
+            name:
+                "counts only the lease, from when it was replaced, for a worker that an earlier leader released",
+            seen: [[4, 55_000], [5, BEGIN]],
+            adoptedBy: 3,
+            isReleased: true,
+            end: 55_000 + LEASE_BOUND,
+        },
         {
             name: "counts the full time for an earlier leader that did not step down",
             seen: [[4, 55_000], [5, BEGIN]],
@@ -71,7 +87,7 @@
             end: 55_000 + UNCONFIRMED_MS + LEASE_BOUND,
         },
     ];
-    for (const { name, seen, adoptedBy, wasHandedOver = false, end } of cases) {
+    for (const { name, seen, adoptedBy, isReleased = false, wasHandedOver = false, end } of cases) {
         it(name, () => {
             const history = new EpochHistory();
             seen.forEach(([epoch, at]) => history.observe(epoch, at));
@@ -83,7 +99,8 @@
                 leaseMs: LEASE_MS,
                 unconfirmedMs: UNCONFIRMED_MS,
             });
-            assert.equal(leases.computeEnd(adoptedBy), end);
+            const adoption = adoptedBy === undefined ? undefined : { epoch: adoptedBy, isReleased };
+            assert.equal(leases.computeEnd(adoption), end);
         });
     }
 });
--- a/src/test/leader/takeovers_test.ts
+++ b/src/test/leader/takeovers_test.ts
@@ -1,10 +1,13 @@
 /** Leaders that are killed, suspended or cut off from the store, and their successors. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { computeLeaseBound } from "../../process/dispatch/lease-bound.js";
 import { EpochHistory } from "../../process/leadership/epoch-history.js";
-import { CORE, LeaderCell, makeSpec } from "./leader-cell.js";
+import { CORE, LeaderCell, LEASE_MS, makeSpec } from "./leader-cell.js";
 
 const FIRST_ADDRESS = "10.0.0.1:80";
+/** Time in which a leader notices an expired lease and starts the task elsewhere. */
+const SWEEP_SLACK_MS = 500;
 
 describe("a takeover", () => {
     it("keeps running tasks and completes the job", async () => {
@@ -86,6 +89,86 @@
         assert.deepEqual(cell.faults, []);
     });
 
+    it("restarts the tasks of a worker that the earlier leader released after one lease", async () => {
+        // Guards against tasks that stood still for as long as the earlier leader might have extended leases without
+        // the store, although their worker had been gone for seconds when it was lost itself.
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
+        const first = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(first, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
+        await cell.clock.step(1_000);
+        cell.killWorker(FIRST_ADDRESS);
+        await cell.clock.step(3_000);
+        first.clock.kill();
+        const second = await cell.startLeader();
+        cell.addWorker("w3", "10.0.0.3:80");
+        cell.refreshWorkers(second);
+        await cell.clock.step(computeLeaseBound(LEASE_MS) + SWEEP_SLACK_MS);
+        assert.equal(cell.starts.length, 3);
+        assert.equal(cell.starts[2]?.run, 2);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("extends no lease on a worker that was released until it is adopted again", async () => {
+        // Guards against a released worker that the earlier leader reaches again after it has lost the store.
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
+        const first = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(first, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
+        await cell.clock.step(1_000);
+        const { faults } = first.workers.getPath(FIRST_ADDRESS);
+        faults.unreachable = true;
+        await cell.clock.step(2_500);
+        assert.equal(first.jobs.adoptions.get("w1")?.isReleased, true);
+        first.storePath.faults.unreachable = true;
+        faults.unreachable = false;
+        const second = await cell.startLeader();
+        second.workers.getPath(FIRST_ADDRESS).faults.unreachable = true;
+        cell.addWorker("w3", "10.0.0.3:80");
+        cell.refreshWorkers(second);
+        await cell.clock.step(15_000);
+        assert.equal(cell.starts.length, 3);
+        assert.deepEqual(cell.faults, []);
+    });
+
+    it("keeps the runs of a worker that answers again after it was released", async () => {
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 30_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
+        await cell.clock.step(1_000);
+        const { faults } = leader.workers.getPath(FIRST_ADDRESS);
+        faults.unreachable = true;
+        await cell.clock.step(2_500);
+        assert.equal(leader.jobs.adoptions.get("w1")?.isReleased, true);
+        faults.unreachable = false;
+        await cell.clock.step(30_000);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        assert.equal(cell.starts.length, 2);
+    });
+
+    it("releases no worker while the store is away", async () => {
+        const cell = new LeaderCell(2);
+        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
+        const leader = await cell.startLeader();
+        await cell.clock.step(100);
+        await cell.submit(leader, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
+        await cell.clock.step(1_000);
+        const { faults } = leader.workers.getPath(FIRST_ADDRESS);
+        leader.storePath.faults.unreachable = true;
+        faults.unreachable = true;
+        await cell.clock.step(2_000);
+        faults.unreachable = false;
+        await cell.clock.step(3_000);
+        leader.storePath.faults.unreachable = false;
+        await cell.clock.step(20_000);
+        assert.deepEqual(await cell.show(leader, 1), { kind: "state", phase: "completed" });
+        assert.equal(cell.starts.length, 2);
+    });
+
     it("does not report a job as unknown that was accepted during a suspension", async () => {
         // A caller submits a job and is then told that it does not exist: the node that answered had led, was
         // suspended while another took over and accepted the job, and answered before it learned of that.
