Worker lists: odd entries neither end a process nor hide the others

What operators of other systems saw: one odd entry among those of the workers, left by another writer, ended the processes that read the list, again and again, or they stopped following it.

Cause, here: (1) a list field whose elements are all of a wrong type made zod collect a fault for each: half a million of them in an entry of 1 MB overflow the heap of 200 MB. (2) In the other program one unreadable VM made the whole list unreadable, and a URL with a port out of range made the order to its worker throw, which ends the process.

Change: listOf checks a list up to its first fault, for everything that the platform, workers and callers send; VMs are decoded one by one, and an unreadable one is logged (CR1642); a pool for a malformed URL is not created, and the order ends as not sent.

--- a/bench/front/entry-process.ts
+++ b/bench/front/entry-process.ts
@@ -61,7 +61,7 @@
     store: new HttpStorePort({ url: settings.storeUrl, clock }),
     peers,
     workers: new HttpWorkerPort({ clock }),
-    vmList: new HttpVmListPort(settings.vmListUrl, clock),
+    vmList: new HttpVmListPort(settings.vmListUrl, clock, log),
     shutdownMs: 1_000,
 });
 const server = new HttpServer({
--- a/src/process/node/remote-advice.ts
+++ b/src/process/node/remote-advice.ts
@@ -1,5 +1,6 @@
 /** Calls the advice service through followers, as it serves only one call at a time for each calling VM. */
 import { z } from "zod";
+import { listOf } from "../../common/list-schema.js";
 import type { AdviceAnswer } from "../ports/task-worker-port.js";
 import type { LeadershipTerm } from "./leadership-term.js";
 import type { InboundLink } from "./link-server.js";
@@ -10,7 +11,7 @@
     answer: z.discriminatedUnion("kind", [
         z.object({
             kind: z.literal("done"),
-            permits: z.array(z.object({ workerId: z.string(), token: z.string() })),
+            permits: listOf(z.object({ workerId: z.string(), token: z.string() })),
         }),
         z.object({ kind: z.literal("busy") }),
         z.object({ kind: z.literal("failed"), message: z.string() }),
--- a/src/process/platform/http-vm-list-port.ts
+++ b/src/process/platform/http-vm-list-port.ts
@@ -1,23 +1,30 @@
 /** Implementation of {@link VmListPort} over HTTP. */
 import { Pool } from "undici";
+import { z } from "zod";
 import type { Clock, Millis } from "../../common/clock.js";
 import type { VmListPort, VmRecord } from "../ports/index.js";
+import type { Log } from "../telemetry.js";
 import { sendHttpRequest } from "./http-request.js";
 import { parseJsonAnswer } from "./json-answer.js";
-import { undefinedSchema, vmListSchema } from "./schemas.js";
+import { undefinedSchema, vmListSchema, vmSchema } from "./schemas.js";
 
 /** Largest list in bytes: enough for the largest planned cluster, and for growth beyond it. */
 const MAX_LIST_BYTES = 16_777_216;
 
+/** Elements that are logged as unreadable at most; the list is read again and again. */
+const MAX_UNREADABLE = 1_000;
+
 /** Reads the platform's list of VMs. */
 export class HttpVmListPort implements VmListPort {
     private readonly pool: Pool;
+    /** Elements that were logged as unreadable, by their names. */
+    private readonly unreadable = new Set<string>();
 
     /**
      * @param url - `http://host:port` of the platform's list service.
      * @param clock - Measures the timeouts.
      */
-    constructor(url: string, private readonly clock: Clock) {
+    constructor(url: string, private readonly clock: Clock, private readonly log: Log) {
         this.pool = new Pool(url, { connections: 1 });
     }
 
@@ -29,11 +36,32 @@
             maxBytes: MAX_LIST_BYTES,
         });
         const answer = parseJsonAnswer(end, vmListSchema, undefinedSchema);
-        return answer.kind === "done" ? answer.value : undefined;
+        return answer.kind === "done" ? answer.value.flatMap(item => this.decodeVm(item)) : undefined;
     }
 
     /** Closes the connection. */
     async close(): Promise<void> {
         await this.pool.destroy();
     }
+
+    /** Returns nothing for an element that describes no usable VM; it may come from another writer. */
+    private decodeVm(item: unknown): readonly VmRecord[] {
+        const parsed = vmSchema.safeParse(item);
+        if (parsed.success) {
+            return [parsed.data];
+        }
+        const key = readName(item);
+        if (!this.unreadable.has(key) && this.unreadable.size < MAX_UNREADABLE) {
+            this.unreadable.add(key);
+            this.log.warn("CR1642", "workerEntryUnreadable", { key });
+        }
+        return [];
+    }
+}
+
+const namedSchema = z.object({ workerId: z.string().max(100) });
+
+function readName(item: unknown): string {
+    const parsed = namedSchema.safeParse(item);
+    return parsed.success ? parsed.data.workerId : "";
 }
--- a/src/process/platform/http-worker-port.ts
+++ b/src/process/platform/http-worker-port.ts
@@ -66,7 +66,11 @@
     }
 
     async serve(worker: WorkerAddress, order: ServeOrder): Promise<WorkerAnswer<ServeReply>> {
-        const end = await sendHttpRequest(this.pools.get(worker.url, "serve"), this.options.clock, {
+        const pool = this.pools.get(worker.url, "serve");
+        if (pool === undefined) {
+            return MALFORMED_URL;
+        }
+        const end = await sendHttpRequest(pool, this.options.clock, {
             method: "POST",
             path: "/v1/serve",
             headers: buildServeHeaders(order),
@@ -89,7 +93,11 @@
         valueSchema: z.ZodType<Value>,
         timeout: Millis,
     ): Promise<WorkerAnswer<Value>> {
-        const end = await sendHttpRequest(this.pools.get(worker.url, "control"), this.options.clock, {
+        const pool = this.pools.get(worker.url, "control");
+        if (pool === undefined) {
+            return MALFORMED_URL;
+        }
+        const end = await sendHttpRequest(pool, this.options.clock, {
             method: "POST",
             path: `/v1/${name}`,
             headers: { "content-type": "application/json" },
@@ -102,6 +110,8 @@
     }
 }
 
+const MALFORMED_URL = { kind: "unavailable", message: "the worker's URL is malformed" } as const;
+
 function parseServeReply(end: HttpResult): WorkerAnswer<ServeReply> {
     if (end.kind !== "response") {
         return convertFailure(end);
--- a/src/process/platform/schemas.ts
+++ b/src/process/platform/schemas.ts
@@ -1,5 +1,6 @@
 /** Schemas of message bodies between this system, the platform and workers; see docs/PLATFORM-PROTOCOL.md. */
 import { z } from "zod";
+import { listOf } from "../../common/list-schema.js";
 import type {
     StoreChanges,
     StoreListing,
@@ -11,6 +12,11 @@
 } from "../ports/index.js";
 import { StoreRefusal, VmState, WorkerRefusal, WorkerTaskState } from "../ports/index.js";
 
+/** Returns whether a text can be the URL of a connection pool. */
+export function isHttpUrl(text: string): boolean {
+    return URL.canParse(text) && new URL(text).protocol === "http:";
+}
+
 const revision = z.number().int().nonnegative();
 
 export const recordSchema: z.ZodType<StoreRecord> = z.object({
@@ -19,10 +25,10 @@
     revision,
 });
 
-export const listingSchema: z.ZodType<StoreListing> = z.object({ records: z.array(recordSchema), revision });
+export const listingSchema: z.ZodType<StoreListing> = z.object({ records: listOf(recordSchema), revision });
 
 export const changesSchema: z.ZodType<StoreChanges> = z.object({
-    events: z.array(
+    events: listOf(
         z.object({ key: z.string(), value: z.string().optional(), revision })
             .transform(event => ({ ...event, value: event.value })),
     ),
@@ -32,7 +38,7 @@
 export const storeRefusalSchema = z.object({
     reason: z.enum(Object.values(StoreRefusal)),
     current: recordSchema.optional(),
-    standing: z.array(recordSchema).optional(),
+    standing: listOf(recordSchema).optional(),
 });
 
 export const transactionSchema: z.ZodType<StoreTransaction> = z.object({
@@ -50,13 +56,16 @@
 
 export const grantSchema = z.object({ ttlMs: z.number().positive() });
 
-export const vmListSchema: z.ZodType<readonly VmRecord[]> = z.array(z.object({
+export const vmSchema: z.ZodType<VmRecord> = z.object({
     workerId: z.string().min(1),
-    url: z.string().min(1),
+    url: z.string().refine(isHttpUrl),
     rack: z.string(),
     failureDomain: z.string(),
     state: z.enum(Object.values(VmState)),
-}));
+});
+
+/** The elements are decoded one by one, so that an odd one does not hide the others. */
+export const vmListSchema = z.array(z.unknown());
 
 const resourcesSchema = z.object({
     cpuMillis: z.number().int(),
@@ -85,7 +94,7 @@
     comparesEpochs: z.boolean(),
     leaving: z.boolean(),
     foreignUse: resourcesSchema,
-    tasks: z.array(taskSchema),
+    tasks: listOf(taskSchema),
     sequence: z.number().int(),
 });
 
--- a/src/process/platform/worker-pools.ts
+++ b/src/process/platform/worker-pools.ts
@@ -3,6 +3,7 @@
  * requests.
  */
 import { Pool } from "undici";
+import { isHttpUrl } from "./schemas.js";
 
 /** Limits of the connection pools. */
 export interface WorkerPoolOptions {
@@ -38,8 +39,14 @@
         this.maxWorkers = options.maxWorkers ?? DEFAULT_MAX_WORKERS;
     }
 
-    /** Returns the pool to a worker for one purpose, and marks that worker as the most recently used. */
-    get(url: string, use: PoolUse): Pool {
+    /**
+     * Returns the pool to a worker for one purpose, and marks that worker as the most recently used.
+     * @returns Undefined if the URL is malformed.
+     */
+    get(url: string, use: PoolUse): Pool | undefined {
+        if (!isHttpUrl(url)) {
+            return undefined;
+        }
         const pools = this.pools.get(url) ?? this.createPools(url);
         this.pools.delete(url);
         this.pools.set(url, pools);
--- a/src/process/start-entry.ts
+++ b/src/process/start-entry.ts
@@ -68,7 +68,7 @@
         httpUrl: "",
         failureDomain: settings.failureDomain,
     };
-    const ports = buildPlatformPorts(settings, clock);
+    const ports = buildPlatformPorts(settings, clock, log);
     const entry = createEntry({
         ...runtime,
         ...ports,
@@ -83,10 +83,10 @@
     return { entry, self, leave: () => leave(options, entry, http, ports) };
 }
 
-function buildPlatformPorts(settings: EntrySettings, clock: Clock) {
+function buildPlatformPorts(settings: EntrySettings, clock: Clock, log: Log) {
     return {
         store: new HttpStorePort({ url: settings.platform.store, clock }),
-        vmList: new HttpVmListPort(settings.platform.vmList, clock),
+        vmList: new HttpVmListPort(settings.platform.vmList, clock, log),
         workers: new HttpWorkerPort({ clock }),
     };
 }
--- a/src/test/process/platform/http-adapters_test.ts
+++ b/src/test/process/platform/http-adapters_test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from "../../../common/clock.js";
 import type { Clock } from "../../../common/clock.js";
 import { HttpStorePort, HttpVmListPort, HttpWorkerPort } from "../../../process/platform/index.js";
+import { createSilentLog } from "../../../process/sinks/silent.js";
 import { startVmListStandIn } from "../../../stand-ins/index.js";
 import { FakeClock } from "../../fakes/fake-clock.js";
 import { waitUntil } from "../../fakes/wait-until.js";
@@ -140,10 +141,48 @@
             state: "live",
         } as const;
         standIn.model.put(vm);
-        const port = new HttpVmListPort(standIn.url, systemClock);
+        const port = new HttpVmListPort(standIn.url, systemClock, createSilentLog());
         closers.push(() => port.close());
         assert.deepEqual(await port.list(1_000), [vm]);
         await standIn.close();
         assert.equal(await port.list(200), undefined);
     });
+
+    const oddVms = [
+        { name: "a port out of range", change: { url: "http://127.0.0.1:70000" } },
+        { name: "a URL that is none", change: { url: "127.0.0.1" } },
+        { name: "an unknown state", change: { state: "warming" } },
+        { name: "an id of another type", change: { workerId: 1 } },
+    ];
+    for (const { name, change } of oddVms) {
+        it(`reads the other VMs beside one with ${name}`, async () => {
+            // Guards against a list that is not followed any more for one entry of another writer.
+            const vm = {
+                workerId: "w",
+                url: "http://127.0.0.1:1",
+                rack: "r",
+                failureDomain: "d",
+                state: "live",
+            };
+            const body = JSON.stringify({ value: [{ ...vm, ...change }, vm] });
+            const { url } = await startServer(socket =>
+                socket.on(
+                    "data",
+                    () => socket.end(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`),
+                )
+            );
+            const port = new HttpVmListPort(url, systemClock, createSilentLog());
+            closers.push(() => port.close());
+            assert.deepEqual(await port.list(1_000), [vm]);
+        });
+    }
+
+    it("a worker whose URL is malformed: unavailable", async () => {
+        // Guards against an order that throws, which ends the process.
+        const workers = new HttpWorkerPort({ clock: new FakeClock() });
+        closers.push(() => workers.close());
+        const worker = { workerId: "w", url: "http://127.0.0.1:70000" };
+        const order = { epoch: 1, notAfter: 1, attempt: "a" };
+        assert.equal((await workers.stop(worker, order, 1_000)).kind, "unavailable");
+    });
 });
