Leases: runs of queues on probation wait as before after a take-over

What callers saw: none; found by a test.

Cause: a worker that a task has just crashed is released like any other, so the next leader restarted the suspects after one lease, within the recovery time, and they crashed further workers.

Change: where a run on the worker is of a queue on probation, the wait is that of a worker that was not released.

--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -204,6 +204,11 @@
         return this.backlogs.get(queue);
     }
 
+    /** Whether the tasks of a queue have been crashing workers. */
+    isOnProbation(queue: string): boolean {
+        return this.backlogs.has(queue);
+    }
+
     /** Returns the queues whose tasks crash workers, and logs each queue that goes on or off probation. */
     getProbation(): ProbationInput {
         const now = this.context.clock.now();
--- a/src/process/leader/inherited-runs.ts
+++ b/src/process/leader/inherited-runs.ts
@@ -146,9 +146,18 @@
         }
     }
 
+    /**
+     * Runs of a queue on probation, and those beside them, wait as if the worker was not released: one of them may have
+     * crashed it, and would crash others while the cluster recovers.
+     */
     private computeEnd(workerId: string): Millis {
         const { jobs, inheritedLeases } = this.context;
-        return inheritedLeases.computeEnd(jobs.adoptions.get(workerId));
+        const adoption = jobs.adoptions.get(workerId);
+        const tasks = this.tasks.get(workerId) ?? [];
+        const isRisky = tasks.some(({ step }) => this.ends.crashes.isOnProbation(step.job.queue));
+        return inheritedLeases.computeEnd(
+            isRisky && adoption ? { ...adoption, isReleased: false } : adoption,
+        );
     }
 
     private buildRun({ step, task }: FoundTask): RunRecord {
