--- a/src/process/dispatch/planner.ts
+++ b/src/process/dispatch/planner.ts
@@ -183,7 +183,7 @@
         if (isAllOrNothing(step)) {
             this.poolsWithGangs.add(queue.pool);
         }
-        if (![...step.tasks.listTouched()].some(isSuspect) || this.probation.isRisky(queue.name)) {
+        if (!step.tasks.hasTouched(isSuspect) || this.probation.isRisky(queue.name)) {
             return;
         }
         if (this.input.quotas.countPlaces(step.job.account, step.spec.demand) < countNeeded(step)) {
--- a/src/process/dispatch/probation.ts
+++ b/src/process/dispatch/probation.ts
@@ -385,7 +385,7 @@
 }
 
 function hasEarlyLoss({ tasks }: Step): boolean {
-    return [...tasks.listTouched()].some(({ losses }) => losses.some(({ isEarly }) => isEarly));
+    return tasks.hasTouched(({ losses }) => losses.some(({ isEarly }) => isEarly));
 }
 
 function hasFreeCapacity({ free, capacity }: Slot): boolean {
--- a/src/process/dispatch/worker-state.ts
+++ b/src/process/dispatch/worker-state.ts
@@ -121,7 +121,7 @@
     isReachable = false;
     /** Whether the record that this leader extends leases on it is durable. */
     isAdopted = false;
-    /** Whether leases on it are not extended any more, as it did not answer; see {@link WorkerLeases}. */
+    /** Whether leases on it are no longer extended, as it did not answer; see {@link WorkerLeases}. */
     isReleased = false;
     /** Whether it is in the worker list. */
     isListed = true;
--- a/src/process/jobs/adoptions.ts
+++ b/src/process/jobs/adoptions.ts
@@ -30,7 +30,7 @@
         this.adoptions.set(workerId, { epoch, address: address ?? known, isReleased: false });
     }
 
-    /** Records that the leader that adopted a worker extends no leases there any more. */
+    /** Records that the leader that adopted a worker has stopped extending leases there. */
     release(workerId: string): void {
         const adoption = this.adoptions.get(workerId);
         if (adoption !== undefined) {
--- a/src/process/jobs/job-events.ts
+++ b/src/process/jobs/job-events.ts
@@ -154,7 +154,7 @@
 }
 
 /**
- * A leader cannot reach a worker that it has adopted: from before this event on it extends no leases there, until it
+ * A leader cannot reach a worker that it has adopted: it extends no leases there from before this event until it
  * adopts the worker again. Unknown to earlier versions, which wait longer for the leases to expire.
  */
 export interface WorkerReleased {
--- a/src/process/jobs/task-list.ts
+++ b/src/process/jobs/task-list.ts
@@ -57,6 +57,26 @@
         }
     }
 
+    /** Finds a touched task in a state. */
+    findIn(state: TaskState, isWanted: (task: Task) => boolean): Task | undefined {
+        for (const task of this.touched.values()) {
+            if (task.state === state && isWanted(task)) {
+                return task;
+            }
+        }
+        return undefined;
+    }
+
+    /** Whether any touched task fulfils a condition. */
+    hasTouched(isWanted: (task: Task) => boolean): boolean {
+        for (const task of this.touched.values()) {
+            if (isWanted(task)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Whether a task was never touched, so that it waits for its first run. */
     hasUntouched(): boolean {
         return this.touched.size < this.length;
--- a/src/process/leader/crash-tracker.ts
+++ b/src/process/leader/crash-tracker.ts
@@ -321,12 +321,7 @@
      */
     findCrasher({ tasks, job }: Step): Task | undefined {
         const isRisky = this.riskyQueues.has(job.queue);
-        for (const task of tasks.listIn(TaskState.waiting)) {
-            if (isCrasher(task, isRisky)) {
-                return task;
-            }
-        }
-        return undefined;
+        return tasks.findIn(TaskState.waiting, task => isCrasher(task, isRisky));
     }
 
     /** Logs which task was given up, and why. */
--- a/src/process/leader/gang-starts.ts
+++ b/src/process/leader/gang-starts.ts
@@ -93,5 +93,5 @@
 }
 
 function hasMembers(step: Step, run: number): boolean {
-    return [...step.tasks.listIn(TaskState.assigned)].some(task => task.run === run);
+    return step.tasks.findIn(TaskState.assigned, task => task.run === run) !== undefined;
 }
--- a/src/process/leader/run-end-handler.ts
+++ b/src/process/leader/run-end-handler.ts
@@ -236,15 +236,10 @@
             return false;
         }
         if (spec.isGang) {
-            const assigned = [...tasks.listIn(TaskState.assigned)];
-            return failures >= maxAttempts && !assigned.some(({ run }) => run > lastFailedRun);
+            return failures >= maxAttempts &&
+                tasks.findIn(TaskState.assigned, ({ run }) => run > lastFailedRun) === undefined;
         }
-        for (const task of tasks.listTouched()) {
-            if (task.state !== TaskState.assigned && task.failures >= maxAttempts) {
-                return true;
-            }
-        }
-        return false;
+        return tasks.hasTouched(task => task.state !== TaskState.assigned && task.failures >= maxAttempts);
     }
 
     private closeJob(job: Job, phase: "completed" | "failed"): void {
--- a/src/process/leader/wait-cause.ts
+++ b/src/process/leader/wait-cause.ts
@@ -211,7 +211,7 @@
 }
 
 function findWaitingTask({ tasks }: Step, isWanted: (task: Task) => boolean): Task | undefined {
-    return [...tasks.listIn(TaskState.waiting)].find(isWanted);
+    return tasks.findIn(TaskState.waiting, isWanted);
 }
 
 function describeLosses(task: Task): WaitFields {
