Worker lists: one piece of code logs unreadable entries

The list of VMs repeated how the source of the worker list logs each unreadable entry once, within a bound.

--- a/src/process/platform/http-vm-list-port.ts
+++ b/src/process/platform/http-vm-list-port.ts
@@ -7,24 +7,22 @@
 import { sendHttpRequest } from "./http-request.js";
 import { parseJsonAnswer } from "./json-answer.js";
 import { undefinedSchema, vmListSchema, vmSchema } from "./schemas.js";
+import { UnreadableEntries } from "./unreadable-entries.js";
 
 /** Largest list in bytes: enough for the largest planned cluster, and for growth beyond it. */
 const MAX_LIST_BYTES = 16_777_216;
 
-/** Elements that are logged as unreadable at most; the list is read again and again. */
-const MAX_UNREADABLE = 1_000;
-
 /** Reads the platform's list of VMs. */
 export class HttpVmListPort implements VmListPort {
     private readonly pool: Pool;
-    /** Elements that were logged as unreadable, by their names. */
-    private readonly unreadable = new Set<string>();
+    private readonly unreadable: UnreadableEntries;
 
     /**
      * @param url - `http://host:port` of the platform's list service.
      * @param clock - Measures the timeouts.
      */
-    constructor(url: string, private readonly clock: Clock, private readonly log: Log) {
+    constructor(url: string, private readonly clock: Clock, log: Log) {
+        this.unreadable = new UnreadableEntries(log);
         this.pool = new Pool(url, { connections: 1 });
     }
 
@@ -50,11 +48,7 @@
         if (parsed.success) {
             return [parsed.data];
         }
-        const key = readName(item);
-        if (!this.unreadable.has(key) && this.unreadable.size < MAX_UNREADABLE) {
-            this.unreadable.add(key);
-            this.log.warn("CR1642", "workerEntryUnreadable", { key });
-        }
+        this.unreadable.report(readName(item));
         return [];
     }
 }
