--- a/src/test/leader/takeovers_test.ts
+++ b/src/test/leader/takeovers_test.ts
@@ -1,14 +1,29 @@
 /** Leaders that are killed, suspended or cut off from the store, and their successors. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { Millis } from "../../common/clock.js";
 import { computeLeaseBound } from "../../process/dispatch/lease-bound.js";
 import { EpochHistory } from "../../process/leadership/epoch-history.js";
 import { CORE, LeaderCell, LEASE_MS, makeSpec } from "./leader-cell.js";
+import type { TestLeader } from "./leader-cell.js";
 
 const FIRST_ADDRESS = "10.0.0.1:80";
 /** Time in which a leader notices an expired lease and starts the task elsewhere. */
 const SWEEP_SLACK_MS = 500;
 
+/** Starts a leader, and a task of a job on each of two workers. */
+async function startOnBoth(
+    runMs: Millis,
+): Promise<{ readonly cell: LeaderCell; readonly leader: TestLeader; }> {
+    const cell = new LeaderCell(2);
+    cell.getBehavior = () => ({ demand: CORE, runMs, end: "done" });
+    const leader = await cell.startLeader();
+    await cell.clock.step(100);
+    await cell.submit(leader, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
+    await cell.clock.step(1_000);
+    return { cell, leader };
+}
+
 describe("a takeover", () => {
     it("keeps running tasks and completes the job", async () => {
         // The leader's process is killed while a job runs. The next leader must know the job, must not start
@@ -92,12 +107,7 @@
     it("restarts the tasks of a worker that the earlier leader released after one lease", async () => {
         // Guards against tasks that stood still for as long as the earlier leader might have extended leases without
         // the store, although their worker had been gone for seconds when it was lost itself.
-        const cell = new LeaderCell(2);
-        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
-        const first = await cell.startLeader();
-        await cell.clock.step(100);
-        await cell.submit(first, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
-        await cell.clock.step(1_000);
+        const { cell, leader: first } = await startOnBoth(60_000);
         cell.killWorker(FIRST_ADDRESS);
         await cell.clock.step(3_000);
         first.clock.kill();
@@ -112,12 +122,7 @@
 
     it("extends no lease on a worker that was released until it is adopted again", async () => {
         // Guards against a released worker that the earlier leader reaches again after it has lost the store.
-        const cell = new LeaderCell(2);
-        cell.getBehavior = () => ({ demand: CORE, runMs: 60_000, end: "done" });
-        const first = await cell.startLeader();
-        await cell.clock.step(100);
-        await cell.submit(first, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
-        await cell.clock.step(1_000);
+        const { cell, leader: first } = await startOnBoth(60_000);
         const { faults } = first.workers.getPath(FIRST_ADDRESS);
         faults.unreachable = true;
         await cell.clock.step(2_500);
@@ -134,12 +139,7 @@
     });
 
     it("keeps the runs of a worker that answers again after it was released", async () => {
-        const cell = new LeaderCell(2);
-        cell.getBehavior = () => ({ demand: CORE, runMs: 30_000, end: "done" });
-        const leader = await cell.startLeader();
-        await cell.clock.step(100);
-        await cell.submit(leader, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
-        await cell.clock.step(1_000);
+        const { cell, leader } = await startOnBoth(30_000);
         const { faults } = leader.workers.getPath(FIRST_ADDRESS);
         faults.unreachable = true;
         await cell.clock.step(2_500);
@@ -151,12 +151,7 @@
     });
 
     it("releases no worker while the store is away", async () => {
-        const cell = new LeaderCell(2);
-        cell.getBehavior = () => ({ demand: CORE, runMs: 20_000, end: "done" });
-        const leader = await cell.startLeader();
-        await cell.clock.step(100);
-        await cell.submit(leader, 1, makeSpec({ taskCount: 2, maxPerWorker: 1 }));
-        await cell.clock.step(1_000);
+        const { cell, leader } = await startOnBoth(20_000);
         const { faults } = leader.workers.getPath(FIRST_ADDRESS);
         leader.storePath.faults.unreachable = true;
         faults.unreachable = true;
